--- /dev/null
+++ b/core/event/doc_test.go
@@ -0,0 +1,30 @@
+package event_test
+
+import (
+	"os"
+	"strings"
+	"testing"
+
+	"tanagerroad/core/event"
+)
+
+// TestCatalogueIsDocumented compares docs/EVENTS.md with the code.
+func TestCatalogueIsDocumented(t *testing.T) {
+	page, err := os.ReadFile("../../docs/EVENTS.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !strings.Contains(string(page), event.Markdown()) {
+		t.Errorf("docs/EVENTS.md does not hold the catalogue; it should read:\n%s", event.Markdown())
+	}
+}
+
+func TestNumbersAndNamesAreUnique(t *testing.T) {
+	seen := map[any]bool{}
+	for _, e := range event.Catalogue() {
+		if seen[e.Number] || seen[e.Name] {
+			t.Errorf("event %d %s stands twice", e.Number, e.Name)
+		}
+		seen[e.Number], seen[e.Name] = true, true
+	}
+}
--- /dev/null
+++ b/core/replica/member.go
@@ -0,0 +1,122 @@
+package replica
+
+import (
+	"cmp"
+	"slices"
+
+	"google.golang.org/protobuf/proto"
+
+	"tanagerroad/core/wire"
+)
+
+// Join asks the control instances at to, whichever of them leads, to take this
+// replica in. A replica with an emptied disk has a new identity and is no
+// member until then.
+func (r *Replica) Join(to []string) {
+	if r.isMember(r.config.ID) {
+		return
+	}
+	for _, id := range to {
+		r.send(id, join, &wire.Message{Address: r.config.Address})
+	}
+}
+
+// onJoin takes a new identity in as a learner. It stands at the address of a
+// member whose disk is gone, so that member leaves in the same step: one voter
+// fewer, none more.
+func (r *Replica) onJoin(m *wire.Message) {
+	if r.role != Leader || !r.mayChangeMembers() || r.isMember(m.GetFrom()) {
+		return
+	}
+	known := slices.ContainsFunc(r.members, func(old *wire.Member) bool { return old.GetAddress() == m.GetAddress() })
+	if !known || m.GetAddress() == r.config.Address {
+		return
+	}
+	var next []*wire.Member
+	for _, old := range r.members {
+		if old.GetAddress() != m.GetAddress() {
+			next = append(next, old)
+		}
+	}
+	next = append(next, &wire.Member{Id: m.GetFrom(), Address: m.GetAddress()})
+	r.changeMembers(next)
+}
+
+// mayChangeMembers: one change at a time, and none before the leader knows
+// what is committed.
+func (r *Replica) mayChangeMembers() bool {
+	if !r.settledOwnTerm() {
+		return false
+	}
+	for _, e := range r.entries {
+		if e.GetIndex() > r.commit && len(e.GetMembers()) > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+func (r *Replica) changeMembers(next []*wire.Member) {
+	slices.SortFunc(next, func(a, b *wire.Member) int { return cmp.Compare(a.GetId(), b.GetId()) })
+	r.append(&wire.Entry{Members: next})
+	r.Flush()
+}
+
+// promote makes a voter of a learner that has synced all that is committed.
+func (r *Replica) promote() {
+	if !r.mayChangeMembers() {
+		return
+	}
+	for i, m := range r.members {
+		if m.GetVoter() || r.peers[m.GetId()] == nil || r.peers[m.GetId()].match < r.commit {
+			continue
+		}
+		next := slices.Clone(r.members)
+		next[i] = proto.CloneOf(m)
+		next[i].Voter = true
+		r.changeMembers(next)
+		return
+	}
+}
+
+// Formation says what an empty instance must do.
+type Formation int
+
+// Formations.
+const (
+	Wait    Formation = iota // ask again: not all have answered
+	Form                     // begin with the members returned
+	JoinOld                  // a history exists without this identity; ask to be taken in
+)
+
+// DecideFormation decides for an empty instance from what the listed addresses
+// answered, its own answer included. A first cluster forms only when all have
+// answered and all are empty; an emptied instance never starts a second
+// history.
+func DecideFormation(self *wire.HelloReply, listed []string, answers map[string]*wire.HelloReply) (Formation, []*wire.Member) {
+	formed := false
+	for _, address := range listed {
+		answer := answers[address]
+		if answer == nil || answer.GetEmpty() {
+			continue
+		}
+		formed = true
+		mine := slices.ContainsFunc(answer.GetMembers(), func(m *wire.Member) bool { return m.GetId() == self.GetId() })
+		if mine {
+			return Form, answer.GetMembers()
+		}
+	}
+	if formed {
+		return JoinOld, nil
+	}
+	var members []*wire.Member
+	for _, address := range listed {
+		answer := answers[address]
+		if answer == nil {
+			return Wait, nil
+		}
+		members = append(members, &wire.Member{Id: answer.GetId(), Address: address, Voter: true})
+	}
+	slices.SortFunc(members, func(a, b *wire.Member) int { return cmp.Compare(a.GetId(), b.GetId()) })
+	return Form, members
+}
--- /dev/null
+++ b/core/request/request.go
@@ -0,0 +1,871 @@
+// Package request decides the life of one request at the entry that owns it,
+// from its admission to exactly one final answer. A Machine takes events and
+// returns actions; it knows no clock, socket or other request, so that a
+// recorded trace of its events replays to the same actions.
+//
+// The machine speaks of calls: the entry's side of an attempt that runs at
+// a sidecar.
+package request
+
+import (
+	"bytes"
+	_ "embed"
+	"fmt"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"tanagerroad"
+	"tanagerroad/core/chart"
+	"tanagerroad/core/table"
+)
+
+//go:embed request.json
+var requestJSON []byte
+
+//go:embed call.json
+var callJSON []byte
+
+var (
+	requestChart = chart.MustParse("request.json", requestJSON)
+	callChart    = chart.MustParse("call.json", callJSON)
+)
+
+// Config is a request as the entry admitted it.
+type Config struct {
+	ID          string          `json:"id"`        // the caller's; claims go by it
+	Execution   string          `json:"execution"` // unique in the system; keys of calls go by it
+	Workspace   string          `json:"workspace"`
+	Route       table.Route     `json:"route"`
+	Body        []byte          `json:"body"`
+	Fingerprint uint64          `json:"fingerprint"` // of route and body
+	Deadline    time.Duration   `json:"deadline"`    // when, not how long
+	Once        bool            `json:"once"`        // not repeatable
+	Alone       bool            `json:"alone"`       // a suspect: runs with nothing beside it
+	Expected    []time.Duration `json:"expected"`    // learned time of each stage
+}
+
+// Event kinds.
+const (
+	Start      = "start"
+	Picked     = "picked"      // a server was chosen
+	NoPick     = "no-pick"     // none could be
+	Granted    = "granted"     // the quorum bound the claim to the call
+	Held       = "held"        // the claim is bound elsewhere, or settled
+	Denied     = "denied"      // the claim was refused and nothing is bound
+	Data       = "data"        // bytes of a result
+	End        = "end"         // a result is whole
+	TurnedAway = "turned-away" // the sidecar says that it did not run
+	Fail       = "fail"        // it ran and failed
+	Lost       = "lost"        // the stream broke or went silent
+	Told       = "told"        // a sidecar answered a question
+	Settled    = "settled"     // the quorum keeps the answer, or could not be reached in time
+	Timer      = "timer"
+	Gone       = "gone" // the caller went away
+)
+
+// Reference is a result that stays at its sidecar.
+type Reference struct {
+	Key     tanagerroad.Key `json:"key"`
+	Address string          `json:"address"`
+	Length  uint64          `json:"length"`
+	Digest  uint64          `json:"digest"`
+	Region  string          `json:"region"`
+}
+
+// Event is something that happened to the request.
+type Event struct {
+	Kind       string            `json:"kind"`
+	Key        tanagerroad.Key   `json:"key,omitzero"`
+	Server     string            `json:"server,omitempty"`
+	Address    string            `json:"address,omitempty"`
+	Generation uint64            `json:"generation,omitempty"`
+	HedgeAfter time.Duration     `json:"hedge-after,omitempty"` // with picked; 0: no hedge
+	Offset     uint64            `json:"offset,omitempty"`
+	Bytes      []byte            `json:"bytes,omitempty"`
+	Length     uint64            `json:"length,omitempty"`
+	Digest     uint64            `json:"digest,omitempty"`
+	Kept       *Reference        `json:"kept,omitempty"`
+	Reason     string            `json:"reason,omitempty"`
+	RetryAfter time.Duration     `json:"retry-after,omitempty"`
+	Unknown    bool              `json:"unknown,omitempty"` // with fail: it may have run
+	Crashed    bool              `json:"crashed,omitempty"` // with fail: the backend server died
+	InputGone  bool              `json:"input-gone,omitempty"`
+	State      string            `json:"state,omitempty"` // with told and held
+	Name       string            `json:"name,omitempty"`  // of a timer
+	Load       *tanagerroad.Load `json:"load,omitempty"`  // of the sidecar that answered
+}
+
+// Action kinds.
+const (
+	Pick       = "pick"
+	Claim      = "claim"
+	Rebind     = "rebind"
+	Run        = "run"
+	Fetch      = "fetch" // attach to a call that the sidecar knows
+	Question   = "question"
+	Cancel     = "cancel"
+	Settle     = "settle"
+	Deliver    = "deliver" // bytes to the caller, in order
+	Finish     = "finish"
+	SetTimer   = "set-timer"
+	Learn      = "learn" // a call ended; tell the picker
+	Stray      = "stray" // a part was dropped
+	Unexpected = "unexpected"
+)
+
+// Action is what the entry must do.
+type Action struct {
+	Kind       string              `json:"kind"`
+	Key        tanagerroad.Key     `json:"key,omitzero"`
+	Bound      tanagerroad.Key     `json:"bound,omitzero"` // with rebind: what the claim was bound to
+	Server     string              `json:"server,omitempty"`
+	Address    string              `json:"address,omitempty"`
+	Generation uint64              `json:"generation,omitempty"`
+	Extra      bool                `json:"extra,omitempty"` // with pick: a retry or a hedge, from the budget
+	Exclude    []string            `json:"exclude,omitempty"`
+	Input      []byte              `json:"input,omitempty"`
+	Reference  *Reference          `json:"reference,omitempty"`
+	From       uint64              `json:"from,omitempty"`
+	Fence      bool                `json:"fence,omitempty"`
+	Bytes      []byte              `json:"bytes,omitempty"`
+	State      string              `json:"state,omitempty"`
+	Reason     string              `json:"reason,omitempty"`
+	Answer     *tanagerroad.Answer `json:"answer,omitempty"`
+	Name       string              `json:"name,omitempty"`
+	At         time.Duration       `json:"at,omitempty"`
+	OK         bool                `json:"ok,omitempty"`
+	Refused    bool                `json:"refused,omitempty"`
+	Alone      bool                `json:"alone,omitempty"`
+	Load       *tanagerroad.Load   `json:"load,omitempty"` // with learn
+	Size       int                 `json:"size,omitempty"` // with learn: bytes of the result
+}
+
+// Bounds of a request's patience.
+const (
+	maxTurnedAway  = 4                      // refusals of one stage before it is given up
+	maxTries       = 3                      // runs of one stage
+	askAgain       = 100 * time.Millisecond // between questions to a sidecar that does not answer
+	maxQuestions   = 8                      // before the answer is unknown
+	fenceAfter     = 300 * time.Millisecond // how long a bound call may take to reach its sidecar
+	settlePatience = 2 * time.Second        // how long a finished booking waits for the quorum
+)
+
+// call is the entry's side of one attempt.
+type call struct {
+	key        tanagerroad.Key
+	server     string
+	address    string
+	generation uint64
+	state      string
+	data       []byte
+	questions  int
+	reported   bool // the picker heard of its end
+	sent       bool // it went out to its sidecar
+	hedgeAfter time.Duration
+	load       *tanagerroad.Load
+	kept       *Reference
+}
+
+// Machine is one request's life.
+type Machine struct {
+	config Config
+	state  string
+
+	stage     int
+	input     []byte
+	reference *Reference
+	calls     map[tanagerroad.Key]*call
+	order     []tanagerroad.Key // of calls, oldest first
+	attempts  []int             // highest attempt number used, by stage
+	tries     int               // runs of the present stage
+	refusals  int               // of the present stage
+	exclude   []string
+	retry     time.Duration // soonest that a refusing sidecar asked for
+	ran       bool          // something may have run
+	alone     bool
+	bound     *tanagerroad.Key // what the claim is bound to
+	released  bool
+	delivered []byte
+	answer    *tanagerroad.Answer // while settling
+	pending   tanagerroad.Key     // call that waits for the quorum
+	out       []Action
+}
+
+// New returns a machine that waits for its start event.
+func New(config Config) *Machine {
+	return &Machine{
+		config:   config,
+		state:    requestChart.Initial,
+		calls:    map[tanagerroad.Key]*call{},
+		attempts: make([]int, len(config.Route.Stages)),
+		input:    config.Body,
+		alone:    config.Alone,
+	}
+}
+
+// State is the request's state, as the chart names it.
+func (m *Machine) State() string { return m.state }
+
+// Ended reports whether the final answer was given.
+func (m *Machine) Ended() bool { return requestChart.IsFinal(m.state) }
+
+// Step takes one event and returns what must be done, in order.
+func (m *Machine) Step(at time.Duration, e Event) []Action {
+	m.out = nil
+	if m.Ended() {
+		m.stray(e, "the request has ended")
+		return m.out
+	}
+	switch e.Kind {
+	case Start:
+		m.start(at)
+	case Picked:
+		m.picked(at, e)
+	case NoPick:
+		m.noPick(at, e)
+	case Granted:
+		m.granted(at, e)
+	case Held:
+		m.held(e)
+	case Denied:
+		m.denied(e)
+	case Data:
+		m.data(at, e)
+	case End:
+		m.end(at, e)
+	case TurnedAway:
+		m.turnedAway(at, e)
+	case Fail:
+		m.fail(at, e)
+	case Lost:
+		m.lost(at, e)
+	case Told:
+		m.told(at, e)
+	case Settled:
+		m.settled()
+	case Timer:
+		m.timer(at, e)
+	case Gone:
+		m.callerGone()
+	default:
+		m.stray(e, "an unknown event")
+	}
+	return m.out
+}
+
+func (m *Machine) do(a Action) { m.out = append(m.out, a) }
+
+func (m *Machine) stray(e Event, why string) {
+	if e.Kind == Timer || e.Kind == Gone {
+		return // nothing was dropped that anybody waits for
+	}
+	m.do(Action{Kind: Stray, Key: e.Key, Reason: e.Kind + ": " + why})
+}
+
+// move follows the request's chart and reports whether there was an arrow.
+func (m *Machine) move(on string) bool {
+	next, err := requestChart.Next(m.state, on)
+	if err != nil {
+		m.do(Action{Kind: Unexpected, Reason: err.Error()})
+		return false
+	}
+	m.state = next
+	return true
+}
+
+// turn follows the call's chart.
+func (m *Machine) turn(c *call, on string) bool {
+	next, err := callChart.Next(c.state, on)
+	if err != nil {
+		m.do(Action{Kind: Unexpected, Key: c.key, Reason: err.Error()})
+		return false
+	}
+	c.state = next
+	return true
+}
+
+func (m *Machine) start(at time.Duration) {
+	if !m.move("start") {
+		return
+	}
+	m.do(Action{Kind: SetTimer, Name: "deadline", At: m.config.Deadline})
+	m.pick(at, false)
+}
+
+// pick asks for a server for a new call of the present stage.
+func (m *Machine) pick(at time.Duration, extra bool) {
+	if at+m.remaining() > m.config.Deadline {
+		m.giveUp("the deadline cannot be met")
+		return
+	}
+	m.attempts[m.stage]++
+	key := tanagerroad.Key{Request: m.config.Execution, Stage: m.stage, Attempt: m.attempts[m.stage]}
+	m.add(&call{key: key, state: callChart.Initial})
+	m.do(Action{Kind: Pick, Key: key, Extra: extra, Exclude: m.exclude})
+}
+
+func (m *Machine) add(c *call) {
+	m.calls[c.key] = c
+	m.order = append(m.order, c.key)
+}
+
+// remaining is the learned time of the stages that are left.
+func (m *Machine) remaining() time.Duration {
+	var sum time.Duration
+	for i := m.stage; i < len(m.config.Expected); i++ {
+		sum += m.config.Expected[i]
+	}
+	return sum
+}
+
+func (m *Machine) picked(at time.Duration, e Event) {
+	c, ok := m.calls[e.Key]
+	if !ok || c.state != callChart.Initial {
+		m.stray(e, "no such pick")
+		return
+	}
+	c.server, c.address, c.generation, c.hedgeAfter = e.Server, e.Address, e.Generation, e.HedgeAfter
+	m.turn(c, "pick")
+	if !m.config.Once {
+		m.run(at, c)
+		return
+	}
+	if !m.move("claim") {
+		return
+	}
+	m.pending = c.key
+	bind := Action{Kind: Claim, Key: c.key, Server: c.server, Address: c.address, Generation: c.generation}
+	if m.bound != nil {
+		bind.Kind, bind.Bound = Rebind, *m.bound
+	}
+	m.do(bind)
+}
+
+func (m *Machine) noPick(at time.Duration, e Event) {
+	c, ok := m.calls[e.Key]
+	if !ok || c.state != callChart.Initial {
+		m.stray(e, "no such pick")
+		return
+	}
+	m.turn(c, "drop")
+	if m.active() > 0 {
+		return // a hedge that was not granted; the first call goes on
+	}
+	if e.RetryAfter > 0 {
+		m.noteRetry(e.RetryAfter)
+	}
+	m.giveUp(e.Reason)
+}
+
+// active counts the calls of the present stage that may still bring a result.
+func (m *Machine) active() int {
+	n := 0
+	for _, c := range m.calls {
+		if c.key.Stage == m.stage && !callChart.IsFinal(c.state) {
+			n++
+		}
+	}
+	return n
+}
+
+func (m *Machine) run(at time.Duration, c *call) {
+	if !m.turn(c, "run") {
+		return
+	}
+	m.ran, c.sent = true, true
+	m.tries++
+	m.do(Action{
+		Kind: Run, Key: c.key, Server: c.server, Address: c.address, Generation: c.generation,
+		Input: m.input, Reference: m.reference, Alone: m.alone,
+	})
+	if c.hedgeAfter > 0 {
+		m.do(Action{Kind: SetTimer, Name: "hedge", Key: c.key, At: at + c.hedgeAfter})
+	}
+}
+
+func (m *Machine) granted(at time.Duration, e Event) {
+	c, ok := m.calls[e.Key]
+	if !ok || m.state != "claiming" || m.pending != e.Key {
+		m.stray(e, "no such claim")
+		return
+	}
+	m.move("grant")
+	key := c.key
+	m.bound = &key
+	m.run(at, c)
+}
+
+// denied: the quorum refused, or could not be asked. Nothing was sent for this
+// call and nothing will be.
+func (m *Machine) denied(e Event) {
+	if m.state != "claiming" || m.pending != e.Key {
+		m.stray(e, "no such claim")
+		return
+	}
+	m.dropCall(m.calls[e.Key])
+	m.noteRetry(e.RetryAfter)
+	if e.State == "mismatch" {
+		m.finish(tanagerroad.Answer{Kind: tanagerroad.Failed, Reason: e.Reason})
+		return
+	}
+	m.giveUp(e.Reason)
+}
+
+func (m *Machine) dropCall(c *call) {
+	if c == nil || callChart.IsFinal(c.state) {
+		return
+	}
+	picked := c.state != callChart.Initial
+	m.turn(c, "drop")
+	if picked {
+		m.learn(c, false, true)
+	}
+}
+
+// held: another call has the claim, perhaps from another entry; follow it.
+func (m *Machine) held(e Event) {
+	if m.state != "claiming" {
+		m.stray(e, "no such claim")
+		return
+	}
+	m.dropCall(m.calls[m.pending])
+	switch e.State {
+	case "complete":
+		if e.Length > 0 && len(e.Bytes) == 0 {
+			break // its answer was too large to keep; the sidecar may have it
+		}
+		m.finish(m.whole(e.Bytes))
+		return
+	case "failed":
+		m.finish(tanagerroad.Answer{Kind: tanagerroad.Failed, Reason: e.Reason})
+		return
+	case "unknown":
+		m.finish(tanagerroad.Answer{Kind: tanagerroad.Unknown, Reason: e.Reason})
+		return
+	}
+	m.move("join")
+	m.ran = true
+	key := e.Key
+	m.bound = &key
+	m.enterStage(key.Stage)
+	c := &call{key: key, server: e.Server, address: e.Address, generation: e.Generation, state: "asking", reported: true, sent: true}
+	m.add(c)
+	m.question(c, false)
+}
+
+func (m *Machine) whole(body []byte) tanagerroad.Answer {
+	return tanagerroad.Answer{Kind: tanagerroad.Complete, Body: body, Length: uint64(len(body)), Digest: xxhash.Sum64(body)}
+}
+
+func (m *Machine) question(c *call, fence bool) {
+	c.questions++
+	m.do(Action{Kind: Question, Key: c.key, Address: c.address, Generation: c.generation, Fence: fence})
+}
+
+// find returns the call that a part belongs to, if it can still take it.
+func (m *Machine) find(e Event) *call {
+	c, ok := m.calls[e.Key]
+	if !ok || e.Key.Stage != m.stage || (c.state != "running" && c.state != "asking") {
+		m.stray(e, "no call waits for it")
+		return nil
+	}
+	return c
+}
+
+func (m *Machine) data(at time.Duration, e Event) {
+	c := m.find(e)
+	if c == nil {
+		return
+	}
+	have := uint64(len(c.data))
+	switch {
+	case e.Offset > have:
+		m.stray(e, "a gap")
+		m.do(Action{Kind: Fetch, Key: c.key, Address: c.address, From: have})
+		return
+	case e.Offset+uint64(len(e.Bytes)) <= have:
+		m.stray(e, "doubled")
+		return
+	}
+	if c.state == "asking" {
+		m.turn(c, "found")
+	}
+	c.questions = 0
+	c.data = append(c.data, e.Bytes[have-e.Offset:]...)
+	if m.streams() {
+		m.deliver(c)
+	}
+}
+
+func (m *Machine) streams() bool {
+	last := m.stage == len(m.config.Route.Stages)-1
+	return last && m.config.Route.Stages[m.stage].Stream
+}
+
+// deliver hands on what the caller has not yet had. A call that takes over a
+// stream must agree with what was already delivered; if it does not, the
+// stream cannot be made whole.
+func (m *Machine) deliver(c *call) {
+	n := min(len(c.data), len(m.delivered))
+	if !bytes.Equal(c.data[:n], m.delivered[:n]) {
+		m.finish(tanagerroad.Answer{Kind: tanagerroad.Failed, Reason: "a repeated run differs from what was already streamed"})
+		return
+	}
+	if len(c.data) <= len(m.delivered) {
+		return
+	}
+	fresh := c.data[len(m.delivered):]
+	m.delivered = append(m.delivered, fresh...)
+	m.do(Action{Kind: Deliver, Key: c.key, Bytes: fresh})
+	m.dropOthers(c) // the first to stream wins over its hedge
+}
+
+func (m *Machine) dropOthers(winner *call) {
+	for _, key := range m.liveKeys() {
+		c := m.calls[key]
+		if c == winner {
+			continue
+		}
+		m.dropCall(c)
+		if c.sent {
+			m.do(Action{Kind: Cancel, Key: key, Address: c.address})
+		}
+	}
+}
+
+// liveKeys lists calls that may still bring something, in order.
+func (m *Machine) liveKeys() []tanagerroad.Key {
+	var keys []tanagerroad.Key
+	for _, key := range m.order {
+		if !callChart.IsFinal(m.calls[key].state) {
+			keys = append(keys, key)
+		}
+	}
+	return keys
+}
+
+func (m *Machine) end(at time.Duration, e Event) {
+	c := m.find(e)
+	if c == nil {
+		return
+	}
+	if e.Kept == nil && !intact(c.data, e) {
+		e.Reason = fmt.Sprintf("the result has %d bytes and another digest, not the %d announced", len(c.data), e.Length)
+		m.fail(at, e)
+		return
+	}
+	m.turn(c, "end")
+	c.load, c.kept = e.Load, e.Kept
+	m.learn(c, true, false)
+	m.dropOthers(c)
+	if m.stage < len(m.config.Route.Stages)-1 {
+		m.input, m.reference = c.data, e.Kept
+		m.enterStage(m.stage + 1)
+		m.pick(at, false)
+		return
+	}
+	m.complete(at, c)
+}
+
+func intact(data []byte, e Event) bool {
+	return uint64(len(data)) == e.Length && xxhash.Sum64(data) == e.Digest
+}
+
+func (m *Machine) enterStage(stage int) {
+	m.stage = stage
+	m.tries, m.refusals, m.exclude = 0, 0, nil
+}
+
+func (m *Machine) complete(at time.Duration, c *call) {
+	answer := m.whole(c.data)
+	if !m.config.Once {
+		m.finish(answer)
+		return
+	}
+	if !m.move("settle") {
+		return
+	}
+	m.answer = &answer
+	m.do(Action{Kind: Settle, Key: c.key, State: "complete", Bytes: c.data})
+	m.do(Action{Kind: SetTimer, Name: "settle", At: min(m.config.Deadline, at+settlePatience)})
+}
+
+func (m *Machine) settled() {
+	if m.state == "settling" {
+		m.finish(*m.answer)
+	}
+}
+
+func (m *Machine) learn(c *call, ok, refused bool) {
+	if c.reported {
+		return
+	}
+	c.reported = true
+	m.do(Action{
+		Kind: Learn, Key: c.key, Server: c.server, OK: ok, Refused: refused,
+		Load: c.load, Reference: c.kept, Size: len(c.data),
+	})
+}
+
+func (m *Machine) noteRetry(after time.Duration) {
+	if after > 0 && (m.retry == 0 || after < m.retry) {
+		m.retry = after
+	}
+}
+
+// turnedAway: the sidecar says for certain that the call did not run.
+func (m *Machine) turnedAway(at time.Duration, e Event) {
+	c := m.find(e)
+	if c == nil {
+		return
+	}
+	m.turn(c, "turn-away")
+	c.load = e.Load
+	m.learn(c, false, true)
+	m.noteRetry(e.RetryAfter)
+	m.refusals++
+	m.tries--
+	m.ran = m.mayHaveRun()
+	m.exclude = append(m.exclude, c.server)
+	if e.InputGone && m.stage > 0 && !m.config.Once {
+		m.stepBack(at)
+		return
+	}
+	if m.active() > 0 {
+		return
+	}
+	if m.refusals >= maxTurnedAway {
+		m.giveUp(e.Reason)
+		return
+	}
+	m.pick(at, false)
+}
+
+// mayHaveRun reports whether any call went out that was not turned away.
+func (m *Machine) mayHaveRun() bool {
+	for _, c := range m.calls {
+		if c.sent && c.state != "turned-away" {
+			return true
+		}
+	}
+	return false
+}
+
+// stepBack runs the stage before once more: the sidecar that kept its result
+// has it no longer.
+func (m *Machine) stepBack(at time.Duration) {
+	m.dropOthers(nil)
+	m.stage--
+	m.enterStage(m.stage)
+	m.reference = nil
+	m.input = m.inputOf(m.stage)
+	if m.stage > 0 && m.input == nil {
+		m.stage = 0
+		m.input = m.config.Body
+	}
+	m.pick(at, true)
+}
+
+// inputOf is the whole result that the stage before gave, if it is held here.
+func (m *Machine) inputOf(stage int) []byte {
+	if stage == 0 {
+		return m.config.Body
+	}
+	for _, c := range m.calls {
+		if c.key.Stage == stage-1 && c.state == "ended" && len(c.data) > 0 {
+			return c.data
+		}
+	}
+	return nil
+}
+
+// fail: the call ran, or may have run, and brings no result.
+func (m *Machine) fail(at time.Duration, e Event) {
+	c := m.find(e)
+	if c == nil {
+		return
+	}
+	m.turn(c, "fail")
+	m.learn(c, false, false)
+	if m.config.Once {
+		kind := tanagerroad.Failed
+		if e.Unknown {
+			kind = tanagerroad.Unknown
+		}
+		m.settleAndFinish(c, kind, e.Reason)
+		return
+	}
+	if e.Crashed {
+		m.alone = true // from now on it may run only with nothing beside it
+	}
+	m.retryOrFail(at, c, e.Reason)
+}
+
+func (m *Machine) retryOrFail(at time.Duration, c *call, reason string) {
+	m.exclude = append(m.exclude, c.server)
+	if m.active() > 0 {
+		return
+	}
+	if m.tries >= maxTries {
+		m.giveUp(reason)
+		return
+	}
+	m.pick(at, true)
+}
+
+// lost: the stream broke or went silent. What became of the call is asked over
+// a new connection; nothing is sent again blindly.
+func (m *Machine) lost(at time.Duration, e Event) {
+	c := m.find(e)
+	if c == nil {
+		return
+	}
+	if !m.turn(c, "lose") {
+		return
+	}
+	c.questions++
+	if m.config.Once {
+		m.askOrUnknown(at, c, false)
+		return
+	}
+	if c.questions > 1 {
+		m.turn(c, "fail")
+		m.learn(c, false, false)
+		m.retryOrFail(at, c, "contact with the sidecar was lost")
+		return
+	}
+	m.do(Action{Kind: Fetch, Key: c.key, Address: c.address, From: uint64(len(c.data))})
+}
+
+func (m *Machine) askOrUnknown(at time.Duration, c *call, fence bool) {
+	if c.questions > maxQuestions {
+		// Not settled: a later resend may still find the sidecar.
+		m.finish(tanagerroad.Answer{Kind: tanagerroad.Unknown, Reason: "its sidecar cannot be reached"})
+		return
+	}
+	m.question(c, fence)
+}
+
+// told: a sidecar answered what became of a call.
+func (m *Machine) told(at time.Duration, e Event) {
+	c, ok := m.calls[e.Key]
+	if !ok || c.state != "asking" {
+		m.stray(e, "nothing was asked")
+		return
+	}
+	switch e.State {
+	case "never-started":
+		m.neverStarted(at, c)
+	case "new":
+		// Its entry may be about to send it; fence it off if it is not
+		// there soon.
+		m.do(Action{Kind: SetTimer, Name: "fence", Key: c.key, At: at + fenceAfter})
+	case "queued", "running", "done", "failed":
+		m.turn(c, "found")
+		c.questions = 0
+		m.do(Action{Kind: Fetch, Key: c.key, Address: c.address, From: uint64(len(c.data))})
+	case "unknown":
+		m.turn(c, "fail")
+		m.settleAndFinish(c, tanagerroad.Unknown, "its sidecar cannot say whether it ran")
+	default: // no answer
+		m.do(Action{Kind: SetTimer, Name: "ask", Key: c.key, At: at + askAgain})
+	}
+}
+
+func (m *Machine) neverStarted(at time.Duration, c *call) {
+	m.turn(c, "turn-away")
+	m.learn(c, false, true)
+	m.exclude = append(m.exclude, c.server)
+	m.refusals++
+	m.ran = m.mayHaveRun()
+	if m.refusals >= maxTurnedAway {
+		m.giveUp("no sidecar took it")
+		return
+	}
+	m.pick(at, false)
+}
+
+func (m *Machine) timer(at time.Duration, e Event) {
+	switch e.Name {
+	case "deadline":
+		m.deadline()
+	case "settle":
+		m.settled() // the answer is true even if the quorum could not keep it
+	case "ask", "fence":
+		if c, ok := m.calls[e.Key]; ok && c.state == "asking" {
+			m.askOrUnknown(at, c, e.Name == "fence")
+		}
+	case "hedge":
+		m.hedge(at, e.Key)
+	}
+}
+
+// hedge runs a second call beside one that is slow to answer.
+func (m *Machine) hedge(at time.Duration, key tanagerroad.Key) {
+	c, ok := m.calls[key]
+	if !ok || key.Stage != m.stage || c.state != "running" || len(c.data) > 0 || m.active() > 1 || m.config.Once || m.alone {
+		return
+	}
+	if at+m.remaining() > m.config.Deadline {
+		return
+	}
+	m.exclude = append(m.exclude, c.server)
+	m.pick(at, true)
+}
+
+// deadline: no more waiting. What may still run is told the truth about.
+func (m *Machine) deadline() {
+	if m.config.Once && m.ran {
+		m.finish(tanagerroad.Answer{Kind: tanagerroad.Unknown, Reason: "the deadline passed while it ran"})
+		return
+	}
+	m.giveUp("the deadline passed")
+}
+
+// giveUp ends the request without its answer, at once and truthfully.
+func (m *Machine) giveUp(reason string) {
+	kind := tanagerroad.NotRun
+	if m.ran {
+		kind = tanagerroad.Failed
+	}
+	if m.config.Once && m.bound != nil && !m.released {
+		m.released = true
+		m.do(Action{Kind: Settle, Key: *m.bound, State: string(kind), Reason: reason})
+	}
+	m.finish(tanagerroad.Answer{Kind: kind, Reason: reason, RetryAfter: m.retryAfter(kind)})
+}
+
+// leastRetryAfter is told to callers when no sidecar named a time.
+const leastRetryAfter = 500 * time.Millisecond
+
+func (m *Machine) retryAfter(kind tanagerroad.AnswerKind) time.Duration {
+	if kind != tanagerroad.NotRun && m.config.Once {
+		return 0 // sending it again is not advised
+	}
+	return max(m.retry, leastRetryAfter)
+}
+
+func (m *Machine) settleAndFinish(c *call, kind tanagerroad.AnswerKind, reason string) {
+	m.do(Action{Kind: Settle, Key: c.key, State: string(kind), Reason: reason})
+	m.finish(tanagerroad.Answer{Kind: kind, Reason: reason})
+}
+
+func (m *Machine) finish(answer tanagerroad.Answer) {
+	if !m.move(string(answer.Kind)) {
+		return
+	}
+	if !m.config.Once {
+		m.dropOthers(nil)
+	}
+	m.do(Action{Kind: Finish, Answer: &answer})
+}
+
+// callerGone: nobody waits any more. A not-repeatable call that may run is
+// followed to its end, so that a resend finds the answer.
+func (m *Machine) callerGone() {
+	if m.config.Once && m.ran {
+		return
+	}
+	m.giveUp("the caller went away")
+}
--- /dev/null
+++ b/io/control/client.go
@@ -0,0 +1,233 @@
+package control
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+	"google.golang.org/grpc"
+
+	"tanagerroad"
+	"tanagerroad/core/event"
+	"tanagerroad/core/registry"
+	"tanagerroad/core/wire"
+	"tanagerroad/io/peer"
+	"tanagerroad/io/signal"
+)
+
+// Times of the client.
+const (
+	watchSilence = 3 * time.Second // of a watch, before another instance is tried
+	tryTimeout   = time.Second     // for one try of a change
+	retryPause   = 50 * time.Millisecond
+	watchPause   = 200 * time.Millisecond
+)
+
+// Client carries commands to whichever instance leads.
+type Client struct {
+	links     *peer.Links
+	addresses []string
+	logger    *zap.Logger
+
+	mu     sync.Mutex
+	leader string
+}
+
+var _ tanagerroad.Proposer = (*Client)(nil)
+
+// NewClient returns a client of the instances at addresses, the nearest first.
+func NewClient(links *peer.Links, addresses []string, logger *zap.Logger) *Client {
+	return &Client{links: links, addresses: addresses, logger: logger}
+}
+
+// SetLeader notes where a watch says that the leader is.
+func (c *Client) SetLeader(address string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.leader = address
+}
+
+// order lists the addresses to try, the leader first.
+func (c *Client) order() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.leader == "" {
+		return c.addresses
+	}
+	return append([]string{c.leader}, c.addresses...)
+}
+
+// Propose tries the leader and, until the context ends, the others. Commands
+// are idempotent in the registry, so that a second try after a lost answer
+// gets the first one's outcome.
+func (c *Client) Propose(ctx context.Context, command *wire.Command) (*wire.Outcome, error) {
+	var unsure error
+	for ctx.Err() == nil {
+		sawAnswer := false
+		for _, address := range c.order() {
+			outcome, err := c.try(ctx, address, command)
+			switch {
+			case err != nil:
+				unsure = err
+				continue
+			case outcome.GetKind() == registry.Redirect:
+				c.SetLeader(outcome.GetLeader())
+				sawAnswer = true
+			case outcome.GetKind() == registry.NoQuorum:
+				sawAnswer = true
+				continue
+			default:
+				return outcome, nil
+			}
+			break
+		}
+		if !sawAnswer && unsure == nil {
+			break
+		}
+		pause(ctx, retryPause)
+	}
+	if unsure != nil {
+		return nil, fmt.Errorf("propose: %w", unsure)
+	}
+	return &wire.Outcome{Kind: registry.NoQuorum, Reason: "no leader with a quorum could be reached"}, nil
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
+func (c *Client) try(ctx context.Context, address string, command *wire.Command) (*wire.Outcome, error) {
+	conn, err := c.links.To(address)
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, tryTimeout)
+	defer cancel()
+	outcome, err := wire.NewControlClient(conn).Propose(ctx, command)
+	if err != nil && ctx.Err() != nil {
+		// No answer in time: the connection may be dead without knowing it.
+		event.LinkSilent.Log(c.logger, zap.String("peer", address))
+		c.links.Renew(address, conn)
+	}
+	return outcome, err
+}
+
+// Read asks the leader for what a quorum confirms.
+func (c *Client) Read(ctx context.Context, request *wire.ReadRequest) (*wire.ReadReply, error) {
+	last := &wire.ReadReply{Kind: registry.NoQuorum}
+	for ctx.Err() == nil {
+		for _, address := range c.order() {
+			conn, err := c.links.To(address)
+			if err != nil {
+				return nil, err
+			}
+			tryCtx, cancel := context.WithTimeout(ctx, tryTimeout)
+			reply, err := wire.NewControlClient(conn).Read(tryCtx, request)
+			cancel()
+			if err != nil {
+				continue
+			}
+			if reply.GetKind() == "ok" || reply.GetKind() == "missing" {
+				return reply, nil
+			}
+			if reply.GetKind() == registry.Redirect {
+				c.SetLeader(reply.GetLeader())
+			}
+			last = reply
+		}
+		pause(ctx, retryPause)
+	}
+	return last, nil
+}
+
+// Statuses asks every instance for its status.
+func (c *Client) Statuses(ctx context.Context) map[string]*wire.StatusReply {
+	out := map[string]*wire.StatusReply{}
+	for _, address := range c.addresses {
+		conn, err := c.links.To(address)
+		if err != nil {
+			continue
+		}
+		tryCtx, cancel := context.WithTimeout(ctx, tryTimeout)
+		if reply, err := wire.NewControlClient(conn).Status(tryCtx, &wire.StatusRequest{}); err == nil {
+			out[address] = reply
+		}
+		cancel()
+	}
+	return out
+}
+
+// Watcher keeps a watch at a control instance.
+type Watcher struct {
+	Client *Client
+	// Notice says what to tell the instance now.
+	Notice func() *wire.Notice
+	// Every is the time between notices; a change of Nudge asks for one at
+	// once.
+	Every time.Duration
+	Nudge *signal.Signal
+	// Take is handed every update.
+	Take func(*wire.Update)
+}
+
+// Watch watches the instance at one of the addresses until the context ends,
+// going on to the next when one is silent.
+func (w Watcher) Watch(ctx context.Context, addresses []string) {
+	for i := 0; ctx.Err() == nil; i++ {
+		w.once(ctx, addresses[i%len(addresses)])
+		pause(ctx, watchPause)
+	}
+}
+
+func (w Watcher) once(ctx context.Context, address string) {
+	conn, err := w.Client.links.To(address)
+	if err != nil {
+		return
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	silence := time.AfterFunc(watchSilence, func() {
+		event.LinkSilent.Log(w.Client.logger, zap.String("peer", address))
+		w.Client.links.Renew(address, conn)
+		cancel()
+	})
+	defer silence.Stop()
+	stream, err := wire.NewControlClient(conn).Watch(ctx)
+	if err != nil {
+		return
+	}
+	go func() {
+		defer cancel()
+		w.tell(ctx, stream)
+	}()
+	for {
+		update, err := stream.Recv()
+		if err != nil {
+			return
+		}
+		silence.Reset(watchSilence)
+		w.Take(update)
+	}
+}
+
+func (w Watcher) tell(ctx context.Context, stream grpc.BidiStreamingClient[wire.Notice, wire.Update]) {
+	ticker := time.NewTicker(w.Every)
+	defer ticker.Stop()
+	for {
+		changed := w.Nudge.Changed()
+		if err := stream.Send(w.Notice()); err != nil {
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		case <-changed:
+		}
+	}
+}
--- /dev/null
+++ b/io/demo/cluster.go
@@ -0,0 +1,301 @@
+// Package demo runs every role in one process on loopback, with stand-in
+// backend servers: the first thing that a newcomer starts, and the ground that
+// tests of the whole path stand on.
+package demo
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"time"
+
+	"go.uber.org/zap"
+
+	"tanagerroad"
+	"tanagerroad/core/settings"
+	"tanagerroad/io/operator"
+	"tanagerroad/io/process"
+	"tanagerroad/io/standin"
+)
+
+// Backend is one stand-in of the demo, with the place of its sidecar.
+type Backend struct {
+	Place tanagerroad.Place
+	settings.StandInServer
+}
+
+// Config lays a cluster out.
+type Config struct {
+	Places   []tanagerroad.Place // of the entries; control instances stand at the first three
+	Controls int                 // 0: three
+	Backends []Backend
+	Folder   string // for the control instances' data
+	Routes   []byte
+	Pools    []byte
+	Logger   *zap.Logger
+	// Sidecar and Entry may change settings before a process starts.
+	Sidecar func(*settings.Sidecar)
+	Entry   func(*settings.Entry)
+	Control func(*settings.Control)
+}
+
+// Cluster is a running system.
+type Cluster struct {
+	Entries  []*process.Process
+	Sidecars []*process.Process
+	Controls []*process.Process
+	StandIns []*standin.Server
+
+	EntryURLs     []string
+	EntryOps      []string // operator's addresses of the entries
+	ControlOps    []string
+	ControlPeers  []string
+	SidecarPeers  []string
+	controlConfig []settings.Control
+	entryConfig   []settings.Entry
+	sidecarConfig []settings.Sidecar
+	env           process.Environment
+	closers       []func()
+	http          *http.Client
+}
+
+// Free returns loopback addresses that nobody listens on.
+func Free(n int) ([]string, error) {
+	var out []string
+	var listeners []net.Listener
+	defer func() {
+		for _, l := range listeners {
+			_ = l.Close()
+		}
+	}()
+	for range n {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, fmt.Errorf("free address: %w", err)
+		}
+		listeners = append(listeners, l)
+		out = append(out, l.Addr().String())
+	}
+	return out, nil
+}
+
+// Start starts a cluster and puts its tables. The returned function stops it.
+func Start(ctx context.Context, config Config) (*Cluster, func(), error) {
+	c := &Cluster{env: process.Environment{Logger: config.Logger}, http: &http.Client{Timeout: 10 * time.Second}}
+	steps := []func(context.Context, Config) error{c.startControls, c.startBackends, c.startEntries, c.putTables, c.awaitReady}
+	for _, step := range steps {
+		if err := step(ctx, config); err != nil {
+			c.Close()
+			return nil, nil, err
+		}
+	}
+	return c, c.Close, nil
+}
+
+// Close ends everything at once.
+func (c *Cluster) Close() {
+	for _, list := range [][]*process.Process{c.Entries, c.Sidecars, c.Controls} {
+		for _, p := range list {
+			p.Close()
+		}
+	}
+	for i := len(c.closers) - 1; i >= 0; i-- {
+		c.closers[i]()
+	}
+	c.http.CloseIdleConnections()
+}
+
+func common(name string, place tanagerroad.Place) settings.Common {
+	return settings.Common{Process: name, Zone: place.Zone, Region: place.Region}
+}
+
+func (c *Cluster) startControls(_ context.Context, config Config) error {
+	n := config.Controls
+	if n == 0 {
+		n = 3
+	}
+	peers, err := Free(2 * n)
+	if err != nil {
+		return err
+	}
+	c.ControlPeers, c.ControlOps = peers[:n], peers[n:]
+	for i := range n {
+		s := settings.DefaultControl()
+		s.Role, s.Common = settings.RoleControl, common(fmt.Sprintf("control-%d", i+1), config.Places[i%len(config.Places)])
+		s.Peer.Address, s.Operator.Address, s.Instances = c.ControlPeers[i], c.ControlOps[i], c.ControlPeers
+		s.Data = filepath.Join(config.Folder, s.Process)
+		s.Stop.Grace = 0
+		if config.Control != nil {
+			config.Control(&s)
+		}
+		c.controlConfig = append(c.controlConfig, s)
+		p, err := process.NewControl(c.env, s)
+		if err != nil {
+			return err
+		}
+		c.Controls = append(c.Controls, p)
+	}
+	return nil
+}
+
+// RestartControl starts a control instance again that was closed; wiped says
+// that its disk was lost.
+func (c *Cluster) RestartControl(i int, wiped bool) error {
+	if wiped {
+		if err := os.RemoveAll(c.controlConfig[i].Data); err != nil {
+			return fmt.Errorf("wipe: %w", err)
+		}
+	}
+	p, err := process.NewControl(c.env, c.controlConfig[i])
+	if err != nil {
+		return err
+	}
+	c.Controls[i] = p
+	return nil
+}
+
+// RestartEntry starts an entry again that was closed.
+func (c *Cluster) RestartEntry(i int) error {
+	p, err := process.NewEntry(c.env, c.entryConfig[i])
+	if err != nil {
+		return err
+	}
+	c.Entries[i] = p
+	return nil
+}
+
+// RestartSidecar starts a sidecar again that was closed.
+func (c *Cluster) RestartSidecar(i int) error {
+	p, err := process.NewSidecar(c.env, c.sidecarConfig[i])
+	if err != nil {
+		return err
+	}
+	c.Sidecars[i] = p
+	return nil
+}
+
+func (c *Cluster) startBackends(_ context.Context, config Config) error {
+	addresses, err := Free(3 * len(config.Backends))
+	if err != nil {
+		return err
+	}
+	for i, b := range config.Backends {
+		peer, announce, serve := addresses[3*i], addresses[3*i+1], addresses[3*i+2]
+		s := settings.DefaultSidecar()
+		s.Role, s.Common = settings.RoleSidecar, common(fmt.Sprintf("%s-%d", b.Pool, i+1), b.Place)
+		s.Peer.Address, s.Backend.Address, s.Control = peer, announce, c.ControlPeers
+		s.Stop.Grace = 0
+		if config.Sidecar != nil {
+			config.Sidecar(&s)
+		}
+		c.sidecarConfig = append(c.sidecarConfig, s)
+		p, err := process.NewSidecar(c.env, s)
+		if err != nil {
+			return err
+		}
+		c.Sidecars = append(c.Sidecars, p)
+		c.SidecarPeers = append(c.SidecarPeers, peer)
+		b.Announce, b.Address = announce, serve
+		server, closeServer, err := standin.New(b.StandInServer)
+		if err != nil {
+			return err
+		}
+		c.closers = append(c.closers, closeServer)
+		c.StandIns = append(c.StandIns, server)
+	}
+	return nil
+}
+
+func (c *Cluster) startEntries(_ context.Context, config Config) error {
+	addresses, err := Free(2 * len(config.Places))
+	if err != nil {
+		return err
+	}
+	for i, place := range config.Places {
+		s := settings.DefaultEntry()
+		s.Role, s.Common = settings.RoleEntry, common(fmt.Sprintf("entry-%d", i+1), place)
+		s.Caller.Address, s.Operator.Address, s.Control = addresses[2*i], addresses[2*i+1], nearestFirst(c.ControlPeers, i)
+		s.Stop.Grace = 0
+		if config.Entry != nil {
+			config.Entry(&s)
+		}
+		c.entryConfig = append(c.entryConfig, s)
+		p, err := process.NewEntry(c.env, s)
+		if err != nil {
+			return err
+		}
+		c.Entries = append(c.Entries, p)
+		c.EntryURLs = append(c.EntryURLs, "http://"+s.Caller.Address)
+		c.EntryOps = append(c.EntryOps, s.Operator.Address)
+	}
+	return nil
+}
+
+func nearestFirst(addresses []string, i int) []string {
+	i %= len(addresses)
+	return append(append([]string{}, addresses[i:]...), addresses[:i]...)
+}
+
+const pollEvery = 50 * time.Millisecond
+
+// poll asks until ok or the context ends.
+func poll(ctx context.Context, what string, ok func() bool) error {
+	for !ok() {
+		select {
+		case <-ctx.Done():
+			return fmt.Errorf("waiting for %s: %w", what, ctx.Err())
+		case <-time.After(pollEvery):
+		}
+	}
+	return nil
+}
+
+func (c *Cluster) putTables(ctx context.Context, config Config) error {
+	put := operator.Put{ChangeID: "demo-1", Operator: "demo", Routes: config.Routes, Pools: config.Pools}
+	var reply operator.PutReply
+	var failed error
+	err := poll(ctx, "a quorum", func() bool {
+		reply, failed = operator.SendPut(ctx, c.http, c.ControlOps[0], "", put)
+		return failed == nil && reply.Outcome != "no-quorum" && reply.Outcome != "unknown"
+	})
+	if err != nil {
+		return fmt.Errorf("%w (%v)", err, failed)
+	}
+	if reply.Outcome != "accepted" {
+		return fmt.Errorf("the tables were not accepted: %s %s", reply.Outcome, reply.Reason)
+	}
+	return nil
+}
+
+// awaitReady waits until every entry has the tables and sees every server.
+func (c *Cluster) awaitReady(ctx context.Context, config Config) error {
+	return poll(ctx, "entries to be ready", func() bool {
+		for _, address := range c.EntryOps {
+			if !c.ready(ctx, address, len(config.Backends)) {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+func (c *Cluster) ready(ctx context.Context, address string, servers int) bool {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/status", nil)
+	if err != nil {
+		return false
+	}
+	response, err := c.http.Do(request)
+	if err != nil {
+		return false
+	}
+	defer response.Body.Close()
+	var status process.Status
+	if err := json.NewDecoder(response.Body).Decode(&status); err != nil {
+		return false
+	}
+	return status.Ready && status.Servers >= servers
+}
--- /dev/null
+++ b/io/operator/client.go
@@ -0,0 +1,46 @@
+package operator
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+)
+
+// Ask sends a request to an operator's door and decodes the JSON of its
+// answer, whatever its status.
+func Ask(ctx context.Context, client *http.Client, method, address, path, token string, body, reply any) (int, error) {
+	var payload bytes.Buffer
+	if body != nil {
+		if err := json.NewEncoder(&payload).Encode(body); err != nil {
+			return 0, fmt.Errorf("operator: %w", err)
+		}
+	}
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, &payload)
+	if err != nil {
+		return 0, fmt.Errorf("operator: %w", err)
+	}
+	if token != "" {
+		request.Header.Set("Authorization", "Bearer "+token)
+	}
+	response, err := client.Do(request)
+	if err != nil {
+		return 0, fmt.Errorf("operator: %w", err)
+	}
+	defer response.Body.Close()
+	if response.StatusCode == http.StatusNoContent {
+		return response.StatusCode, nil
+	}
+	if err := json.NewDecoder(response.Body).Decode(reply); err != nil {
+		return response.StatusCode, fmt.Errorf("operator: %s %s: %s: %w", method, path, response.Status, err)
+	}
+	return response.StatusCode, nil
+}
+
+// SendPut sends a change of the tables to a control instance.
+func SendPut(ctx context.Context, client *http.Client, address, token string, put Put) (PutReply, error) {
+	var reply PutReply
+	_, err := Ask(ctx, client, http.MethodPut, address, "/tables", token, put, &reply)
+	return reply, err
+}
--- /dev/null
+++ b/io/operator/tables.go
@@ -0,0 +1,287 @@
+package operator
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+
+	"tanagerroad"
+	"tanagerroad/core/registry"
+	"tanagerroad/core/table"
+	"tanagerroad/core/wire"
+	"tanagerroad/io/control"
+)
+
+// Put is a change of one or both tables, as an operator sends it.
+type Put struct {
+	ChangeID     string          `json:"change-id"`
+	FromRevision uint64          `json:"from-revision"`
+	Operator     string          `json:"operator"`
+	Routes       json.RawMessage `json:"routes,omitempty"`
+	Pools        json.RawMessage `json:"pools,omitempty"`
+}
+
+// PutReply answers a change.
+type PutReply struct {
+	Outcome    string               `json:"outcome"` // accepted, conflict, invalid or no-quorum
+	Revision   uint64               `json:"revision"`
+	Reason     string               `json:"reason,omitempty"`
+	Findings   tanagerroad.Findings `json:"findings,omitempty"`
+	Operator   string               `json:"operator,omitempty"` // on conflict: who won
+	Difference []string             `json:"difference,omitempty"`
+}
+
+// Revision is one revision of the tables.
+type Revision struct {
+	Revision uint64          `json:"revision"`
+	ChangeID string          `json:"change-id"`
+	Operator string          `json:"operator"`
+	At       time.Time       `json:"at"`
+	Base     uint64          `json:"from-revision"`
+	Routes   json.RawMessage `json:"routes,omitempty"`
+	Pools    json.RawMessage `json:"pools,omitempty"`
+}
+
+// TableStatus says where a revision is in force.
+type TableStatus struct {
+	Revision  uint64           `json:"revision"`
+	Processes int              `json:"processes"`
+	InForce   int              `json:"in-force"`
+	Lagging   []LaggingProcess `json:"lagging"`
+	Unheard   int              `json:"control-instances-not-heard"`
+}
+
+// LaggingProcess is a process in which an older revision is in force.
+type LaggingProcess struct {
+	Process  string `json:"process"`
+	Role     string `json:"role"`
+	Zone     string `json:"zone"`
+	Revision uint64 `json:"revision"`
+	Heard    string `json:"heard"` // how long ago
+}
+
+// Tables serves the two tables from a control instance.
+type Tables struct {
+	Client    *control.Client
+	Instances int
+}
+
+const patience = 5 * time.Second
+
+// Routes adds the tables to the operator's door.
+func (t Tables) Routes(mux chi.Router) {
+	mux.Get("/tables", t.get)
+	mux.Put("/tables", t.put)
+	mux.Get("/tables/log", t.log)
+	mux.Get("/tables/status", t.status)
+	mux.Get("/quarantine", t.quarantine)
+	mux.Delete("/quarantine/{fingerprint}", t.lift)
+}
+
+func noQuorum(w http.ResponseWriter) {
+	w.Header().Set("Retry-After", "2")
+	Reply(w, http.StatusServiceUnavailable, PutReply{Outcome: registry.NoQuorum, Reason: "no leader with a quorum could be reached"})
+}
+
+func (t Tables) read(w http.ResponseWriter, r *http.Request, request *wire.ReadRequest) *wire.ReadReply {
+	ctx, cancel := context.WithTimeout(r.Context(), patience)
+	defer cancel()
+	reply, err := t.Client.Read(ctx, request)
+	switch {
+	case err != nil || reply.GetKind() == registry.NoQuorum || reply.GetKind() == registry.Redirect:
+		noQuorum(w)
+		return nil
+	case reply.GetKind() == "missing":
+		Reply(w, http.StatusNotFound, Problem{"that revision is not kept any more"})
+		return nil
+	}
+	return reply
+}
+
+func (t Tables) get(w http.ResponseWriter, r *http.Request) {
+	var number uint64
+	if text := r.URL.Query().Get("revision"); text != "" {
+		var err error
+		if number, err = strconv.ParseUint(text, 10, 64); err != nil {
+			Reply(w, http.StatusBadRequest, Problem{"revision is a whole number"})
+			return
+		}
+	}
+	if reply := t.read(w, r, &wire.ReadRequest{What: "tables", Revision: number}); reply != nil {
+		Reply(w, http.StatusOK, revisionOf(reply.GetRevision()))
+	}
+}
+
+func revisionOf(v *wire.Revision) Revision {
+	return Revision{
+		Revision: v.GetNumber(), ChangeID: v.GetChangeId(), Operator: v.GetOperator(), At: time.UnixMilli(v.GetAtMillis()).UTC(),
+		Base: v.GetBase(), Routes: v.GetRoutes(), Pools: v.GetPools(),
+	}
+}
+
+func (t Tables) log(w http.ResponseWriter, r *http.Request) {
+	reply := t.read(w, r, &wire.ReadRequest{What: "log"})
+	if reply == nil {
+		return
+	}
+	out := []Revision{}
+	for _, c := range reply.GetChanges() {
+		out = append(out, Revision{
+			Revision: c.GetRevision(), ChangeID: c.GetChangeId(), Operator: c.GetOperator(),
+			At: time.UnixMilli(c.GetAtMillis()).UTC(), Base: c.GetBase(),
+		})
+	}
+	Reply(w, http.StatusOK, out)
+}
+
+func (t Tables) put(w http.ResponseWriter, r *http.Request) {
+	var put Put
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxTable)).Decode(&put); err != nil {
+		Reply(w, http.StatusBadRequest, PutReply{Outcome: registry.Invalid, Reason: "a change is one JSON object: " + err.Error()})
+		return
+	}
+	if put.ChangeID == "" || put.Operator == "" || len(put.Routes)+len(put.Pools) == 0 {
+		Reply(w, http.StatusBadRequest, PutReply{Outcome: registry.Invalid, Reason: "change-id, operator and at least one of routes and pools are needed"})
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), patience)
+	defer cancel()
+	outcome, err := t.Client.Propose(ctx, &wire.Command{Body: &wire.Command_PutTables{PutTables: &wire.PutTables{
+		ChangeId: put.ChangeID, FromRevision: put.FromRevision, Operator: put.Operator, Routes: put.Routes, Pools: put.Pools,
+	}}})
+	if err != nil {
+		w.Header().Set("Retry-After", "2")
+		Reply(w, http.StatusGatewayTimeout, PutReply{Outcome: "unknown", Reason: "the change may have been accepted; send it again under the same change-id"})
+		return
+	}
+	t.answer(ctx, w, put, outcome)
+}
+
+func (t Tables) answer(ctx context.Context, w http.ResponseWriter, put Put, outcome *wire.Outcome) {
+	reply := PutReply{Outcome: outcome.GetKind(), Revision: outcome.GetRevision(), Reason: outcome.GetReason()}
+	switch outcome.GetKind() {
+	case registry.Accepted:
+		Reply(w, http.StatusOK, reply)
+	case registry.Conflict:
+		reply.Operator = outcome.GetReason()
+		reply.Reason = fmt.Sprintf("revision %d is in force, not %d that the change was made from", reply.Revision, put.FromRevision)
+		reply.Difference = t.difference(ctx, put)
+		Reply(w, http.StatusConflict, reply)
+	case registry.Invalid:
+		_ = json.Unmarshal(outcome.GetFindings(), &reply.Findings) // the reason stands in any case
+		Reply(w, http.StatusUnprocessableEntity, reply)
+	default:
+		noQuorum(w)
+	}
+}
+
+// difference names what the winner has otherwise than the loser's change.
+func (t Tables) difference(ctx context.Context, put Put) []string {
+	reply, err := t.Client.Read(ctx, &wire.ReadRequest{What: "tables"})
+	if err != nil || reply.GetRevision() == nil {
+		return nil
+	}
+	v := reply.GetRevision()
+	routes, pools := v.GetRoutes(), v.GetPools()
+	if len(put.Routes) > 0 {
+		routes = put.Routes
+	}
+	if len(put.Pools) > 0 {
+		pools = put.Pools
+	}
+	mine, bad := table.Parse("routes.json", routes, "pools.json", pools)
+	theirs, worse := table.Parse("routes.json", v.GetRoutes(), "pools.json", v.GetPools())
+	if len(bad)+len(worse) > 0 {
+		return nil
+	}
+	return append(differing("route", mine.Routes, theirs.Routes), differing("pool", mine.Pools, theirs.Pools)...)
+}
+
+func differing[T any](kind string, mine, theirs map[string]T) []string {
+	var out []string
+	for name, m := range mine {
+		t, ok := theirs[name]
+		if !ok {
+			out = append(out, fmt.Sprintf("%s %s: not in the winner's", kind, name))
+		} else if text(m) != text(t) {
+			out = append(out, fmt.Sprintf("%s %s: winner has %s", kind, name, text(t)))
+		}
+	}
+	for name := range theirs {
+		if _, ok := mine[name]; !ok {
+			out = append(out, fmt.Sprintf("%s %s: only in the winner's", kind, name))
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+func text(v any) string {
+	data, err := json.Marshal(v)
+	if err != nil {
+		return ""
+	}
+	return string(data)
+}
+
+func (t Tables) status(w http.ResponseWriter, r *http.Request) {
+	ctx, cancel := context.WithTimeout(r.Context(), patience)
+	defer cancel()
+	statuses := t.Client.Statuses(ctx)
+	status := TableStatus{Unheard: t.Instances - len(statuses), Lagging: []LaggingProcess{}}
+	latest := map[string]*wire.ProcessStatus{}
+	for _, s := range statuses {
+		status.Revision = max(status.Revision, s.GetRevision())
+		for _, p := range s.GetProcesses() {
+			if held := latest[p.GetProcess()]; held == nil || p.GetHeardMillis() < held.GetHeardMillis() {
+				latest[p.GetProcess()] = p
+			}
+		}
+	}
+	for _, p := range latest {
+		status.Processes++
+		if p.GetRevision() == status.Revision {
+			status.InForce++
+			continue
+		}
+		status.Lagging = append(status.Lagging, LaggingProcess{
+			Process: p.GetProcess(), Role: p.GetRole(), Zone: p.GetZone(), Revision: p.GetRevision(),
+			Heard: (time.Duration(p.GetHeardMillis()) * time.Millisecond).String(),
+		})
+	}
+	slices.SortFunc(status.Lagging, func(a, b LaggingProcess) int {
+		if a.Zone+a.Process < b.Zone+b.Process {
+			return -1
+		}
+		return 1
+	})
+	Reply(w, http.StatusOK, status)
+}
+
+func (t Tables) quarantine(w http.ResponseWriter, r *http.Request) {
+	if reply := t.read(w, r, &wire.ReadRequest{What: "tables"}); reply != nil {
+		Reply(w, http.StatusOK, reply.GetQuarantine().GetConvictions())
+	}
+}
+
+func (t Tables) lift(w http.ResponseWriter, r *http.Request) {
+	fingerprint, err := strconv.ParseUint(chi.URLParam(r, "fingerprint"), 10, 64)
+	if err != nil {
+		Reply(w, http.StatusBadRequest, Problem{"a fingerprint is a whole number"})
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), patience)
+	defer cancel()
+	outcome, err := t.Client.Propose(ctx, &wire.Command{Body: &wire.Command_Lift{Lift: &wire.Lift{Fingerprint: fingerprint}}})
+	if err != nil || outcome.GetKind() != registry.Accepted {
+		noQuorum(w)
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
--- /dev/null
+++ b/io/peer/convert.go
@@ -0,0 +1,63 @@
+package peer
+
+import (
+	"time"
+
+	"tanagerroad"
+	"tanagerroad/core/directory"
+	"tanagerroad/core/wire"
+)
+
+// KeyToWire converts an attempt's key.
+func KeyToWire(k tanagerroad.Key) *wire.Key {
+	return &wire.Key{Request: k.Request, Stage: uint32(k.Stage), Attempt: uint32(k.Attempt)}
+}
+
+// KeyFromWire converts an attempt's key.
+func KeyFromWire(k *wire.Key) tanagerroad.Key {
+	return tanagerroad.Key{Request: k.GetRequest(), Stage: int(k.GetStage()), Attempt: int(k.GetAttempt())}
+}
+
+// LoadToWire converts a load report.
+func LoadToWire(l tanagerroad.Load) *wire.Load {
+	return &wire.Load{
+		InFlight: uint32(l.InFlight), Queued: uint32(l.Queued), Limit: uint32(l.Limit),
+		LatencyMicros: l.Latency.Microseconds(),
+	}
+}
+
+// LoadFromWire converts a load report.
+func LoadFromWire(l *wire.Load) tanagerroad.Load {
+	return tanagerroad.Load{
+		InFlight: int(l.GetInFlight()), Queued: int(l.GetQueued()), Limit: int(l.GetLimit()),
+		Latency: time.Duration(l.GetLatencyMicros()) * time.Microsecond,
+	}
+}
+
+// ServerToWire converts an announced server.
+func ServerToWire(s tanagerroad.Server) *wire.Server {
+	return &wire.Server{
+		Id: s.ID, Pool: s.Pool, Kind: s.Kind, Models: s.Models, Capacity: uint32(s.Capacity), Address: s.Address,
+		Zone: s.Place.Zone, Region: s.Place.Region, Generation: s.Generation, Sequence: s.Sequence,
+		State: string(s.State), Load: LoadToWire(s.Load),
+	}
+}
+
+// ServerFromWire converts an announced server.
+func ServerFromWire(s *wire.Server) tanagerroad.Server {
+	return tanagerroad.Server{
+		ID: s.GetId(), Pool: s.GetPool(), Kind: s.GetKind(), Models: s.GetModels(), Capacity: int(s.GetCapacity()),
+		Address: s.GetAddress(), Place: tanagerroad.Place{Zone: s.GetZone(), Region: s.GetRegion()},
+		Generation: s.GetGeneration(), Sequence: s.GetSequence(),
+		State: tanagerroad.ServerState(s.GetState()), Load: LoadFromWire(s.GetLoad()),
+	}
+}
+
+// DeltaFromWire converts the directory part of an update.
+func DeltaFromWire(u *wire.Update) directory.Delta {
+	delta := directory.Delta{Sequence: u.GetSequence(), Full: u.GetFull(), Removed: u.GetRemoved()}
+	for _, s := range u.GetServers() {
+		delta.Servers = append(delta.Servers, ServerFromWire(s))
+	}
+	return delta
+}
--- /dev/null
+++ b/io/process/roles.go
@@ -0,0 +1,269 @@
+package process
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"google.golang.org/grpc"
+
+	"tanagerroad/core/registry"
+	"tanagerroad/core/settings"
+	"tanagerroad/core/wire"
+	"tanagerroad/io/backend"
+	"tanagerroad/io/bus"
+	"tanagerroad/io/caller"
+	"tanagerroad/io/control"
+	"tanagerroad/io/disk"
+	"tanagerroad/io/operator"
+	"tanagerroad/io/peer"
+	"tanagerroad/io/quorum"
+	"tanagerroad/io/standin"
+)
+
+// Status is what a process sees of itself.
+type Status struct {
+	Process  string `json:"process"`
+	Role     string `json:"role"`
+	Revision uint64 `json:"revision"`
+	InFlight int    `json:"in-flight"`
+	Servers  int    `json:"servers"` // backend servers that it knows
+	Ready    bool   `json:"ready"`
+}
+
+// NewEntry starts an entry.
+func NewEntry(env Environment, s settings.Entry) (*Process, error) {
+	p, err := newProcess(env, s.Common, s.Role, s.Record, s.Stop)
+	if err != nil {
+		return nil, err
+	}
+	b := p.base()
+	recorder, err := p.openTrace(s.Record.Trace)
+	if err != nil {
+		return p.fail(err)
+	}
+	entry, closeEntry, err := caller.New(caller.Config{
+		Settings: s, Clock: b.clock, Logger: p.Logger, Links: b.links, Metrics: b.metrics, Trace: recorder,
+	})
+	if err != nil {
+		return p.fail(err)
+	}
+	p.onClose(closeEntry)
+	server, err := p.listen("caller", s.Caller, entry.Handler())
+	if err != nil {
+		return p.fail(err)
+	}
+	p.onClose(func() { _ = server.Close() })
+	p.leave = entry.Leave
+	p.drain = func(ctx context.Context) int { return drainHTTP(ctx, server, entry) }
+	err = p.operate(operator.Config{
+		Settings: s.Operator, Metrics: b.metrics, Ready: entry.Ready,
+		Status: func(context.Context) any {
+			return Status{s.Process, s.Role, entry.Revision(), entry.InFlight(), entry.Servers(), entry.Ready()}
+		},
+	})
+	if err != nil {
+		return p.fail(err)
+	}
+	p.started()
+	return p, nil
+}
+
+// truthTime is how long requests have to be answered truthfully once the stop's
+// bound is reached.
+const truthTime = 2 * time.Second
+
+func drainHTTP(ctx context.Context, server *http.Server, entry *caller.Entry) int {
+	if err := server.Shutdown(ctx); err == nil {
+		return 0
+	}
+	left := entry.EndAll()
+	ctx, cancel := context.WithTimeout(context.Background(), truthTime)
+	defer cancel()
+	_ = server.Shutdown(ctx) // what is not answered by now is cut
+	return left
+}
+
+// NewSidecar starts a sidecar.
+func NewSidecar(env Environment, s settings.Sidecar) (*Process, error) {
+	p, err := newProcess(env, s.Common, s.Role, s.Record, s.Stop)
+	if err != nil {
+		return nil, err
+	}
+	b := p.base()
+	recorder, err := p.openTrace(s.Record.Trace)
+	if err != nil {
+		return p.fail(err)
+	}
+	events, closeBus := bus.New(p.Logger)
+	p.onClose(func() { _ = closeBus() })
+	sidecar, closeSidecar, err := backend.New(backend.Config{
+		Settings: s, Clock: b.clock, Logger: p.Logger, Links: b.links, Metrics: b.metrics, Bus: events, Trace: recorder,
+	})
+	if err != nil {
+		return p.fail(err)
+	}
+	p.onClose(closeSidecar)
+	peers, stopPeers, err := peer.NewServer(s.Peer, b.meter, func(g *grpc.Server) { wire.RegisterSidecarServer(g, sidecar) })
+	if err != nil {
+		return p.fail(err)
+	}
+	p.Addresses["peer"] = peers.Address
+	p.onClose(func() { stopPeers(ended()) })
+	door := settings.Door{
+		Address: s.Backend.Address, MaxHeader: maxAnnounceHeader, HeaderTimeout: s.Backend.Lease,
+	}
+	loopback, err := p.listen("backend", door, sidecar.Handler())
+	if err != nil {
+		return p.fail(err)
+	}
+	p.onClose(func() { _ = loopback.Close() })
+	p.drain = func(ctx context.Context) int {
+		left := sidecar.Drain(ctx)
+		stopPeers(ctx) // lets entries take the results that are kept
+		return left
+	}
+	err = p.operate(operator.Config{
+		Settings: s.Operator, Metrics: b.metrics, Ready: sidecar.Ready,
+		Status: func(context.Context) any {
+			load := sidecar.Load()
+			return Status{Process: s.Process, Role: s.Role, InFlight: load.InFlight + load.Queued, Ready: sidecar.Ready()}
+		},
+	})
+	if err != nil {
+		return p.fail(err)
+	}
+	p.started()
+	return p, nil
+}
+
+const maxAnnounceHeader = 16 << 10
+
+// ended is a context that is over.
+func ended() context.Context {
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	return ctx
+}
+
+// NewControl starts a control instance.
+func NewControl(env Environment, s settings.Control) (*Process, error) {
+	p, err := newProcess(env, s.Common, s.Role, s.Record, s.Stop)
+	if err != nil {
+		return nil, err
+	}
+	b := p.base()
+	folder, closeFolder, err := disk.New(s.Data)
+	if err != nil {
+		return p.fail(err)
+	}
+	p.onClose(func() { _ = closeFolder() })
+	registryConfig := registry.DefaultConfig()
+	registryConfig.ClaimRetention = s.Retention.D()
+	var service *control.Service
+	member, closeMember, err := quorum.New(quorum.Config{
+		Settings: s, Registry: registryConfig, Disk: folder, Clock: b.clock, Links: b.links, Logger: p.Logger,
+	})
+	if err != nil {
+		return p.fail(err)
+	}
+	p.onClose(closeMember)
+	service, closeService := control.NewService(member, b.clock, p.Logger)
+	p.onClose(closeService)
+	peers, stopPeers, err := peer.NewServer(s.Peer, b.meter, func(g *grpc.Server) {
+		wire.RegisterControlServer(g, service)
+		wire.RegisterQuorumServer(g, &quorum.Service{Quorum: member})
+	})
+	if err != nil {
+		return p.fail(err)
+	}
+	p.Addresses["peer"] = peers.Address
+	p.onClose(func() { stopPeers(ended()) })
+	p.drain = func(ctx context.Context) int {
+		// Changes that wait are settled; watches never end by themselves.
+		short, cancel := context.WithTimeout(ctx, controlDrain)
+		defer cancel()
+		service.Leave()
+		stopPeers(short)
+		return 0
+	}
+	client := control.NewClient(b.links, s.Instances, p.Logger)
+	tables := operator.Tables{Client: client, Instances: len(s.Instances)}
+	registerControlMetrics(b.metrics, member)
+	err = p.operate(operator.Config{
+		Settings: s.Operator, Metrics: b.metrics, Ready: func() bool { return p.Serving() && member.View().Leader != "" },
+		Status: func(ctx context.Context) any {
+			reply, _ := service.Status(ctx, nil) // it has no error to give
+			return reply
+		},
+		Routes: tables.Routes,
+	})
+	if err != nil {
+		return p.fail(err)
+	}
+	p.started()
+	return p, nil
+}
+
+// controlDrain is how long a control instance waits for calls to end.
+const controlDrain = 2 * time.Second
+
+// NewStandIn starts a process of fake backend servers.
+func NewStandIn(env Environment, s settings.StandIn) (*Process, []*standin.Server, error) {
+	p, err := newProcess(env, s.Common, s.Role, s.Record, s.Stop)
+	if err != nil {
+		return nil, nil, err
+	}
+	var servers []*standin.Server
+	for _, config := range s.Servers {
+		server, closeServer, err := standin.New(config)
+		if err != nil {
+			p.Close()
+			return nil, nil, err
+		}
+		p.onClose(closeServer)
+		servers = append(servers, server)
+	}
+	p.leave = func() {
+		for _, server := range servers {
+			server.Leave()
+		}
+	}
+	p.started()
+	return p, servers, nil
+}
+
+// Start starts the role that a settings file names.
+func Start(env Environment, file string, data []byte) (*Process, error) {
+	switch settings.Role(data) {
+	case settings.RoleEntry:
+		s, findings := settings.ParseEntry(file, data)
+		if len(findings) > 0 {
+			return nil, findings
+		}
+		return NewEntry(env, s)
+	case settings.RoleSidecar:
+		s, findings := settings.ParseSidecar(file, data)
+		if len(findings) > 0 {
+			return nil, findings
+		}
+		return NewSidecar(env, s)
+	case settings.RoleControl:
+		s, findings := settings.ParseControl(file, data)
+		if len(findings) > 0 {
+			return nil, findings
+		}
+		return NewControl(env, s)
+	case settings.RoleStandIn:
+		s, findings := settings.ParseStandIn(file, data)
+		if len(findings) > 0 {
+			return nil, findings
+		}
+		p, _, err := NewStandIn(env, s)
+		return p, err
+	}
+	return nil, errors.Join(settings.Check(file, data).Err(), errNoRole)
+}
+
+var errNoRole = errors.New("the settings name no role that can be started")
--- /dev/null
+++ b/key.go
@@ -0,0 +1,13 @@
+package tanagerroad
+
+import "fmt"
+
+// Key names one attempt at one stage of one request. Every stage result
+// carries it, so that a late or foreign result is known for what it is.
+type Key struct {
+	Request string `json:"request"`
+	Stage   int    `json:"stage"`   // counted from 0
+	Attempt int    `json:"attempt"` // counted from 1 within the stage
+}
+
+func (k Key) String() string { return fmt.Sprintf("%s/%d/%d", k.Request, k.Stage, k.Attempt) }
