--- a/core/replica/member.go
+++ b/core/replica/member.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"google.golang.org/protobuf/proto"
 
@@ -11,9 +12,10 @@
 
 // Join asks the control instances at to, whichever of them leads, to take this
 // replica in. A replica with an emptied disk has a new identity and is no
-// member until then.
-func (r *Replica) Join(to []string) {
-	if r.isMember(r.config.ID) {
+// member until then. One that hears no leader asks again even if its own log
+// makes it a learner: the entry that did may never have been committed.
+func (r *Replica) Join(at time.Duration, to []string) {
+	if r.isVoter(r.config.ID) || r.isMember(r.config.ID) && r.hearsLeader(at) {
 		return
 	}
 	for _, id := range to {
--- a/io/quorum/quorum.go
+++ b/io/quorum/quorum.go
@@ -232,7 +232,7 @@
 		case <-ticker.C:
 			now := q.config.Clock.Now()
 			q.replica.Tick(now)
-			q.replica.Join(q.transport.known())
+			q.replica.Join(now, q.transport.known())
 		}
 		q.drain()
 		q.replica.Flush()
