--- a/core/request/request.go
+++ b/core/request/request.go
@@ -165,6 +165,7 @@
 	hedgeAfter time.Duration
 	load       *tanagerroad.Load
 	kept       *Reference
+	ending     *Event // an end that came before its data
 }
 
 // Machine is one request's life.
@@ -175,6 +176,7 @@
 	stage     int
 	input     []byte
 	reference *Reference
+	noInput   bool // this entry does not hold the present stage's input
 	calls     map[tanagerroad.Key]*call
 	order     []tanagerroad.Key // of calls, oldest first
 	attempts  []int             // highest attempt number used, by stage
@@ -295,6 +297,11 @@
 
 // pick asks for a server for a new call of the present stage.
 func (m *Machine) pick(at time.Duration, extra bool) {
+	if m.noInput {
+		m.ran = true
+		m.giveUp("the entry that ran the stages before was lost with their results")
+		return
+	}
 	if at+m.remaining() > m.config.Deadline {
 		m.giveUp("the deadline cannot be met")
 		return
@@ -448,6 +455,10 @@
 	m.ran = true
 	key := e.Key
 	m.bound = &key
+	if key.Stage != m.stage {
+		// What the stages before gave is known only to who ran them.
+		m.input, m.noInput = m.config.Body, key.Stage > 0
+	}
 	m.enterStage(key.Stage)
 	c := &call{key: key, server: e.Server, address: e.Address, generation: e.Generation, state: "asking", reported: true, sent: true}
 	m.add(c)
@@ -496,6 +507,9 @@
 	if m.streams() {
 		m.deliver(c)
 	}
+	if c.ending != nil && uint64(len(c.data)) >= c.ending.Length && !m.Ended() {
+		m.end(at, *c.ending)
+	}
 }
 
 func (m *Machine) streams() bool {
@@ -550,7 +564,12 @@
 	if c == nil {
 		return
 	}
+	if e.Kept == nil && uint64(len(c.data)) < e.Length {
+		m.endBeforeData(at, c, e)
+		return
+	}
 	if e.Kept == nil && !intact(c.data, e) {
+		e.Unknown = true // it ran, and what it gave is lost
 		e.Reason = fmt.Sprintf("the result has %d bytes and another digest, not the %d announced", len(c.data), e.Length)
 		m.fail(at, e)
 		return
@@ -560,7 +579,7 @@
 	m.learn(c, true, false)
 	m.dropOthers(c)
 	if m.stage < len(m.config.Route.Stages)-1 {
-		m.input, m.reference = c.data, e.Kept
+		m.input, m.reference, m.noInput = c.data, e.Kept, false
 		m.enterStage(m.stage + 1)
 		m.pick(at, false)
 		return
@@ -568,6 +587,19 @@
 	m.complete(at, c)
 }
 
+// endBeforeData keeps an end that overtook its data, and asks for what is
+// missing.
+func (m *Machine) endBeforeData(at time.Duration, c *call, e Event) {
+	c.questions++
+	if c.questions > maxQuestions {
+		e.Unknown, e.Reason = true, "the result never came whole"
+		m.fail(at, e)
+		return
+	}
+	c.ending = &e
+	m.do(Action{Kind: Fetch, Key: c.key, Address: c.address, From: uint64(len(c.data))})
+}
+
 func intact(data []byte, e Event) bool {
 	return uint64(len(data)) == e.Length && xxhash.Sum64(data) == e.Digest
 }
