stage, request: "not run" stays true across a sidecar's restart and a resend

 a sending that had joined another's claim, and whose own rebind got no answer, said not-run while the other sending ran; 2.  a late copy of an order reached a sidecar that had restarted; it was turned away and remembered as not run, and the next question got never-started for an attempt that had run: the booking ran twice.

Ruled out for 1: trusting the fenced attempt (it says nothing of later ones). For a first sending whose claim never got an answer not-run is kept, as the request's issue asks for without a quorum: it speaks for that sending. The trace showed a later sending overtaking it; the check now asks for a run count of zero from every sending that heard of its claim or is marked a resend.

Change: a bound request that is given up asks the quorum to take the claim back and says not-run only when it did, unknown otherwise; a caller marks a resend by a header and then gets unknown where not-run cannot be shown. An attempt bound to another start of the sidecar is never remembered as not run.

--- a/core/request/request.go
+++ b/core/request/request.go
@@ -41,6 +41,7 @@
 	Fingerprint uint64          `json:"fingerprint"` // of route and body
 	Deadline    time.Duration   `json:"deadline"`    // when, not how long
 	Once        bool            `json:"once"`        // not repeatable
+	Resend      bool            `json:"resend"`      // the caller says that it sent this id before
 	Alone       bool            `json:"alone"`       // a suspect: runs with nothing beside it
 	Expected    []time.Duration `json:"expected"`    // learned time of each stage
 }
@@ -143,12 +144,13 @@
 
 // Bounds of a request's patience.
 const (
-	maxTurnedAway  = 4                      // refusals of one stage before it is given up
-	maxTries       = 3                      // runs of one stage
-	askAgain       = 100 * time.Millisecond // between questions to a sidecar that does not answer
-	maxQuestions   = 8                      // before the answer is unknown
-	fenceAfter     = 300 * time.Millisecond // how long a bound call may take to reach its sidecar
-	settlePatience = 2 * time.Second        // how long a finished booking waits for the quorum
+	maxTurnedAway   = 4                      // refusals of one stage before it is given up
+	maxTries        = 3                      // runs of one stage
+	askAgain        = 100 * time.Millisecond // between questions to a sidecar that does not answer
+	maxQuestions    = 8                      // before the answer is unknown
+	fenceAfter      = 300 * time.Millisecond // how long a bound call may take to reach its sidecar
+	settlePatience  = 2 * time.Second        // how long a finished booking waits for the quorum
+	releasePatience = 500 * time.Millisecond // how long one given up waits for it
 )
 
 // call is the entry's side of one attempt.
@@ -187,9 +189,8 @@
 	ran       bool          // something may have run
 	alone     bool
 	bound     *tanagerroad.Key // what the claim is bound to
-	released  bool
 	delivered []byte
-	answer    *tanagerroad.Answer // while settling
+	answer    *tanagerroad.Answer // while settling or releasing
 	pending   tanagerroad.Key     // call that waits for the quorum
 	out       []Action
 }
@@ -231,7 +232,7 @@
 	case Held:
 		m.held(e)
 	case Denied:
-		m.denied(e)
+		m.denied(at, e)
 	case Data:
 		m.data(at, e)
 	case End:
@@ -245,11 +246,11 @@
 	case Told:
 		m.told(at, e)
 	case Settled:
-		m.settled()
+		m.settled(e)
 	case Timer:
 		m.timer(at, e)
 	case Gone:
-		m.callerGone()
+		m.callerGone(at)
 	default:
 		m.stray(e, "an unknown event")
 	}
@@ -299,11 +300,11 @@
 func (m *Machine) pick(at time.Duration, extra bool) {
 	if m.noInput {
 		m.ran = true
-		m.giveUp("the entry that ran the stages before was lost with their results")
+		m.giveUp(at, "the entry that ran the stages before was lost with their results")
 		return
 	}
 	if at+m.remaining() > m.config.Deadline {
-		m.giveUp("the deadline cannot be met")
+		m.giveUp(at, "the deadline cannot be met")
 		return
 	}
 	m.attempts[m.stage]++
@@ -362,7 +363,7 @@
 	if e.RetryAfter > 0 {
 		m.noteRetry(e.RetryAfter)
 	}
-	m.giveUp(e.Reason)
+	m.giveUp(at, e.Reason)
 }
 
 // active counts the calls of the present stage that may still bring a result.
@@ -405,7 +406,7 @@
 
 // denied: the quorum refused, or could not be asked. Nothing was sent for this
 // call and nothing will be.
-func (m *Machine) denied(e Event) {
+func (m *Machine) denied(at time.Duration, e Event) {
 	if m.state != "claiming" || m.pending != e.Key {
 		m.stray(e, "no such claim")
 		return
@@ -416,7 +417,11 @@
 		m.finish(tanagerroad.Answer{Kind: tanagerroad.Failed, Reason: e.Reason})
 		return
 	}
-	m.giveUp(e.Reason)
+	if e.State == "full" {
+		m.finish(tanagerroad.Answer{Kind: tanagerroad.NotRun, Reason: e.Reason, RetryAfter: m.retryAfter()})
+		return
+	}
+	m.giveUp(at, e.Reason)
 }
 
 func (m *Machine) dropCall(c *call) {
@@ -623,9 +628,20 @@
 	m.do(Action{Kind: SetTimer, Name: "settle", At: min(m.config.Deadline, at+settlePatience)})
 }
 
-func (m *Machine) settled() {
-	if m.state == "settling" {
+// settled: the quorum answered, or was waited for long enough. A result is
+// true whether or not the quorum keeps it; that nothing ran is true only if the
+// quorum took the claim back.
+func (m *Machine) settled(e Event) {
+	switch m.state {
+	case "settling":
 		m.finish(*m.answer)
+	case "releasing":
+		if e.State != "accepted" {
+			m.answer.Kind, m.answer.Reason = tanagerroad.Unknown, "whether another sending of it runs is not known"
+		}
+		m.finish(*m.answer)
+	default:
+		m.stray(e, "nothing waits for it")
 	}
 }
 
@@ -668,7 +684,7 @@
 		return
 	}
 	if m.refusals >= maxTurnedAway {
-		m.giveUp(e.Reason)
+		m.giveUp(at, e.Reason)
 		return
 	}
 	m.pick(at, false)
@@ -740,7 +756,7 @@
 		return
 	}
 	if m.tries >= maxTries {
-		m.giveUp(reason)
+		m.giveUp(at, reason)
 		return
 	}
 	m.pick(at, true)
@@ -812,7 +828,7 @@
 	m.refusals++
 	m.ran = m.mayHaveRun()
 	if m.refusals >= maxTurnedAway {
-		m.giveUp("no sidecar took it")
+		m.giveUp(at, "no sidecar took it")
 		return
 	}
 	m.pick(at, false)
@@ -821,9 +837,9 @@
 func (m *Machine) timer(at time.Duration, e Event) {
 	switch e.Name {
 	case "deadline":
-		m.deadline()
+		m.deadline(at)
 	case "settle":
-		m.settled() // the answer is true even if the quorum could not keep it
+		m.settled(e)
 	case "ask", "fence":
 		if c, ok := m.calls[e.Key]; ok && c.state == "asking" {
 			m.askOrUnknown(at, c, e.Name == "fence")
@@ -847,36 +863,52 @@
 }
 
 // deadline: no more waiting. What may still run is told the truth about.
-func (m *Machine) deadline() {
+func (m *Machine) deadline(at time.Duration) {
+	if m.state == "settling" || m.state == "releasing" {
+		return // their own timer ends them
+	}
 	if m.config.Once && m.ran {
 		m.finish(tanagerroad.Answer{Kind: tanagerroad.Unknown, Reason: "the deadline passed while it ran"})
 		return
 	}
-	m.giveUp("the deadline passed")
+	m.giveUp(at, "the deadline passed")
 }
 
 // giveUp ends the request without its answer, at once and truthfully.
-func (m *Machine) giveUp(reason string) {
-	kind := tanagerroad.NotRun
+func (m *Machine) giveUp(at time.Duration, reason string) {
+	answer := tanagerroad.Answer{Kind: tanagerroad.NotRun, Reason: reason, RetryAfter: m.retryAfter()}
 	if m.ran {
-		kind = tanagerroad.Failed
+		answer.Kind = tanagerroad.Failed
 	}
-	if m.config.Once && m.bound != nil && !m.released {
-		m.released = true
-		m.do(Action{Kind: Settle, Key: *m.bound, State: string(kind), Reason: reason})
+	switch {
+	case !m.config.Once:
+	case m.state == "staging" && m.bound != nil:
+		m.release(at, answer)
+		return
+	case m.bound != nil || m.config.Resend:
+		// Another sending of it may run, or have run; only the claim could
+		// tell, and the quorum has not been heard.
+		answer.Kind = tanagerroad.Unknown
 	}
-	m.finish(tanagerroad.Answer{Kind: kind, Reason: reason, RetryAfter: m.retryAfter(kind)})
+	m.finish(answer)
+}
+
+// release gives the claim back before the request is answered: only the quorum
+// knows whether another sending has taken it over and runs.
+func (m *Machine) release(at time.Duration, answer tanagerroad.Answer) {
+	if !m.move("release") {
+		return
+	}
+	m.dropOthers(nil)
+	m.answer = &answer
+	m.do(Action{Kind: Settle, Key: *m.bound, State: string(answer.Kind), Reason: answer.Reason})
+	m.do(Action{Kind: SetTimer, Name: "settle", At: at + releasePatience})
 }
 
 // leastRetryAfter is told to callers when no sidecar named a time.
 const leastRetryAfter = 500 * time.Millisecond
 
-func (m *Machine) retryAfter(kind tanagerroad.AnswerKind) time.Duration {
-	if kind != tanagerroad.NotRun && m.config.Once {
-		return 0 // sending it again is not advised
-	}
-	return max(m.retry, leastRetryAfter)
-}
+func (m *Machine) retryAfter() time.Duration { return max(m.retry, leastRetryAfter) }
 
 func (m *Machine) settleAndFinish(c *call, kind tanagerroad.AnswerKind, reason string) {
 	m.do(Action{Kind: Settle, Key: c.key, State: string(kind), Reason: reason})
@@ -895,9 +927,9 @@
 
 // callerGone: nobody waits any more. A not-repeatable call that may run is
 // followed to its end, so that a resend finds the answer.
-func (m *Machine) callerGone() {
-	if m.config.Once && m.ran {
+func (m *Machine) callerGone(at time.Duration) {
+	if m.config.Once && (m.ran || m.state == "releasing") {
 		return
 	}
-	m.giveUp("the caller went away")
+	m.giveUp(at, "the caller went away")
 }
--- a/core/request/request_test.go
+++ b/core/request/request_test.go
@@ -154,6 +154,7 @@
 		}
 		again := &entryRun{name: r.name + ", resent", want: r.want, config: r.config}
 		again.config.Execution += "-again"
+		again.config.Resend = true
 		again.config.Deadline = w.now + deadline
 		again.machine = request.New(again.config)
 		w.feed(again, request.Event{Kind: request.Start})
--- a/core/stage/stage.go
+++ b/core/stage/stage.go
@@ -36,6 +36,10 @@
 // from now on never will.
 const NeverStarted = "never-started"
 
+// OtherStart is the reason given for an attempt that is bound to another start
+// of the sidecar.
+const OtherStart = "bound to another start of this sidecar"
+
 // Config bounds a desk.
 type Config struct {
 	Generation uint64        `json:"generation"` // of this sidecar
@@ -246,6 +250,12 @@
 	if a, known := d.attempts[e.Key]; known {
 		return []Action{{Kind: Attached, Key: e.Key, State: a.state}}
 	}
+	if e.Once && e.Generation != d.config.Generation {
+		// This may be a late copy of an order that an earlier start of this
+		// sidecar carried out. It must not run, and it must not pass for one
+		// that did not.
+		return []Action{{Kind: Conclude, Key: e.Key, State: Unknown, Reason: OtherStart}}
+	}
 	a := &attempt{Event: e, state: attemptChart.Initial, since: at, queued: at}
 	if reason, wait := d.refusal(at, e); reason != "" {
 		// A refused not-repeatable attempt is remembered, so that a late
@@ -284,8 +294,6 @@
 		return "the backend server is " + string(d.state), 0
 	case e.Convicted:
 		return "quarantined: it crashes backend servers", wait
-	case e.Once && e.Generation != d.config.Generation:
-		return "bound to an earlier start of this sidecar", 0
 	case e.Once && d.once >= d.config.KeptOnce:
 		return "as many not-repeatable attempts are remembered as may be", wait
 	case len(d.queue) >= d.config.Queue:
--- a/io/backend/serve.go
+++ b/io/backend/serve.go
@@ -94,6 +94,9 @@
 			r.close(s.part(key, attachedPart(a.State)))
 		}
 	}
+	if s.desk.StateOf(key) == "" {
+		delete(s.records, key) // the desk keeps nothing of it
+	}
 	return r
 }
 
--- a/io/caller/door.go
+++ b/io/caller/door.go
@@ -28,6 +28,7 @@
 	HeaderWorkspace  = "Workspace"
 	HeaderDeadline   = "Deadline"   // a duration; never beyond the route's
 	HeaderRepeatable = "Repeatable" // false: run at most once
+	HeaderResend     = "Resend"     // true: this id was sent before
 	HeaderKind       = "Answer-Kind"
 	HeaderDigest     = "Answer-Digest" // xxhash64 of the body, hexadecimal
 )
@@ -115,8 +116,13 @@
 		zap.String("workspace", config.Workspace), zap.String("reason", verdict.Reason), zap.Duration("retry-after", verdict.RetryAfter))
 	e.count("requests."+config.Route.Name+"."+config.Workspace+".refused", 1)
 	e.count("refusals."+config.Route.Name, 1)
-	e.count("answers."+string(tanagerroad.NotRun), 1)
 	answer := tanagerroad.Answer{Kind: tanagerroad.NotRun, Reason: verdict.Reason, RetryAfter: verdict.RetryAfter}
+	if config.Once && config.Resend {
+		// This sending did not run, but what became of the one before was
+		// not looked up.
+		answer.Kind = tanagerroad.Unknown
+	}
+	e.count("answers."+string(answer.Kind), 1)
 	(&wholeSink{w: w, id: config.ID}).finish(answer)
 }
 
@@ -141,6 +147,7 @@
 	if c.Once, err = once(r.Header.Get(HeaderRepeatable), route); err != nil {
 		return c, err
 	}
+	c.Resend = r.Header.Get(HeaderResend) == "true"
 	left, err := deadline(r.Header.Get(HeaderDeadline), route)
 	if err != nil {
 		return c, err
--- a/io/caller/run.go
+++ b/io/caller/run.go
@@ -255,8 +255,8 @@
 			Request: r.config.ID, Workspace: r.config.Workspace, Kind: a.State, Answer: a.Bytes, Reason: a.Reason,
 			Key: peer.KeyToWire(a.Key),
 		}}}
-		if _, err := e.control.Propose(ctx, command); err == nil {
-			r.post(request.Event{Kind: request.Settled})
+		if outcome, err := e.control.Propose(ctx, command); err == nil {
+			r.post(request.Event{Kind: request.Settled, State: outcome.GetKind()})
 		}
 	})
 }
@@ -340,7 +340,7 @@
 			r.post(broken(a.Key, err))
 			return
 		}
-		r.receive(ctx, cancel, a, conn, stream)
+		r.receive(ctx, cancel, a, conn, stream, unreached)
 	}()
 }
 
@@ -376,7 +376,7 @@
 
 // receive posts what comes on a stream, until its closing part. Silence means
 // that the connection may be dead without knowing it: it is replaced.
-func (r *run) receive(ctx context.Context, cancel func(), a request.Action, conn *grpc.ClientConn, stream grpc.ServerStreamingClient[wire.Part]) {
+func (r *run) receive(ctx context.Context, cancel func(), a request.Action, conn *grpc.ClientConn, stream grpc.ServerStreamingClient[wire.Part], unreached string) {
 	silence := r.entry.config.Settings.Routing.Silence.D()
 	watch := time.AfterFunc(silence, func() {
 		event.LinkSilent.Log(r.entry.config.Logger, zap.String("peer", a.Address))
@@ -395,6 +395,11 @@
 		}
 		watch.Reset(silence)
 		ev, last := partEvent(part)
+		if part.GetFailed().GetOtherStart() && unreached == request.TurnedAway {
+			// This order was sent once, on this stream alone, and the process
+			// that got it is not the one that it is bound to: nobody ran it.
+			ev.Kind = request.TurnedAway
+		}
 		if ev.Kind != "" {
 			r.post(ev)
 		}
