replica: schedules that isolate leaders, so that each guard is needed

Change: a step that cuts one node off for some beats while it goes on proposing and reading; every node proposes, not one.

--- a/core/replica/replica_test.go
+++ b/core/replica/replica_test.go
@@ -337,48 +337,79 @@
 	w.start(nd)
 }
 
+// calm lets a beat pass everywhere and all that is under way arrive.
+func (w *world) calm() {
+	for _, nd := range w.nodes {
+		w.tick(nd, beat)
+	}
+	for range len(w.net) {
+		w.deliver(0, false)
+	}
+}
+
+// isolate cuts a node off for long enough that the others choose a leader
+// without it, and lets it propose meanwhile.
+func (w *world) isolate(nd *node) {
+	for _, other := range w.nodes {
+		w.cut[nd.address+">"+other.address], w.cut[other.address+">"+nd.address] = true, true
+	}
+	for range rapid.IntRange(1, 14).Draw(w.t, "beats") {
+		w.calm()
+		w.propose(nd, fmt.Sprintf("c%d", rapid.IntRange(0, 40).Draw(w.t, "change")))
+	}
+	w.read(nd)
+	if rapid.Bool().Draw(w.t, "back") {
+		w.cut = map[string]bool{}
+	}
+}
+
 func (w *world) step() {
 	t := w.t
 	nd := w.nodes[rapid.IntRange(0, len(w.nodes)-1).Draw(t, "node")]
 	kind := rapid.IntRange(0, 99).Draw(t, "kind")
 	switch {
-	case kind < 45:
+	case kind < 32:
 		if len(w.net) > 0 {
 			w.deliver(rapid.IntRange(0, len(w.net)-1).Draw(t, "message"), kind < 4)
 		}
-	case kind < 65:
+	case kind < 50:
+		w.calm()
+	case kind < 56:
+		w.isolate(nd)
+	case kind < 62:
+		w.tick(nd, time.Duration(rapid.IntRange(0, 30).Draw(t, "ms"))*time.Millisecond)
+	case kind < 76:
 		for _, each := range w.nodes {
-			w.tick(each, beat)
-		}
-		for range len(w.net) { // a calm moment: all that is under way arrives
-			w.deliver(0, false)
+			w.propose(each, fmt.Sprintf("c%d", rapid.IntRange(0, 40).Draw(t, "change")))
 		}
-	case kind < 72:
-		w.tick(nd, time.Duration(rapid.IntRange(0, 30).Draw(t, "ms"))*time.Millisecond)
-	case kind < 82:
-		w.propose(nd, fmt.Sprintf("c%d", rapid.IntRange(0, 40).Draw(t, "change")))
-	case kind < 85:
+	case kind < 80:
 		w.read(nd)
-	case kind < 88:
+	case kind < 82:
 		w.net = nil // all that is under way is lost
-	case kind < 91:
+	case kind < 86:
 		if nd.up {
 			nd.disk.budget = rapid.IntRange(0, 3).Draw(t, "operations")
 			nd.disk.torn = func(n int) int { return rapid.IntRange(0, n).Draw(t, "part") }
 		}
-	case kind < 93:
+	case kind < 88:
 		if nd.up {
 			w.crash(nd)
 		}
-	case kind < 95:
-		if !nd.up {
-			w.start(nd)
+	case kind < 91:
+		for _, each := range w.nodes {
+			if !each.up {
+				w.start(each)
+			}
+			each.frozen = false
 		}
-		nd.frozen = !nd.frozen && kind == 94
-	case kind < 97:
+	case kind < 92:
+		nd.frozen = true
+	case kind < 93:
 		other := w.nodes[rapid.IntRange(0, len(w.nodes)-1).Draw(t, "other")]
-		w.cut[nd.address+">"+other.address] = !w.cut[nd.address+">"+other.address]
-	case kind < 98:
+		w.cut[nd.address+">"+other.address] = true
+	case kind < 95:
+		w.cut = map[string]bool{}
+	case kind < 97:
 		w.compact(nd)
 	default:
 		w.wipe(nd)
@@ -395,13 +426,8 @@
 		}
 		nd.disk.budget = -1
 	}
-	for range 400 {
-		for _, nd := range w.nodes {
-			w.tick(nd, beat)
-		}
-		for range len(w.net) {
-			w.deliver(0, false)
-		}
+	for range 200 {
+		w.calm()
 	}
 }
 
