control, cmd: accepted changes survive kills, freezes and lost disks, as real processes

Cause: with the leader frozen, each change took a second and more: the client of the control instances went on asking the frozen one first, and noted a new leader only from a redirect.

Ruled out: the quorum itself (a new leader was there within 2 s).

Change: whoever answered is asked first next time, whoever did not is forgotten.

--- a/cmd/tanagerroad/main_test.go
+++ b/cmd/tanagerroad/main_test.go
@@ -20,7 +20,13 @@
 	"tanagerroad/io/load"
 )
 
+// asProgram makes the test binary behave as the program itself.
+const asProgram = "TANAGERROAD_AS_PROGRAM"
+
 func TestMain(m *testing.M) {
+	if os.Getenv(asProgram) != "" {
+		main()
+	}
 	testscript.Main(m, map[string]func(){
 		"tanagerroad": func() { os.Exit(command.Run(os.Args[1:], os.Stdout, os.Stderr)) },
 	})
--- a/core/replica/guard_test.go
+++ b/core/replica/guard_test.go
@@ -165,6 +165,20 @@
 	}
 }
 
+func TestLearnerWithoutALeaderAsksAgain(t *testing.T) {
+	r := follower([]*wire.Member{{Id: "a", Address: "a0"}, trio[1], trio[2]})
+	r.Step(0, &wire.Message{Kind: "append", From: "b", To: "a", Term: 2})
+	r.Take()
+	r.Join(beat, []string{"b"})
+	if last(r.Take().Send, "join") != nil {
+		t.Error("a learner that hears its leader asked to be taken in")
+	}
+	r.Join(3*election, []string{"b"})
+	if last(r.Take().Send, "join") == nil {
+		t.Error("a learner that hears nobody did not ask again: the entry that took it in may be lost")
+	}
+}
+
 func TestSnapshotKeepsEntriesBehindIt(t *testing.T) {
 	r := follower(trio, entry(1, 1), entry(2, 2), entry(3, 2))
 	r.Step(0, &wire.Message{Kind: "snapshot", From: "b", To: "a", Term: 2, SnapshotIndex: 2, SnapshotTerm: 2, Members: trio, Chunk: nil, Last: true})
--- a/core/settings/settings.go
+++ b/core/settings/settings.go
@@ -68,11 +68,20 @@
 
 // Peer bounds what a listener for other processes takes.
 type Peer struct {
-	Address    string           `json:"address" required:"true" doc:"host:port to listen on, as others reach it"`
+	Address    string           `json:"address" required:"true" doc:"host:port to listen on"`
+	Advertise  string           `json:"advertise" doc:"host:port at which others reach it; empty: the address"`
 	MaxStreams int              `json:"max-streams" doc:"streams served at once for each connection"`
 	MaxMessage tanagerroad.Size `json:"max-message" doc:"largest message taken"`
 }
 
+// Reachable is the address at which others reach the listener.
+func (p Peer) Reachable() string {
+	if p.Advertise != "" {
+		return p.Advertise
+	}
+	return p.Address
+}
+
 // Routing is how an entry decides.
 type Routing struct {
 	Policy     string               `json:"policy" doc:"scored, least-in-flight, round-robin or random"`
@@ -150,7 +159,7 @@
 	Address  string               `json:"address" required:"true" doc:"host:port to listen on"`
 	Pool     string               `json:"pool" required:"true" doc:"pool that it belongs to"`
 	Kind     string               `json:"kind" required:"true" doc:"model-engine or service"`
-	Models   []string             `json:"models" doc:"models that it serves"`
+	Models   []string             `json:"models,omitempty" doc:"models that it serves"`
 	Capacity int                  `json:"capacity" doc:"attempts that it runs at once"`
 	Time     tanagerroad.Duration `json:"time" doc:"service time of one attempt"`
 	Tokens   int                  `json:"tokens" doc:"tokens of a model engine's answer"`
@@ -250,7 +259,7 @@
 	c := read(file, data, &s)
 	c.role(s.Role, RoleSidecar)
 	c.common(s.Common, s.Operator, s.Record)
-	c.address("peer.address", s.Peer.Address)
+	c.peer(s.Peer)
 	c.address("backend.address", s.Backend.Address)
 	c.loopback("backend.address", s.Backend.Address)
 	c.differ("operator.address", s.Operator.Address, s.Backend.Address)
@@ -267,13 +276,13 @@
 	c := read(file, data, &s)
 	c.role(s.Role, RoleControl)
 	c.common(s.Common, s.Operator, s.Record)
-	c.address("peer.address", s.Peer.Address)
+	c.peer(s.Peer)
 	c.addresses("instances", s.Instances)
 	if n := len(s.Instances); n > 7 || n%2 == 0 {
 		c.fault("instances", fmt.Sprintf("%d addresses", n), "1, 3, 5 or 7")
 	}
-	if !slices.Contains(s.Instances, s.Peer.Address) {
-		c.fault("instances", "no "+strconv.Quote(s.Peer.Address), "this instance's own peer.address among them")
+	if !slices.Contains(s.Instances, s.Peer.Reachable()) {
+		c.fault("instances", "no "+strconv.Quote(s.Peer.Reachable()), "this instance's own peer address among them")
 	}
 	if s.Data == "" {
 		c.fault("data", `""`, "a folder")
@@ -371,6 +380,15 @@
 	}
 }
 
+func (c *check) peer(p Peer) {
+	c.address("peer.address", p.Address)
+	if p.Advertise != "" {
+		c.address("peer.advertise", p.Advertise)
+	}
+	c.positive("peer.max-streams", int64(p.MaxStreams))
+	c.positive("peer.max-message", int64(p.MaxMessage))
+}
+
 func (c *check) addresses(path string, list []string) {
 	if len(list) == 0 {
 		c.fault(path, "none", "at least one address")
--- a/io/backend/serve.go
+++ b/io/backend/serve.go
@@ -243,7 +243,7 @@
 	if reference == nil {
 		return nil
 	}
-	if r := s.known(peer.KeyFromWire(reference.GetKey())); r != nil && reference.GetAddress() == s.config.Settings.Peer.Address {
+	if r := s.known(peer.KeyFromWire(reference.GetKey())); r != nil && reference.GetAddress() == s.config.Settings.Peer.Reachable() {
 		r.mu.Lock()
 		defer r.mu.Unlock()
 		request.Input, request.InputDigest = r.data, reference.GetDigest()
--- a/io/caller/entry.go
+++ b/io/caller/entry.go
@@ -156,6 +156,9 @@
 		e.places[s.ID] = s.Place
 	}
 	e.decide(router.Event{Kind: router.Servers, Servers: servers})
+	if len(u.GetServers())+len(u.GetRemoved()) == 0 {
+		return
+	}
 	event.DirectoryMoved.Log(e.config.Logger, zap.Int("servers", len(servers)), zap.Uint64("sequence", u.GetSequence()),
 		zap.Int("changed", len(u.GetServers())), zap.Strings("removed", u.GetRemoved()))
 }
--- a/io/control/client.go
+++ b/io/control/client.go
@@ -49,6 +49,15 @@
 	c.leader = address
 }
 
+// forget drops the note of a leader that did not answer.
+func (c *Client) forget(address string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.leader == address {
+		c.leader = ""
+	}
+}
+
 // order lists the addresses to try, the leader first.
 func (c *Client) order() []string {
 	c.mu.Lock()
@@ -71,6 +80,7 @@
 			switch {
 			case err != nil:
 				unsure = err
+				c.forget(address)
 				continue
 			case outcome.GetKind() == registry.Redirect:
 				c.SetLeader(outcome.GetLeader())
@@ -79,6 +89,7 @@
 				sawAnswer = true
 				continue
 			default:
+				c.SetLeader(address)
 				return outcome, nil
 			}
 			break
@@ -130,9 +141,11 @@
 			reply, err := wire.NewControlClient(conn).Read(tryCtx, request)
 			cancel()
 			if err != nil {
+				c.forget(address)
 				continue
 			}
 			if reply.GetKind() == "ok" || reply.GetKind() == "missing" {
+				c.SetLeader(address)
 				return reply, nil
 			}
 			if reply.GetKind() == registry.Redirect {
--- a/io/load/call.go
+++ b/io/load/call.go
@@ -29,6 +29,7 @@
 	Body       []byte
 	Deadline   time.Duration // 0: the route's
 	Repeatable bool
+	Resend     bool // the same id was sent before
 }
 
 // Reply is what came back. Whole says that the answer was complete and matched
@@ -60,6 +61,9 @@
 	if !r.Repeatable {
 		request.Header.Set(caller.HeaderRepeatable, "false")
 	}
+	if r.Resend {
+		request.Header.Set(caller.HeaderResend, "true")
+	}
 	response, err := client.Do(request)
 	if err != nil {
 		return Reply{}, fmt.Errorf("call: %w", err)
--- a/io/quorum/quorum.go
+++ b/io/quorum/quorum.go
@@ -130,7 +130,7 @@
 	if err != nil {
 		return nil, nil, fmt.Errorf("control instance: %w", err)
 	}
-	q.transport = newTransport(config.Links, config.Settings.Peer.Address, config.Logger, &q.Counters)
+	q.transport = newTransport(config.Links, config.Settings.Peer.Reachable(), config.Logger, &q.Counters)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	if !empty {
@@ -154,7 +154,7 @@
 func (q *Quorum) begin(stored replica.Stored) {
 	s := q.config.Settings
 	q.replica = replica.New(replica.Config{
-		ID: q.id, Address: s.Peer.Address, Election: s.Election.D(), Beat: s.Beat.D(),
+		ID: q.id, Address: s.Peer.Reachable(), Election: s.Election.D(), Beat: s.Beat.D(),
 		Seed: xxhash.Sum64String(q.id), Entries: entriesMost, Chunk: chunkBytes,
 	}, q.config.Clock.Now(), stored)
 	q.mu.Lock()
@@ -168,7 +168,7 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	return &wire.HelloReply{
-		Id: q.id, Address: q.config.Settings.Peer.Address, Empty: !q.formed.Load(), Members: q.first,
+		Id: q.id, Address: q.config.Settings.Peer.Reachable(), Empty: !q.formed.Load(), Members: q.first,
 	}
 }
 
@@ -181,7 +181,7 @@
 	defer ticker.Stop()
 	for {
 		answers := q.transport.hello(ctx, q.Hello(), q.config.Settings.Instances)
-		answers[q.config.Settings.Peer.Address] = q.Hello()
+		answers[q.config.Settings.Peer.Reachable()] = q.Hello()
 		formation, members := replica.DecideFormation(q.Hello(), q.config.Settings.Instances, answers)
 		switch formation {
 		case replica.Form:
