replica, control: a planned stop hands the lead over; bookings and rolling restarts proved on real processes

Cause: in a rolling restart under load 12 bookings were refused as not run: the stop of the leading control instance left 1.5 s and more without a leader. A missed wake-up could also hold news back until the next beat.

Change: the leader asks the voter that holds most of its log to take over, and takes no more proposals; the heir's votes pass although the leaving leader is still heard. News channels are taken before watchers are woken.

--- a/cmd/tanagerroad/kill_test.go
+++ b/cmd/tanagerroad/kill_test.go
@@ -287,6 +287,9 @@
 		}
 	}
 	if entry < 0 {
+		_, why0 := fetch("http://" + y.entryOps[0] + "/readyz")
+		_, why1 := fetch("http://" + y.entryOps[1] + "/readyz")
+		y.t.Errorf("no entry is ready: %s, %s", why0, why1)
 		bad.Add(1)
 		return
 	}
--- a/cmd/tanagerroad/system_test.go
+++ b/cmd/tanagerroad/system_test.go
@@ -114,8 +114,11 @@
 	y.put("first", 0, 0)
 	y.await("every server known", func() bool {
 		for _, op := range y.entryOps {
-			var status struct{ Servers int }
-			if _, err := operator.Ask(context.Background(), y.http, http.MethodGet, op, "/status", "", nil, &status); err != nil || status.Servers < 6 {
+			var status struct {
+				Servers int
+				Ready   bool
+			}
+			if _, err := operator.Ask(context.Background(), y.http, http.MethodGet, op, "/status", "", nil, &status); err != nil || status.Servers < 6 || !status.Ready {
 				return false
 			}
 		}
--- a/core/replica/guard_test.go
+++ b/core/replica/guard_test.go
@@ -210,3 +210,33 @@
 		}
 	}
 }
+
+func TestLeaderHandsOverBeforeAStop(t *testing.T) {
+	r := follower(trio)
+	at := lead(t, r)
+	ack(r, at, "c", 1, 0)
+	r.Take()
+	r.HandOver()
+	if got := last(r.Take().Send, "take-over"); got.GetTo() != "c" {
+		t.Errorf("the lead went to %q, want c, which holds most", got.GetTo())
+	}
+	if _, _, ok := r.Propose([]byte("x")); ok {
+		t.Error("a proposal was taken after the lead was handed over")
+	}
+	heir := follower(trio)
+	heir.Step(0, &wire.Message{Kind: "append", From: "b", To: "a", Term: 2})
+	heir.Take()
+	heir.Step(beat, &wire.Message{Kind: "take-over", From: "b", To: "a", Term: 2})
+	vote := last(heir.Take().Send, "vote")
+	if vote == nil {
+		t.Fatal("the heir seeks no election")
+	}
+	voter := follower(trio)
+	voter.Step(0, &wire.Message{Kind: "append", From: "b", To: "a", Term: 2})
+	voter.Take()
+	vote.From, vote.To = "c", "a"
+	voter.Step(beat, vote)
+	if !last(voter.Take().Send, "vote-reply").GetGranted() {
+		t.Error("the heir got no vote because the leaving leader is still heard")
+	}
+}
--- a/core/replica/log.go
+++ b/core/replica/log.go
@@ -47,13 +47,34 @@
 // force once an Output's Apply holds the entry with this index and term; a
 // different term at the index means that it was lost.
 func (r *Replica) Propose(command []byte) (index, term uint64, ok bool) {
-	if r.role != Leader {
+	if r.role != Leader || r.leaving {
 		return 0, 0, false
 	}
 	index = r.append(&wire.Entry{Command: command})
 	return index, r.term, true
 }
 
+// HandOver asks the voter that holds most of the log to lead instead, and takes
+// no more proposals. It reports whether there was anything to hand over.
+func (r *Replica) HandOver() bool {
+	if r.role != Leader {
+		return false
+	}
+	best := ""
+	for _, m := range r.others() {
+		if m.GetVoter() && (best == "" || r.peers[m.GetId()].match > r.peers[best].match) {
+			best = m.GetId()
+		}
+	}
+	if best == "" {
+		return false
+	}
+	r.leaving = true
+	r.sendAppend(best) // what it may lack goes before
+	r.send(best, takeOver, &wire.Message{})
+	return true
+}
+
 // Flush sends what Propose added. Calling it once after many proposals makes
 // them one message and one sync.
 func (r *Replica) Flush() {
--- a/core/replica/replica.go
+++ b/core/replica/replica.go
@@ -44,6 +44,7 @@
 	snapshot      = "snapshot"
 	snapshotReply = "snapshot-reply"
 	join          = "join"
+	takeOver      = "take-over" // from a leader that stops: seek election now
 )
 
 // Config sets a replica.
@@ -118,7 +119,7 @@
 	round    uint64
 	reads    []read
 	incoming []byte // snapshot being received
-	joined   map[string]string
+	leaving  bool   // it handed its lead over and takes no proposals
 
 	out Output
 }
@@ -127,7 +128,7 @@
 func New(config Config, at time.Duration, stored Stored) *Replica {
 	r := &Replica{
 		config: config, role: replicaChart.Initial, random: config.Seed | 1, heard: at,
-		mark: &wire.SnapshotMark{}, joined: map[string]string{},
+		mark: &wire.SnapshotMark{},
 	}
 	if stored.Snapshot != nil {
 		r.mark = stored.Snapshot
@@ -321,28 +322,30 @@
 	}
 	switch r.role {
 	case PreCandidate:
-		r.campaign(at)
+		r.campaign(at, "elect")
 	case Candidate:
 		r.lead(at)
 	}
 }
 
-func (r *Replica) campaign(at time.Duration) {
-	r.become("elect")
+// campaign asks for votes. One that the leader asked to take over is voted for
+// although that leader is still heard.
+func (r *Replica) campaign(at time.Duration, on string) {
+	r.become(on)
 	r.term++
 	r.vote = r.config.ID
 	r.saveHard()
 	r.votes = map[string]bool{r.config.ID: true}
 	r.resetTimeout(at)
 	for _, m := range r.others() {
-		r.send(m.GetId(), vote, &wire.Message{Index: r.lastIndex(), LogTerm: r.lastTerm()})
+		r.send(m.GetId(), vote, &wire.Message{Index: r.lastIndex(), LogTerm: r.lastTerm(), Granted: on == takeOver})
 	}
 	r.countVotes(at)
 }
 
 func (r *Replica) lead(at time.Duration) {
 	r.become("win")
-	r.leader = r.config.ID
+	r.leader, r.leaving = r.config.ID, false
 	r.peers = map[string]*progress{}
 	r.reads = nil
 	for _, m := range r.others() {
@@ -392,7 +395,7 @@
 		r.onJoin(m)
 		return
 	}
-	if m.GetKind() == vote && r.hearsLeader(at) {
+	if m.GetKind() == vote && !m.GetGranted() && r.hearsLeader(at) {
 		return // a leader is there; who came back from a cut must not unseat it
 	}
 	if m.GetTerm() > r.term {
@@ -419,6 +422,10 @@
 		r.onSnapshot(at, m)
 	case snapshotReply:
 		r.onSnapshotReply(at, m)
+	case takeOver:
+		if r.role != Leader && r.isVoter(r.config.ID) {
+			r.campaign(at, takeOver)
+		}
 	}
 }
 
--- a/core/replica/replica_test.go
+++ b/core/replica/replica_test.go
@@ -382,8 +382,13 @@
 		for _, each := range w.nodes {
 			w.propose(each, fmt.Sprintf("c%d", rapid.IntRange(0, 40).Draw(t, "change")))
 		}
-	case kind < 80:
+	case kind < 79:
 		w.read(nd)
+	case kind < 80:
+		if nd.up && !nd.frozen {
+			nd.replica.HandOver()
+			w.carryOut(nd)
+		}
 	case kind < 82:
 		w.net = nil // all that is under way is lost
 	case kind < 86:
--- a/io/control/service.go
+++ b/io/control/service.go
@@ -72,8 +72,18 @@
 				return
 			case <-ticker.C:
 				s.expire()
-			case <-q.News():
-				s.wake.Give()
+			}
+		}
+	}()
+	go func() {
+		for ctx.Err() == nil {
+			// The channel is taken before watchers are woken, so that no
+			// change falls between.
+			changed := q.News()
+			s.wake.Give()
+			select {
+			case <-ctx.Done():
+			case <-changed:
 			}
 		}
 	}()
--- a/io/process/roles.go
+++ b/io/process/roles.go
@@ -184,6 +184,7 @@
 		// Changes that wait are settled; watches never end by themselves.
 		short, cancel := context.WithTimeout(ctx, controlDrain)
 		defer cancel()
+		member.Leave(short)
 		service.Leave()
 		stopPeers(short)
 		return 0
--- a/io/quorum/quorum.go
+++ b/io/quorum/quorum.go
@@ -94,6 +94,8 @@
 	inbox     chan *wire.Message
 	proposals chan proposal
 	readings  chan reading
+	leaving   chan struct{} // closed when the lead is to be handed over
+	leaveOnce sync.Once
 
 	waiters      map[uint64]waiter
 	reads        map[uint64]reading
@@ -117,6 +119,7 @@
 		inbox:     make(chan *wire.Message, inboxLength),
 		proposals: make(chan proposal, inboxLength),
 		readings:  make(chan reading, inboxLength),
+		leaving:   make(chan struct{}),
 		news:      signal.New(),
 		waiters:   map[uint64]waiter{},
 		reads:     map[uint64]reading{},
@@ -220,9 +223,13 @@
 	ticker := time.NewTicker(tickEvery)
 	defer ticker.Stop()
 	q.carryOut()
+	leaving := q.leaving
 	for ctx.Err() == nil {
 		select {
 		case <-ctx.Done():
+		case <-leaving:
+			leaving = nil
+			q.replica.HandOver()
 		case m := <-q.inbox:
 			q.replica.Step(q.config.Clock.Now(), m)
 		case p := <-q.proposals:
@@ -280,7 +287,7 @@
 }
 
 func (q *Quorum) redirect() *wire.Outcome {
-	if leader := q.replica.LeaderAddress(); leader != "" {
+	if leader := q.replica.LeaderAddress(); leader != "" && leader != q.config.Settings.Peer.Reachable() {
 		return &wire.Outcome{Kind: registry.Redirect, Leader: leader}
 	}
 	return &wire.Outcome{Kind: registry.NoQuorum, Reason: "no leader is known here"}
@@ -440,6 +447,18 @@
 // View is the latest published view.
 func (q *Quorum) View() View { return *q.view.Load() }
 
+// Leave hands the lead over, if this instance has it, and returns once another
+// leads or the context ends.
+func (q *Quorum) Leave(ctx context.Context) {
+	q.leaveOnce.Do(func() { close(q.leaving) })
+	for q.View().Role == replica.Leader && ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+		case <-time.After(tickEvery):
+		}
+	}
+}
+
 // News closes when a revision or the quarantine changes.
 func (q *Quorum) News() <-chan struct{} { return q.news.Changed() }
 
