demo: tests of silent connections, dead connections, broken streams, requests that kill and no quorum

Change: a small TCP relay that freezes established connections, and tests of the whole path over real sockets, with the stand-ins' own counts.

--- /dev/null
+++ b/io/demo/demo_test.go
@@ -0,0 +1,229 @@
+package demo_test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"tanagerroad"
+	"tanagerroad/core/settings"
+	"tanagerroad/core/table"
+	"tanagerroad/io/demo"
+	"tanagerroad/io/load"
+	"tanagerroad/io/standin"
+)
+
+const testTime = 60 * time.Second
+
+// cluster starts the demo's layout, changed as a test needs it.
+func cluster(t *testing.T, change func(*demo.Config)) (*demo.Cluster, context.Context) {
+	t.Helper()
+	layout, err := demo.Layout(t.TempDir(), zap.NewNop())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if change != nil {
+		change(&layout)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), testTime)
+	t.Cleanup(cancel)
+	c, closeCluster, err := demo.Start(ctx, layout)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(closeCluster)
+	return c, ctx
+}
+
+func call(t *testing.T, ctx context.Context, c *demo.Cluster, entry int, r load.Request) load.Reply {
+	t.Helper()
+	r.Workspace = "demo"
+	reply, err := load.Call(ctx, http.DefaultClient, c.EntryURLs[entry], r)
+	if err != nil {
+		t.Fatalf("%s: %v", r.Route, err)
+	}
+	return reply
+}
+
+// runs is how often a request's first stage ran, at all stand-ins.
+func runs(c *demo.Cluster, id string) int {
+	n := 0
+	for _, s := range c.StandIns {
+		n += s.Runs(id, 0)
+	}
+	return n
+}
+
+func TestDemoAnswersAreRight(t *testing.T) {
+	ctx, cancel := context.WithTimeout(context.Background(), testTime)
+	defer cancel()
+	result, err := demo.Run(ctx, demo.Options{For: time.Second, Logger: zap.NewNop()})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !result.Right {
+		t.Errorf("of %d answers %d were right: %v", result.Sent, result.Attained, result.Outcomes)
+	}
+}
+
+// relayed puts a relay before every sidecar that a pool's filter names.
+func relayed(t *testing.T, relays *[]*relay) func(*demo.Config) {
+	return func(c *demo.Config) {
+		c.Sidecar = func(s *settings.Sidecar) {
+			r, closeRelay, err := newRelay(s.Peer.Address)
+			if err != nil {
+				t.Fatal(err)
+			}
+			t.Cleanup(closeRelay)
+			*relays = append(*relays, r)
+			s.Peer.Advertise = r.address
+		}
+	}
+}
+
+// TestSilentConnections freezes every established connection between entries
+// and sidecars while streams and bookings are under way. New connections work;
+// every answer still comes whole and inside its deadline.
+func TestSilentConnections(t *testing.T) {
+	if testing.Short() {
+		t.Skip("waits for silence")
+	}
+	var relays []*relay
+	c, ctx := cluster(t, func(config *demo.Config) {
+		relayed(t, &relays)(config)
+		for i := range config.Backends {
+			config.Backends[i].Time = tanagerroad.Duration(300 * time.Millisecond)
+		}
+	})
+	type outcome struct {
+		reply load.Reply
+		route string
+		id    string
+	}
+	done := make(chan outcome)
+	routes := []string{"assist", "history", "book"}
+	for i := range 9 {
+		route, id := routes[i%3], fmt.Sprintf("silent-%d", i)
+		go func() {
+			reply, err := load.Call(ctx, http.DefaultClient, c.EntryURLs[i%3], load.Request{
+				Route: route, Workspace: "demo", ID: id, Body: []byte("hello"), Repeatable: route != "book",
+			})
+			if err != nil {
+				t.Errorf("%s: %v", id, err)
+			}
+			done <- outcome{reply, route, id}
+		}()
+	}
+	time.Sleep(150 * time.Millisecond)
+	frozen := 0
+	for _, r := range relays {
+		frozen += r.freeze()
+	}
+	if frozen == 0 {
+		t.Fatal("no connection was there to be frozen")
+	}
+	for range 9 {
+		o := <-done
+		if !o.reply.Whole {
+			t.Errorf("%s %s: %+v", o.route, o.id, o.reply)
+		}
+		if n := runs(c, o.id); o.route == "book" && n != 1 {
+			t.Errorf("%s ran %d times", o.id, n)
+		}
+	}
+}
+
+// TestBookingOnADeadConnectionRunsOnce: the backend server reads the request,
+// counts it and closes the connection. Nobody sends it again by itself.
+func TestBookingOnADeadConnectionRunsOnce(t *testing.T) {
+	c, ctx := cluster(t, nil)
+	call(t, ctx, c, 0, load.Request{Route: "book", ID: "warm-up", Body: []byte("x")})
+	reply := call(t, ctx, c, 0, load.Request{Route: "book", ID: "severed", Body: []byte(standin.FaultClose)})
+	if reply.Kind != tanagerroad.Unknown {
+		t.Errorf("the answer is %s, want unknown: it may have run", reply.Kind)
+	}
+	if n := runs(c, "severed"); n != 1 {
+		t.Errorf("it ran %d times", n)
+	}
+	again := call(t, ctx, c, 1, load.Request{Route: "book", ID: "severed", Body: []byte(standin.FaultClose), Resend: true})
+	if again.Kind != tanagerroad.Unknown || runs(c, "severed") != 1 {
+		t.Errorf("a resend is %s and it ran %d times by now", again.Kind, runs(c, "severed"))
+	}
+}
+
+// TestBrokenStreamIsResumed: the engine's stream breaks in the middle and goes
+// on from its offset; no token is lost or doubled.
+func TestBrokenStreamIsResumed(t *testing.T) {
+	c, ctx := cluster(t, func(config *demo.Config) {
+		config.Routes = []byte(`{"routes": [{"name": "ask", "deadline": "4s", "stages": [{"name": "generate", "pool": "models", "stream": true}]}]}`)
+	})
+	body := []byte("tell me " + standin.FaultBreak)
+	reply := call(t, ctx, c, 0, load.Request{Route: "ask", Body: body, Repeatable: true})
+	want := standin.Answer(settings.StandInServer{Kind: table.ModelEngine, Tokens: 40}, body)
+	if !reply.Whole || !bytes.Equal(reply.Body, want) {
+		t.Errorf("got %+v, want %q", reply, want)
+	}
+}
+
+// TestRequestThatKills: a request that crashes each backend server that runs it
+// is run a second time alone and then refused everywhere, also under new ids
+// and at other entries; others are served, and an operator may lift it.
+func TestRequestThatKills(t *testing.T) {
+	c, ctx := cluster(t, nil)
+	killer := load.Request{Route: "history", Body: []byte("kills " + standin.FaultCrash), Repeatable: true}
+	var last load.Reply
+	for i := range 6 {
+		killer.ID = fmt.Sprintf("killer-%d", i)
+		last = call(t, ctx, c, i%3, killer)
+		if last.Kind == tanagerroad.Complete {
+			t.Fatal("a request that kills was answered")
+		}
+		time.Sleep(300 * time.Millisecond)
+	}
+	if last.Kind != tanagerroad.NotRun || !strings.Contains(last.Reason, "quarantined") {
+		t.Errorf("the sixth sending is %s (%s), want it refused as quarantined", last.Kind, last.Reason)
+	}
+	crashes := 0
+	for _, s := range c.StandIns {
+		crashes += s.Crashes()
+	}
+	if crashes > 3 {
+		t.Errorf("it killed %d backend servers before it was refused", crashes)
+	}
+	innocent := call(t, ctx, c, 1, load.Request{Route: "history", Body: []byte("harmless"), Repeatable: true})
+	if !innocent.Whole {
+		t.Errorf("another request of the route is %+v", innocent)
+	}
+}
+
+// TestNoQuorumIsSaidAtOnce: without a quorum a booking is refused as not run,
+// a resend of one is unknown, and other routes are served as before.
+func TestNoQuorumIsSaidAtOnce(t *testing.T) {
+	c, ctx := cluster(t, nil)
+	c.Controls[0].Close()
+	c.Controls[1].Close()
+	start := time.Now()
+	reply := call(t, ctx, c, 0, load.Request{Route: "book", ID: "no-quorum", Body: []byte("x")})
+	if reply.Kind != tanagerroad.NotRun || reply.RetryAfter <= 0 || runs(c, "no-quorum") != 0 {
+		t.Errorf("got %+v after %d runs", reply, runs(c, "no-quorum"))
+	}
+	if took := time.Since(start); took > 2*time.Second {
+		t.Errorf("it took %s to say so", took)
+	}
+	again := call(t, ctx, c, 1, load.Request{Route: "book", ID: "no-quorum", Body: []byte("x"), Resend: true})
+	if again.Kind != tanagerroad.Unknown {
+		t.Errorf("a resend is %s, want unknown", again.Kind)
+	}
+	for range 5 {
+		if served := call(t, ctx, c, 2, load.Request{Route: "history", Body: []byte("y"), Repeatable: true}); !served.Whole {
+			t.Errorf("a repeatable request during the outage: %+v", served)
+		}
+		time.Sleep(time.Second) // beyond the leases: the outage empties no directory
+	}
+}
