--- a/cmd/tanagerroad/kill_test.go
+++ b/cmd/tanagerroad/kill_test.go
@@ -39,7 +39,7 @@
 	if testing.Short() {
 		t.Skip("starts a dozen processes")
 	}
-	y := startSystem(t, nil)
+	y := startSystem(t)
 	const processes = 8 // that hold the tables: entries and sidecars
 	revision := uint64(1)
 	change := func(n int) {
@@ -177,7 +177,7 @@
 	if testing.Short() {
 		t.Skip("starts a dozen processes")
 	}
-	y := startSystem(t, nil)
+	y := startSystem(t)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	var wrong atomic.Int64
@@ -245,7 +245,7 @@
 	if testing.Short() {
 		t.Skip("starts a dozen processes")
 	}
-	y := startSystem(t, nil)
+	y := startSystem(t)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	var ok, bad atomic.Int64
--- a/cmd/tanagerroad/system_test.go
+++ b/cmd/tanagerroad/system_test.go
@@ -21,7 +21,7 @@
 
 // system is a set of real processes, each with its settings file.
 type system struct {
-	t        *testing.T
+	t        testing.TB
 	folder   string
 	mu       sync.Mutex
 	running  map[string]*exec.Cmd
@@ -44,16 +44,43 @@
 		{"name": "services", "kind": "service"}, {"name": "models", "kind": "model-engine"}]}`
 )
 
-// startSystem starts three control instances, two entries, and two sidecars
-// each for bookings, services and models, with their stand-ins in one process.
-func startSystem(t *testing.T, adapt func(name string, s any)) *system {
+var zones = []string{"a", "b", "c"}
+
+func common(name string, i int) settings.Common {
+	return settings.Common{Process: name, Zone: zones[i%3], Region: "west"}
+}
+
+// newSystem is a system of which only the addresses of three control instances
+// are settled.
+func newSystem(t testing.TB) *system {
 	t.Helper()
 	y := &system{
 		t: t, folder: t.TempDir(), running: map[string]*exec.Cmd{}, logs: map[string]*bytes.Buffer{},
 		http: &http.Client{Timeout: 5 * time.Second},
 	}
 	t.Cleanup(y.killAll)
-	free, err := demo.Free(40)
+	free, err := demo.Free(6)
+	if err != nil {
+		t.Fatal(err)
+	}
+	y.peers, y.controls = free[:3], free[3:]
+	return y
+}
+
+func (y *system) controlSettings(i int) settings.Control {
+	s := settings.DefaultControl()
+	s.Role, s.Common = "control", common(fmt.Sprintf("control-%d", i), i)
+	s.Peer.Address, s.Operator.Address, s.Instances = y.peers[i], y.controls[i], y.peers
+	s.Data, s.Stop.Grace = filepath.Join(y.folder, s.Process), 0
+	return s
+}
+
+// startSystem starts three control instances, two entries, and two sidecars
+// each for bookings, services and models, with their stand-ins in one process.
+func startSystem(t *testing.T) *system {
+	t.Helper()
+	y := newSystem(t)
+	free, err := demo.Free(22)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -62,23 +89,8 @@
 		free = free[1:]
 		return a
 	}
-	if adapt == nil {
-		adapt = func(string, any) {}
-	}
-	zones := []string{"a", "b", "c"}
-	common := func(name string, i int) settings.Common {
-		return settings.Common{Process: name, Zone: zones[i%3], Region: "west"}
-	}
-	for range 3 {
-		y.peers = append(y.peers, next())
-		y.controls = append(y.controls, next())
-	}
 	for i := range 3 {
-		s := settings.DefaultControl()
-		s.Role, s.Common = "control", common(fmt.Sprintf("control-%d", i), i)
-		s.Peer.Address, s.Operator.Address, s.Instances = y.peers[i], y.controls[i], y.peers
-		s.Data, s.Stop.Grace = filepath.Join(y.folder, s.Process), 0
-		adapt(s.Process, &s)
+		s := y.controlSettings(i)
 		y.write(s.Process, s)
 	}
 	hosts := settings.DefaultStandIn()
@@ -89,7 +101,6 @@
 		s.Role, s.Common = "sidecar", common(fmt.Sprintf("sidecar-%d", i), i)
 		s.Peer.Address, s.Backend.Address, s.Control = next(), next(), y.peers
 		s.Stop.Grace = settingsDuration(200 * time.Millisecond)
-		adapt(s.Process, &s)
 		y.write(s.Process, s)
 		server := settings.StandInServer{Announce: s.Backend.Address, Address: next(), Pool: pool, Kind: "service", Capacity: 8, Time: settingsDuration(3 * time.Millisecond)}
 		if pool == "models" {
@@ -104,7 +115,6 @@
 		s.Role, s.Common = "entry", common(fmt.Sprintf("entry-%d", i), i)
 		s.Caller.Address, s.Operator.Address, s.Control = next(), next(), y.peers
 		s.Stop.Grace = settingsDuration(500 * time.Millisecond)
-		adapt(s.Process, &s)
 		y.write(s.Process, s)
 		y.entries, y.entryOps = append(y.entries, s.Caller.Address), append(y.entryOps, s.Operator.Address)
 	}
--- a/core/limit/limit.go
+++ b/core/limit/limit.go
@@ -44,10 +44,6 @@
 	shares   map[string]float64 // percent
 }
 
-// hardFactor is how far workspaces below their share may push the requests in
-// flight beyond the limit.
-const hardFactor = 1.5
-
 // NewShares starts with a limit of most requests in flight, which Late lowers
 // and OnTime raises again.
 func NewShares(most int) *Shares {
@@ -69,8 +65,7 @@
 		return false
 	}
 	full := float64(s.inFlight) >= s.limit
-	beyond := float64(s.inFlight) >= s.limit*hardFactor
-	if beyond || full && float64(s.by[workspace]) >= s.fair(workspace) {
+	if full && float64(s.by[workspace]) >= s.fair(workspace) {
 		return false
 	}
 	s.inFlight++
@@ -121,19 +116,24 @@
 func (s *Shares) OnTime() { s.limit = math.Min(float64(s.hard), s.limit+onTimeStep) }
 
 // Knee is a concurrency limit that rises while latency stays near its floor
-// and falls when more concurrency only adds waiting.
+// and falls when more concurrency only adds waiting. From time to time it holds
+// half the limit for a few samples, since the floor shows only there.
 type Knee struct {
 	limit, least, most float64
-	floor              time.Duration // latency without queueing, slowly forgotten
+	floor              time.Duration // mean latency at half the limit; 0: not known yet
 	smooth             time.Duration
+	samples            int           // since the last probe ended
+	probe              int           // samples left of the present probe
+	sum                time.Duration // of the probe's later half
 }
 
 // Constants of the knee search.
 const (
-	kneeTolerance  = 2.0  // latency over the floor that still counts as free
-	kneeSmoothing  = 0.1  // weight of a new latency
-	kneeForgetting = 1.01 // growth of the floor at each sample
-	kneeDown       = 0.9
+	kneeTolerance = 1.6 // latency over the floor that still counts as free
+	kneeSmoothing = 0.1 // weight of a new latency
+	kneeDown      = 0.1 // taken off for each sample that waited
+	probeEvery    = 200 // samples between probes
+	probeSamples  = 40  // that a probe lasts; its first half lets the load sink
 )
 
 // NewKnee starts at start concurrent attempts and stays within 1 and most.
@@ -142,27 +142,46 @@
 }
 
 // Limit is the number of attempts to run at once.
-func (k *Knee) Limit() int { return max(1, int(k.limit)) }
+func (k *Knee) Limit() int {
+	if k.probe > 0 {
+		return max(1, int(k.limit/2))
+	}
+	return max(1, int(k.limit))
+}
 
 // Sample takes the latency of one attempt that ran beside inFlight others.
 func (k *Knee) Sample(latency time.Duration, inFlight int) {
-	if k.floor == 0 || latency < k.floor {
-		k.floor = latency
-	} else {
-		k.floor = min(time.Duration(float64(k.floor)*kneeForgetting), latency)
+	if k.probe > 0 {
+		k.sampleProbe(latency)
+		return
+	}
+	if k.samples++; k.samples > probeEvery && k.limit > k.least {
+		k.samples, k.probe, k.sum = 0, probeSamples, 0
+		return
 	}
 	if k.smooth == 0 {
 		k.smooth = latency
 	}
 	k.smooth += time.Duration(kneeSmoothing * float64(latency-k.smooth))
 	switch {
-	case float64(k.smooth) > kneeTolerance*float64(k.floor):
-		k.limit = math.Max(k.least, k.limit-(1-kneeDown)*k.limit/math.Max(1, k.limit))
+	case k.floor > 0 && float64(k.smooth) > kneeTolerance*float64(k.floor):
+		k.limit = math.Max(k.least, k.limit-kneeDown)
 	case inFlight+1 >= k.Limit():
 		k.limit = math.Min(k.most, k.limit+1/k.limit)
 	}
 }
 
+func (k *Knee) sampleProbe(latency time.Duration) {
+	k.probe--
+	if k.probe < probeSamples/2 {
+		k.sum += latency
+	}
+	if k.probe == 0 {
+		k.floor = k.sum / (probeSamples / 2)
+		k.smooth = 0
+	}
+}
+
 // Bounds of the retry-after.
 const (
 	leastRetryAfter = 100 * time.Millisecond
--- a/core/pick/scored.go
+++ b/core/pick/scored.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"math"
 	"slices"
 	"time"
 
@@ -20,6 +21,7 @@
 	maxEjection     = 40 * time.Second       //
 	ejectShare      = 0.34                   // of a pool that may be aside at once
 	warmUp          = 5 * time.Second        // a new or returned server is eased in over it
+	serviceHalfLife = 5 * time.Second        // a service time counts half after it, so that who is shunned is tried again
 	prefixHalfLife  = 30 * time.Second       // belief that a server holds a prefix
 	prefixSaves     = 0.5                    // of the service time
 	prefixesKept    = 4096                   //
@@ -35,6 +37,7 @@
 	own        int
 	starts     []time.Duration // of own attempts in flight, oldest first
 	service    time.Duration   // running mean; 0: not known
+	learned    time.Duration   // when the mean was last learned
 	runs       int
 	failures   int
 	aside      time.Duration // until then; 0: not aside
@@ -170,9 +173,9 @@
 }
 
 func (p *Scored) score(at time.Duration, b *belief, ask tanagerroad.Ask, typical time.Duration, price Price) (time.Duration, string) {
-	service := b.service
-	if service == 0 {
-		service = typical
+	service := typical
+	if b.service > 0 {
+		service += time.Duration(faded(at-b.learned) * float64(b.service-typical))
 	}
 	// An attempt that is out for longer than usual says more than the mean
 	// of those that came back.
@@ -201,6 +204,9 @@
 	return score, fmt.Sprintf("work %s, wait %s, crossing %s", work.Round(time.Microsecond), wait.Round(time.Microsecond), cross)
 }
 
+// faded is the weight, from 1 down to 0, of a service time learned so long ago.
+func faded(age time.Duration) float64 { return math.Exp2(-float64(age) / float64(serviceHalfLife)) }
+
 func crossing(to tanagerroad.Place, ask tanagerroad.Ask, price Price) time.Duration {
 	switch ask.From.DistanceTo(to) {
 	case tanagerroad.SameRegion:
@@ -246,7 +252,7 @@
 		return
 	case result.OK:
 		b.failures = 0
-		p.learn(b, result.Service)
+		p.learn(at, b, result.Service)
 		p.remember(at, result.Server, result.Prefix)
 	default:
 		b.failures++
@@ -267,13 +273,16 @@
 	}
 }
 
-func (p *Scored) learn(b *belief, service time.Duration) {
+func (p *Scored) learn(at time.Duration, b *belief, service time.Duration) {
 	b.runs++
 	if b.service == 0 {
-		b.service = service
+		b.service, b.learned = service, at
 		return
 	}
-	b.service += time.Duration(serviceWeight * float64(service-b.service))
+	// What was learned long ago weighs less than its share.
+	old := (1 - serviceWeight) * faded(at-b.learned)
+	b.service = service + time.Duration(old*float64(b.service-service))
+	b.learned = at
 }
 
 func (p *Scored) remember(at time.Duration, server string, prefix uint64) {
