--- a/core/pick/pick.go
+++ b/core/pick/pick.go
@@ -19,11 +19,11 @@
 func New(policy string, prices Prices) (tanagerroad.Picker, error) {
 	switch policy {
 	case "random":
-		return &simple{choose: random}, nil
+		return newSimple(random), nil
 	case "round-robin":
-		return &simple{choose: roundRobin}, nil
+		return newSimple(roundRobin), nil
 	case "least-in-flight":
-		return &simple{choose: leastInFlight}, nil
+		return newSimple(leastInFlight), nil
 	case "scored":
 		return NewScored(prices), nil
 	}
@@ -75,13 +75,12 @@
 	choose   func(s *simple, usable []tanagerroad.Server, ask tanagerroad.Ask) tanagerroad.Server
 }
 
-func (s *simple) Observe(_ time.Duration, servers []tanagerroad.Server) {
-	s.servers = servers
-	if s.inFlight == nil {
-		s.inFlight = map[string]int{}
-	}
+func newSimple(choose func(*simple, []tanagerroad.Server, tanagerroad.Ask) tanagerroad.Server) *simple {
+	return &simple{inFlight: map[string]int{}, choose: choose}
 }
 
+func (s *simple) Observe(_ time.Duration, servers []tanagerroad.Server) { s.servers = servers }
+
 func (s *simple) Pick(_ time.Duration, ask tanagerroad.Ask) tanagerroad.Choice {
 	can := usable(s.servers, ask)
 	if len(can) == 0 {
--- a/core/pick/scored.go
+++ b/core/pick/scored.go
@@ -12,9 +12,11 @@
 
 // Constants of the scored policy.
 const (
+	othersWeight    = 0.5                    // of what others are thought to have there: entries that trust it fully herd
 	reportHalfLife  = 2 * time.Second        // a load report counts half after it
 	serviceWeight   = 0.2                    // of a new service time in the running mean
 	stragglerFactor = 4.0                    // times the pool's median service time
+	clearly         = 2                      // times the pool's median, or its part, that is no chance
 	stragglerRuns   = 3                      // attempts before a mean is believed
 	failuresToEject = 3                      // in a row
 	ejection        = 5 * time.Second        // first time aside; doubles up to maxEjection
@@ -173,22 +175,14 @@
 }
 
 func (p *Scored) score(at time.Duration, b *belief, ask tanagerroad.Ask, typical time.Duration, price Price) (time.Duration, string) {
-	service := typical
-	if b.service > 0 {
-		service += time.Duration(faded(at-b.learned) * float64(b.service-typical))
-	}
-	// An attempt that is out for longer than usual says more than the mean
-	// of those that came back.
-	if len(b.starts) > 0 {
-		service = max(service, at-b.starts[0])
-	}
-	warm := p.warmth(at, b.server.ID, ask.Prefix)
-	work := time.Duration(float64(service) * (1 - prefixSaves*warm))
 	busy := p.inFlight(at, b)
 	slots := float64(max(1, b.server.Load.Limit))
 	if b.server.Load.Limit == 0 {
 		slots = float64(max(1, b.server.Capacity))
 	}
+	service := p.service(at, b, typical, busy < slots)
+	warm := p.warmth(at, b.server.ID, ask.Prefix)
+	work := time.Duration(float64(service) * (1 - prefixSaves*warm))
 	if eased := at - b.since; eased < warmUp {
 		slots = max(0.25, slots*float64(eased)/float64(warmUp))
 	}
@@ -197,13 +191,28 @@
 	load := busy / slots
 	wait := time.Duration(float64(service) * load * load / 2)
 	if load >= 1 {
-		wait = time.Duration(float64(service) * (busy + 1 - slots/2) / slots)
+		wait = time.Duration(float64(service) * (busy + 1.5 - slots) / slots)
 	}
 	cross := crossing(b.server.Place, ask, price)
 	score := work + wait + cross
 	return score, fmt.Sprintf("work %s, wait %s, crossing %s", work.Round(time.Microsecond), wait.Round(time.Microsecond), cross)
 }
 
+// service is the time that a server takes for one attempt. Service times vary,
+// so a server counts as different from the pool only when it clearly is.
+func (p *Scored) service(at time.Duration, b *belief, typical time.Duration, free bool) time.Duration {
+	service := typical
+	if b.service > clearly*typical || clearly*b.service < typical && b.service > 0 {
+		service += time.Duration(faded(at-b.learned) * float64(b.service-typical))
+	}
+	// Where nothing waits, an attempt that is out for longer than usual says
+	// more than the mean of those that came back.
+	if free && len(b.starts) > 0 {
+		service = max(service, at-b.starts[0])
+	}
+	return service
+}
+
 // faded is the weight, from 1 down to 0, of a service time learned so long ago.
 func faded(age time.Duration) float64 { return math.Exp2(-float64(age) / float64(serviceHalfLife)) }
 
@@ -223,7 +232,7 @@
 	reported := float64(b.server.Load.InFlight + b.server.Load.Queued)
 	others := max(0, reported-float64(b.ownThen))
 	age := float64(at-b.reportedAt) / float64(reportHalfLife)
-	return float64(b.own) + others/(1+age)
+	return float64(b.own) + othersWeight*others/(1+age)
 }
 
 // warmth is the belief, from 0 to 1, that a server still caches a prefix.
@@ -252,7 +261,10 @@
 		return
 	case result.OK:
 		b.failures = 0
-		p.learn(at, b, result.Service)
+		// As it would have been on a cold server; else servers that hold many
+		// prefixes would seem the faster ones and draw all the rest.
+		warm := p.warmth(at, result.Server, result.Prefix)
+		p.learn(at, b, time.Duration(float64(result.Service-result.Waited)/(1-prefixSaves*warm)))
 		p.remember(at, result.Server, result.Prefix)
 	default:
 		b.failures++
--- a/core/request/request.go
+++ b/core/request/request.go
@@ -92,9 +92,10 @@
 	Unknown    bool              `json:"unknown,omitempty"` // with fail: it may have run
 	Crashed    bool              `json:"crashed,omitempty"` // with fail: the backend server died
 	InputGone  bool              `json:"input-gone,omitempty"`
-	State      string            `json:"state,omitempty"` // with told and held
-	Name       string            `json:"name,omitempty"`  // of a timer
-	Load       *tanagerroad.Load `json:"load,omitempty"`  // of the sidecar that answered
+	State      string            `json:"state,omitempty"`  // with told and held
+	Name       string            `json:"name,omitempty"`   // of a timer
+	Load       *tanagerroad.Load `json:"load,omitempty"`   // of the sidecar that answered
+	Waited     time.Duration     `json:"waited,omitempty"` // with end: in the sidecar\'s queue
 }
 
 // Action kinds.
@@ -138,8 +139,9 @@
 	OK         bool                `json:"ok,omitempty"`
 	Refused    bool                `json:"refused,omitempty"`
 	Alone      bool                `json:"alone,omitempty"`
-	Load       *tanagerroad.Load   `json:"load,omitempty"` // with learn
-	Size       int                 `json:"size,omitempty"` // with learn: bytes of the result
+	Load       *tanagerroad.Load   `json:"load,omitempty"`   // with learn
+	Size       int                 `json:"size,omitempty"`   // with learn: bytes of the result
+	Waited     time.Duration       `json:"waited,omitempty"` // with learn: in the sidecar's queue
 }
 
 // Bounds of a request's patience.
@@ -167,6 +169,7 @@
 	hedgeAfter time.Duration
 	load       *tanagerroad.Load
 	kept       *Reference
+	waited     time.Duration
 	ending     *Event // an end that came before its data
 }
 
@@ -580,7 +583,7 @@
 		return
 	}
 	m.turn(c, "end")
-	c.load, c.kept = e.Load, e.Kept
+	c.load, c.kept, c.waited = e.Load, e.Kept, e.Waited
 	m.learn(c, true, false)
 	m.dropOthers(c)
 	if m.stage < len(m.config.Route.Stages)-1 {
@@ -652,7 +655,7 @@
 	c.reported = true
 	m.do(Action{
 		Kind: Learn, Key: c.key, Server: c.server, OK: ok, Refused: refused,
-		Load: c.load, Reference: c.kept, Size: len(c.data),
+		Load: c.load, Reference: c.kept, Size: len(c.data), Waited: c.waited,
 	})
 }
 
--- a/io/caller/run.go
+++ b/io/caller/run.go
@@ -428,6 +428,7 @@
 	case *wire.Part_End:
 		ev.Kind, ev.Length, ev.Digest = request.End, body.End.GetLength(), body.End.GetDigest()
 		ev.Load = loadOf(body.End.GetLoad())
+		ev.Waited = time.Duration(body.End.GetQueueMicros()) * time.Microsecond
 		if kept := body.End.GetKept(); kept != nil {
 			ev.Kept = &request.Reference{
 				Key: peer.KeyFromWire(kept.GetKey()), Address: kept.GetAddress(), Length: kept.GetLength(),
@@ -504,7 +505,7 @@
 	stage := r.config.Route.Stages[a.Key.Stage]
 	took := now - c.sentAt
 	r.entry.ask(router.Event{Kind: router.Learn, Route: r.config.Route.Name, Stage: a.Key.Stage, Result: &tanagerroad.Result{
-		Server: c.server, Pool: stage.Pool, Prefix: router.Prefix(r.config.Body), Service: took, OK: a.OK, Refused: a.Refused, Load: a.Load,
+		Server: c.server, Pool: stage.Pool, Prefix: router.Prefix(r.config.Body), Service: took, Waited: a.Waited, OK: a.OK, Refused: a.Refused, Load: a.Load,
 	}})
 	if a.Refused {
 		return
--- a/io/peer/link.go
+++ b/io/peer/link.go
@@ -26,6 +26,7 @@
 	maxBackoff      = time.Second
 	serverPing      = 2 * time.Second // the server asks a quiet client whether it lives
 	serverPingWait  = 2 * time.Second // and closes the connection without an answer
+	serverBuffer    = 4 << 10         // bytes
 	connectionGrace = 5 * time.Second // a replaced connection finishes its other calls
 )
 
@@ -109,6 +110,11 @@
 		grpc.MaxConcurrentStreams(uint32(config.MaxStreams)),
 		grpc.MaxRecvMsgSize(int(config.MaxMessage)),
 		grpc.StatsHandler(meter.handler(Inbound)),
+		// Thousands of quiet connections end here; buffers of the usual size
+		// for each would be most of the process's memory.
+		grpc.ReadBufferSize(serverBuffer),
+		grpc.WriteBufferSize(serverBuffer),
+		grpc.SharedWriteBuffer(true),
 		grpc.KeepaliveParams(keepalive.ServerParameters{Time: serverPing, Timeout: serverPingWait}),
 	)
 	register(server)
--- a/picker.go
+++ b/picker.go
@@ -34,7 +34,8 @@
 	Server  string        `json:"server"`
 	Pool    string        `json:"pool"`
 	Prefix  uint64        `json:"prefix,omitempty"`
-	Service time.Duration `json:"service"` // from dispatch to end
+	Service time.Duration `json:"service"`          // from dispatch to end
+	Waited  time.Duration `json:"waited,omitempty"` // of that, in the sidecar's queue
 	OK      bool          `json:"ok"`
 	Refused bool          `json:"refused"` // turned away before it ran
 	Load    *Load         `json:"load,omitempty"`
