control: a renewal that says nothing new carries nothing

Cause: at 980 processes a control instance moved 98 KB/s, nearly all of it servers that announced what they had announced before, and held 82 MB, much of it buffers of quiet connections.

--- a/io/control/client.go
+++ b/io/control/client.go
@@ -8,6 +8,7 @@
 
 	"go.uber.org/zap"
 	"google.golang.org/grpc"
+	"google.golang.org/protobuf/proto"
 
 	"tanagerroad"
 	"tanagerroad/core/event"
@@ -231,9 +232,12 @@
 func (w Watcher) tell(ctx context.Context, stream grpc.BidiStreamingClient[wire.Notice, wire.Update]) {
 	ticker := time.NewTicker(w.Every)
 	defer ticker.Stop()
+	var told *wire.Server
 	for {
 		changed := w.Nudge.Changed()
-		if err := stream.Send(w.Notice()); err != nil {
+		notice := w.Notice()
+		told = shorten(notice, told)
+		if err := stream.Send(notice); err != nil {
 			return
 		}
 		select {
@@ -244,3 +248,18 @@
 		}
 	}
 }
+
+// shorten leaves a server out of a notice that would only repeat what this watch
+// was told before; it returns what the watch has been told by now.
+func shorten(notice *wire.Notice, told *wire.Server) *wire.Server {
+	server := notice.GetServer()
+	if server == nil || told == nil {
+		return server
+	}
+	told.Sequence = server.GetSequence()
+	if proto.Equal(server, told) {
+		notice.Server, notice.Renew = nil, true
+		return told
+	}
+	return server
+}
--- a/io/control/service.go
+++ b/io/control/service.go
@@ -169,7 +169,7 @@
 	if err != nil {
 		return err
 	}
-	s.hear(first)
+	told := s.hear(first, nil)
 	ctx, cancel := context.WithCancel(stream.Context())
 	defer cancel()
 	defer context.AfterFunc(s.leaving, cancel)()
@@ -180,7 +180,7 @@
 			if err != nil {
 				return
 			}
-			s.hear(notice)
+			told = s.hear(notice, told)
 		}
 	}()
 	w := &watcher{revision: first.GetRevision(), directory: first.GetWantDirectory()}
@@ -217,16 +217,22 @@
 	}
 }
 
-func (s *Service) hear(notice *wire.Notice) {
+// hear takes a notice. told is the server that this watch announced last; it
+// returns what it is now.
+func (s *Service) hear(notice *wire.Notice, told *wire.Server) *wire.Server {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.clock.Now()
 	s.processes[notice.GetProcess()] = &process{notice, now}
-	if server := notice.GetServer(); server != nil {
-		if s.directory.Renew(now, peer.ServerFromWire(server)) {
-			s.wake.Give()
-		}
+	server := notice.GetServer()
+	if notice.GetRenew() && told != nil {
+		server = told
+		server.Sequence++
+	}
+	if server != nil && s.directory.Renew(now, peer.ServerFromWire(server)) {
+		s.wake.Give()
 	}
+	return server
 }
 
 // watcher is what one watch has been told.
