--- a/cmd/tanagerroad/capacity_test.go
+++ b/cmd/tanagerroad/capacity_test.go
@@ -53,7 +53,19 @@
 
 func (y *system) usage(i int) usage {
 	y.t.Helper()
-	pid := y.cmd(fmt.Sprintf("control-%d", i)).Process.Pid
+	u := y.spent(fmt.Sprintf("control-%d", i))
+	all, err := load.Metrics(context.Background(), y.http, y.controls[i], "")
+	if err != nil {
+		y.t.Fatal(err)
+	}
+	u.in, u.out = int64(all["control-bytes.in"]["value"]), int64(all["control-bytes.out"]["value"])
+	return u
+}
+
+// spent is the processor time and the memory of a process.
+func (y *system) spent(name string) usage {
+	y.t.Helper()
+	pid := y.cmd(name).Process.Pid
 	stat, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
 	if err != nil {
 		y.t.Fatal(err)
@@ -63,22 +75,15 @@
 		n, _ := strconv.ParseInt(fields[k], 10, 64)
 		return n
 	}
-	all, err := load.Metrics(context.Background(), y.http, y.controls[i], "")
-	if err != nil {
-		y.t.Fatal(err)
-	}
 	return usage{
 		processor: time.Duration(number(11)+number(12)) * clockTick,
 		resident:  number(21) * int64(os.Getpagesize()),
-		in:        int64(all["control-bytes.in"]["value"]),
-		out:       int64(all["control-bytes.out"]["value"]),
 	}
 }
 
 // swarm is small clients: of each 98, 38 are entries and 60 sidecars.
 type swarm struct {
 	revision []atomic.Uint64
-	in, out  atomic.Int64
 	meters   []*peer.Meter
 	cancel   context.CancelFunc
 	group    sync.WaitGroup
@@ -263,3 +268,31 @@
 	})
 	b.ReportMetric(float64(time.Since(start).Milliseconds()), "restart-ms")
 }
+
+// BenchmarkRequestPath: what an entry and a sidecar spend on requests, at three
+// rates of single calls and of streams of 40 tokens.
+func BenchmarkRequestPath(b *testing.B) {
+	for _, route := range []string{"look-up", "ask"} {
+		for _, rate := range []float64{10, 20, 40} {
+			b.Run(fmt.Sprintf("%s-%.0f", route, rate), func(b *testing.B) {
+				y := startSystem(b)
+				sidecar := map[string]string{"look-up": "sidecar-2", "ask": "sidecar-4"}[route]
+				const span = 6 * time.Second
+				before, beforeSidecar := y.spent("entry-0"), y.spent(sidecar)
+				report, err := load.Run(context.Background(), load.Plan{
+					Entries: []string{"http://" + y.entries[0]}, For: settingsDuration(span), Seed: 1,
+					Mix: []load.Part{{Route: route, Workspace: "test", Rate: rate, BodyBytes: 500}},
+				})
+				if err != nil || report.Attainment < 1 {
+					b.Fatalf("%v, attainment %f", err, report.Attainment)
+				}
+				after, afterSidecar := y.spent("entry-0"), y.spent(sidecar)
+				b.ReportMetric(100*(after.processor-before.processor).Seconds()/span.Seconds(), "entry-%core")
+				b.ReportMetric(float64(after.resident)/(1<<20), "entry-MB")
+				b.ReportMetric(100*(afterSidecar.processor-beforeSidecar.processor).Seconds()/span.Seconds(), "sidecar-%core")
+				b.ReportMetric(float64(afterSidecar.resident)/(1<<20), "sidecar-MB")
+				b.ReportMetric(float64(report.Sent), "requests")
+			})
+		}
+	}
+}
--- a/cmd/tanagerroad/system_test.go
+++ b/cmd/tanagerroad/system_test.go
@@ -77,7 +77,7 @@
 
 // startSystem starts three control instances, two entries, and two sidecars
 // each for bookings, services and models, with their stand-ins in one process.
-func startSystem(t *testing.T) *system {
+func startSystem(t testing.TB) *system {
 	t.Helper()
 	y := newSystem(t)
 	free, err := demo.Free(22)
--- a/core/event/event.go
+++ b/core/event/event.go
@@ -60,8 +60,6 @@
 	Ended           = define(302, zap.DebugLevel, "attempt-ended", "An attempt at this sidecar ended.")
 	BackendSilent   = define(303, zap.WarnLevel, "backend-silent", "The backend server stopped announcing itself.")
 	BackendCrashed  = define(304, zap.ErrorLevel, "backend-crashed", "The backend server died with attempts in flight; their fingerprints were reported.")
-	OrderGiven      = define(305, zap.InfoLevel, "order-given", "An order with its fencing number was given to a model engine.")
-	OrderRefused    = define(306, zap.WarnLevel, "order-refused", "An order carried an old fencing number, or the number could not be confirmed.")
 	RoleChanged     = define(400, zap.InfoLevel, "replica-role", "A control instance changed its role.")
 	NoQuorum        = define(401, zap.WarnLevel, "no-quorum", "A leader heard no quorum and stepped down.")
 	Snapshotted     = define(402, zap.InfoLevel, "snapshot", "The journal was compacted behind a snapshot.")
--- a/core/table/table.go
+++ b/core/table/table.go
@@ -61,7 +61,6 @@
 	ZonePrice   tanagerroad.Duration `json:"zone-price,omitempty"`   // delay that crossing a zone is held to be worth
 	RegionPrice tanagerroad.Duration `json:"region-price,omitempty"` // delay that crossing a region is held to be worth
 	BytePrice   tanagerroad.Duration `json:"byte-price,omitempty"`   // further, for each KiB between regions
-	Queue       int                  `json:"queue,omitempty"`        // attempts that wait at one server; 0: the sidecar's setting
 	Hedge       bool                 `json:"hedge,omitempty"`        // repeatable stages may be hedged here
 }
 
@@ -154,9 +153,6 @@
 		if p.Cost < 0 {
 			c.fault(path+".cost", fmt.Sprint(p.Cost), "a cost that is not negative")
 		}
-		if p.Queue < 0 {
-			c.fault(path+".queue", fmt.Sprint(p.Queue), "a length that is not negative")
-		}
 		tables.Pools[p.Name] = p
 	}
 }
--- a/io/backend/client.go
+++ b/io/backend/client.go
@@ -38,7 +38,6 @@
 	HeaderBudget    = "Budget-Ms"     // time left until the deadline
 	HeaderNotRun    = "Not-Run"       // on a refusal: nothing ran
 	HeaderDigest    = "Result-Digest" // xxhash64 of the result, hexadecimal
-	HeaderFence     = "Fencing-Number"
 )
 
 // Paths of the protocol towards backend servers.
--- a/io/backend/serve.go
+++ b/io/backend/serve.go
@@ -229,11 +229,6 @@
 	return &wire.CancelReply{}, nil
 }
 
-// Probe answers the sidecar's present load.
-func (s *Sidecar) Probe(context.Context, *wire.ProbeRequest) (*wire.Load, error) {
-	return peer.LoadToWire(s.Load()), nil
-}
-
 // fetchTimeout bounds the fetching of an input from another sidecar.
 const fetchTimeout = 2 * time.Second
 
--- a/io/peer/link.go
+++ b/io/peer/link.go
@@ -114,7 +114,6 @@
 		// for each would be most of the process's memory.
 		grpc.ReadBufferSize(serverBuffer),
 		grpc.WriteBufferSize(serverBuffer),
-		grpc.SharedWriteBuffer(true),
 		grpc.KeepaliveParams(keepalive.ServerParameters{Time: serverPing, Timeout: serverPingWait}),
 	)
 	register(server)
--- a/picker.go
+++ b/picker.go
@@ -9,16 +9,14 @@
 
 // Ask is what a stage needs of a backend server.
 type Ask struct {
-	Pool     string        `json:"pool"`
-	Model    string        `json:"model,omitempty"`
-	Prefix   uint64        `json:"prefix,omitempty"` // digest of the input's start, for cache affinity
-	From     Place         `json:"from"`             // where the input lies
-	Bytes    int           `json:"bytes"`            // size of the input
-	Expected time.Duration `json:"expected"`         // learned time of the stage
-	Left     time.Duration `json:"left"`             // slack that this stage may use
-	Exclude  []string      `json:"exclude,omitempty"`
-	Next     []string      `json:"next,omitempty"` // pools of the stages that follow
-	Seed     uint64        `json:"seed"`           // the picker's only source of chance
+	Pool    string        `json:"pool"`
+	Model   string        `json:"model,omitempty"`
+	Prefix  uint64        `json:"prefix,omitempty"` // digest of the input's start, for cache affinity
+	From    Place         `json:"from"`             // where the input lies
+	Bytes   int           `json:"bytes"`            // size of the input
+	Left    time.Duration `json:"left"`             // slack that this stage may use
+	Exclude []string      `json:"exclude,omitempty"`
+	Seed    uint64        `json:"seed"` // the picker's only source of chance
 }
 
 // Choice is one routing decision and why it fell so.
