registry, directory: answers and load reports bounded; restored registries agree

Change: grants carry their time; reports of load are paced by the number of servers, 50 a second for each watcher at most; answers kept are bounded to 16 MiB in all, beyond it the claim alone is kept. One package starts all property tests with their fixed seed.

--- a/core/directory/directory.go
+++ b/core/directory/directory.go
@@ -49,6 +49,7 @@
 	heard  time.Duration
 	lapse  time.Duration
 	change uint64 // sequence at which it changed last
+	told   time.Duration
 }
 
 // Delta is what changed between two sequences.
@@ -106,29 +107,36 @@
 		}
 		return false
 	}
-	matters := !known || r.state == lapsed || differs(r.server, server)
+	loadDue := at-r.told >= time.Duration(len(d.records))*loadPace
+	matters := !known || r.state == lapsed || differs(r.server, server) || loadDue && loadMoved(r.server, server)
+	if !matters {
+		server.Load = r.server.Load // what watchers were told
+	}
 	r.state, r.heard, r.server = state, at, server
 	if matters {
-		d.touch(r)
+		d.sequence++
+		r.change, r.told = d.sequence, at
 	}
 	return matters
 }
 
-// loadStep is the change of a server's load that watchers must hear of. Entries
+// loadPace is the least time between reports of a server's load, for each server
+// that there is: however many report, watchers hear of 50 loads a second.
+const loadPace = 20 * time.Millisecond
+
+// loadStep is the change of a server's load that watchers should hear of. Entries
 // correct reports by what they know themselves, so small changes stay here.
 const loadStep = 4
 
-// differs reports whether a renewal says more than that the server lives.
-func differs(a, b tanagerroad.Server) bool {
+func loadMoved(a, b tanagerroad.Server) bool {
 	moved := a.Load.InFlight + a.Load.Queued - b.Load.InFlight - b.Load.Queued
-	return a.State != b.State || a.Generation != b.Generation || a.Address != b.Address ||
-		a.Capacity != b.Capacity || a.Load.Limit != b.Load.Limit || !slices.Equal(a.Models, b.Models) ||
-		moved >= loadStep || moved <= -loadStep
+	return moved >= loadStep || moved <= -loadStep || a.Load.Limit != b.Load.Limit
 }
 
-func (d *Directory) touch(r *record) {
-	d.sequence++
-	r.change = d.sequence
+// differs reports whether a renewal says that the server itself has changed.
+func differs(a, b tanagerroad.Server) bool {
+	return a.State != b.State || a.Generation != b.Generation || a.Address != b.Address ||
+		a.Capacity != b.Capacity || !slices.Equal(a.Models, b.Models)
 }
 
 // Expire lapses and removes servers not heard for long, and returns the ids of
--- a/core/directory/directory_test.go
+++ b/core/directory/directory_test.go
@@ -144,3 +144,27 @@
 		t.Error("the announcement of a restarted sidecar was dropped")
 	}
 }
+
+// TestLoadReportsAreBounded: whatever the servers' loads do, a watcher hears of
+// about 50 of them a second.
+func TestLoadReportsAreBounded(t *testing.T) {
+	const n, span = 600, 30 * time.Second
+	d := directory.New(directory.DefaultConfig())
+	view := directory.NewView()
+	told := 0
+	for now := time.Duration(0); now < span; now += renewEvery {
+		for i := range n {
+			s := server(i, tanagerroad.Serving, uint64(now/renewEvery)+1)
+			s.Load.InFlight = int(now/renewEvery) % 2 * 8
+			d.Renew(now, s)
+		}
+		delta := d.Since(view.Sequence)
+		if view.Sequence > 0 {
+			told += len(delta.Servers)
+		}
+		view.Take(delta)
+	}
+	if most := int(span.Seconds()) * 50; told > most {
+		t.Errorf("%d servers' loads were told in %s, want %d at most", told, span, most)
+	}
+}
--- a/core/registry/image.go
+++ b/core/registry/image.go
@@ -85,7 +85,7 @@
 	key := keyOf(held)
 	r.claims[key] = held
 	if held.GetKind() == Running {
-		r.opened = append(r.opened, key)
+		r.opened = append(r.opened, opening{key, held.GetAtMillis()})
 		return
 	}
 	r.settled = append(r.settled, key)
--- a/core/registry/registry.go
+++ b/core/registry/registry.go
@@ -33,6 +33,7 @@
 	Claims         int           // claims kept; a full registry refuses new ones rather than forget early
 	ClaimRetention time.Duration // how long a settled claim and its answer are kept
 	KeptAnswer     int           // bytes of an answer kept with its claim
+	AnswerBytes    int           // of all answers kept; beyond it only their claims are
 	Quarantine     time.Duration // how long a convicted fingerprint is refused
 	Suspicion      time.Duration // how long a suspect runs only alone
 	Fingerprints   int           // suspects and convicted kept
@@ -47,6 +48,7 @@
 		Claims:         60000,
 		ClaimRetention: 15 * time.Minute,
 		KeptAnswer:     16 << 10,
+		AnswerBytes:    16 << 20,
 		Quarantine:     10 * time.Minute,
 		Suspicion:      time.Minute,
 		Fingerprints:   1024,
@@ -77,6 +79,13 @@
 // claimKey names a claim: ids belong to their workspace.
 type claimKey struct{ workspace, request string }
 
+// opening is the grant of a claim. The same id may be claimed again after its
+// claim was given back, so the time tells which grant is meant.
+type opening struct {
+	key claimKey
+	at  int64 // Unix milliseconds
+}
+
 // Registry is the replicated state. The zero value is not ready; use New.
 type Registry struct {
 	config  Config
@@ -86,7 +95,7 @@
 	byID    map[string]*wire.Change
 
 	claims  map[claimKey]*wire.Held
-	opened  []claimKey // in the order in which they were granted
+	opened  []opening  // in the order in which they were granted
 	settled []claimKey // in the order in which they settled
 	bytes   int        // of kept answers
 
@@ -236,7 +245,7 @@
 		AtMillis:   r.latest,
 	}
 	r.claims[key] = held
-	r.opened = append(r.opened, key)
+	r.opened = append(r.opened, opening{key, r.latest})
 	return &wire.Outcome{Kind: Granted, Claim: held}
 }
 
@@ -278,7 +287,7 @@
 	next.Kind = state
 	next.Reason = s.GetReason()
 	next.Length = uint64(len(s.GetAnswer()))
-	if len(s.GetAnswer()) <= r.config.KeptAnswer {
+	if n := len(s.GetAnswer()); n <= r.config.KeptAnswer && r.bytes+n <= r.config.AnswerBytes {
 		next.Answer = s.GetAnswer()
 	}
 	r.keepSettled(key, next)
@@ -384,20 +393,17 @@
 // retention: every deadline has long passed, and whether they ran is lost.
 func (r *Registry) abandon(limit int64) {
 	var late []claimKey
-	for len(r.opened) > 0 {
-		held := r.claims[r.opened[0]]
-		if held.GetKind() == Running && held.GetAtMillis() > limit {
-			break
-		}
-		if held.GetKind() == Running {
-			late = append(late, r.opened[0])
-		}
+	for len(r.opened) > 0 && r.opened[0].at <= limit {
+		o := r.opened[0]
 		r.opened = r.opened[1:]
+		if held := r.claims[o.key]; held.GetKind() == Running && held.GetAtMillis() == o.at {
+			late = append(late, o.key)
+		}
 	}
 	// Claims granted at one moment may stand in another order after a
 	// restart from a snapshot; sorted, they settle alike everywhere.
 	slices.SortFunc(late, compareKeys)
-	for _, key := range late {
+	for _, key := range slices.Compact(late) {
 		next := proto.CloneOf(r.claims[key])
 		next.Kind = claimUnknown
 		next.Reason = "never settled"
--- a/core/replica/replica_test.go
+++ b/core/replica/replica_test.go
@@ -2,9 +2,7 @@
 
 import (
 	"bytes"
-	"flag"
 	"fmt"
-	"os"
 	"testing"
 	"time"
 
@@ -14,33 +12,11 @@
 
 	"tanagerroad/core/registry"
 	"tanagerroad/core/replica"
+	"tanagerroad/core/schedule"
 	"tanagerroad/core/wire"
 )
 
-// Schedules that CI runs, with a fixed seed. For more:
-// go test ./core/replica -rapid.checks=1000000 -rapid.seed=0.
-const (
-	schedules = 5000 // for each of 3 and 5 instances
-	seed      = 20261204
-)
-
-func TestMain(m *testing.M) {
-	flag.Parse()
-	given := map[string]bool{}
-	flag.Visit(func(f *flag.Flag) { given[f.Name] = true })
-	defaults := map[string]string{"rapid.checks": fmt.Sprint(schedules), "rapid.seed": fmt.Sprint(seed), "rapid.nofailfile": "true"}
-	if testing.Short() {
-		defaults["rapid.checks"] = "300"
-	}
-	for name, value := range defaults {
-		if !given[name] {
-			if err := flag.Set(name, value); err != nil {
-				panic(err)
-			}
-		}
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { schedule.Main(m, 5000, 300) }
 
 const (
 	election = 10 * time.Millisecond
--- a/core/request/request_test.go
+++ b/core/request/request_test.go
@@ -1,9 +1,6 @@
 package request_test
 
 import (
-	"flag"
-	"fmt"
-	"os"
 	"testing"
 	"time"
 
@@ -11,33 +8,11 @@
 
 	"tanagerroad"
 	"tanagerroad/core/request"
+	"tanagerroad/core/schedule"
 	"tanagerroad/core/stage"
 )
 
-// Schedules that CI runs, with a fixed seed. For more:
-// go test ./core/request -rapid.checks=1000000 -rapid.seed=0.
-const (
-	schedules = 10000
-	seed      = 20261204
-)
-
-func TestMain(m *testing.M) {
-	flag.Parse()
-	given := map[string]bool{}
-	flag.Visit(func(f *flag.Flag) { given[f.Name] = true })
-	defaults := map[string]string{"rapid.checks": fmt.Sprint(schedules), "rapid.seed": fmt.Sprint(seed), "rapid.nofailfile": "true"}
-	if testing.Short() {
-		defaults["rapid.checks"] = "1000"
-	}
-	for name, value := range defaults {
-		if !given[name] {
-			if err := flag.Set(name, value); err != nil {
-				panic(err)
-			}
-		}
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { schedule.Main(m, 10000, 1000) }
 
 // step lets one thing happen.
 func (w *world) step() {
