--- a/core/replica/replica_test.go
+++ b/core/replica/replica_test.go
@@ -59,6 +59,7 @@
 	known   map[string]uint64 // accepted claim, and the index that granted it
 	settled []*wire.Member    // newest committed membership
 	newest  uint64            // its index
+	told    func(nd *node, index uint64, o *wire.Outcome)
 }
 
 func newWorld(t *rapid.T, n int) *world {
@@ -195,6 +196,12 @@
 	if !ok || p.term != e.GetTerm() || outcome == nil {
 		return
 	}
+	if w.told != nil {
+		w.told(nd, e.GetIndex(), outcome)
+	}
+	if p.id == "" {
+		return
+	}
 	// The caller is told now; from here on the claim must never be lost.
 	if _, twice := w.known[p.id]; !twice && outcome.GetKind() == registry.Granted {
 		w.known[p.id] = e.GetIndex()
