request: in three files, with its states named

Cause: request.go had grown to 938 lines, and states stood as bare strings.

Change: claims and parts in files of their own; constants for states.

--- a/core/request/request.go
+++ b/core/request/request.go
@@ -8,13 +8,9 @@
 package request
 
 import (
-	"bytes"
 	_ "embed"
-	"fmt"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"tanagerroad"
 	"tanagerroad/core/chart"
 	"tanagerroad/core/table"
@@ -31,6 +27,20 @@
 	callChart    = chart.MustParse("call.json", callJSON)
 )
 
+// States of a request and of a call that the code asks for, as the charts name
+// them.
+const (
+	staging   = "staging"   // a stage is picked, run or waited for
+	claiming  = "claiming"  // the quorum is asked for the claim
+	settling  = "settling"  // the quorum is asked to keep the answer
+	releasing = "releasing" // the quorum is asked to take the claim back
+
+	callRunning    = "running"
+	callAsking     = "asking" // contact was lost; its fate is asked
+	callEnded      = "ended"
+	callTurnedAway = "turned-away"
+)
+
 // Config is a request as the entry admitted it.
 type Config struct {
 	ID          string          `json:"id"`        // the caller's; claims go by it
@@ -395,38 +405,6 @@
 	}
 }
 
-func (m *Machine) granted(at time.Duration, e Event) {
-	c, ok := m.calls[e.Key]
-	if !ok || m.state != "claiming" || m.pending != e.Key {
-		m.stray(e, "no such claim")
-		return
-	}
-	m.move("grant")
-	key := c.key
-	m.bound = &key
-	m.run(at, c)
-}
-
-// denied: the quorum refused, or could not be asked. Nothing was sent for this
-// call and nothing will be.
-func (m *Machine) denied(at time.Duration, e Event) {
-	if m.state != "claiming" || m.pending != e.Key {
-		m.stray(e, "no such claim")
-		return
-	}
-	m.dropCall(m.calls[e.Key])
-	m.noteRetry(e.RetryAfter)
-	if e.State == "mismatch" {
-		m.finish(tanagerroad.Answer{Kind: tanagerroad.Failed, Reason: e.Reason})
-		return
-	}
-	if e.State == "full" {
-		m.finish(tanagerroad.Answer{Kind: tanagerroad.NotRun, Reason: e.Reason, RetryAfter: m.retryAfter()})
-		return
-	}
-	m.giveUp(at, e.Reason)
-}
-
 func (m *Machine) dropCall(c *call) {
 	if c == nil || callChart.IsFinal(c.state) {
 		return
@@ -438,111 +416,6 @@
 	}
 }
 
-// held: another call has the claim, perhaps from another entry; follow it.
-func (m *Machine) held(e Event) {
-	if m.state != "claiming" {
-		m.stray(e, "no such claim")
-		return
-	}
-	m.dropCall(m.calls[m.pending])
-	switch e.State {
-	case "complete":
-		if e.Length > 0 && len(e.Bytes) == 0 {
-			break // its answer was too large to keep; the sidecar may have it
-		}
-		m.finish(m.whole(e.Bytes))
-		return
-	case "failed":
-		m.finish(tanagerroad.Answer{Kind: tanagerroad.Failed, Reason: e.Reason})
-		return
-	case "unknown":
-		m.finish(tanagerroad.Answer{Kind: tanagerroad.Unknown, Reason: e.Reason})
-		return
-	}
-	m.move("join")
-	m.ran = true
-	key := e.Key
-	m.bound = &key
-	if key.Stage != m.stage {
-		// What the stages before gave is known only to who ran them.
-		m.input, m.noInput = m.config.Body, key.Stage > 0
-	}
-	m.enterStage(key.Stage)
-	c := &call{key: key, server: e.Server, address: e.Address, generation: e.Generation, state: "asking", reported: true, sent: true}
-	m.add(c)
-	m.question(c, false)
-}
-
-func (m *Machine) whole(body []byte) tanagerroad.Answer {
-	return tanagerroad.Answer{Kind: tanagerroad.Complete, Body: body, Length: uint64(len(body)), Digest: xxhash.Sum64(body)}
-}
-
-func (m *Machine) question(c *call, fence bool) {
-	c.questions++
-	m.do(Action{Kind: Question, Key: c.key, Address: c.address, Generation: c.generation, Fence: fence})
-}
-
-// find returns the call that a part belongs to, if it can still take it.
-func (m *Machine) find(e Event) *call {
-	c, ok := m.calls[e.Key]
-	if !ok || e.Key.Stage != m.stage || (c.state != "running" && c.state != "asking") {
-		m.stray(e, "no call waits for it")
-		return nil
-	}
-	return c
-}
-
-func (m *Machine) data(at time.Duration, e Event) {
-	c := m.find(e)
-	if c == nil {
-		return
-	}
-	have := uint64(len(c.data))
-	switch {
-	case e.Offset > have:
-		m.stray(e, "a gap")
-		m.do(Action{Kind: Fetch, Key: c.key, Address: c.address, From: have})
-		return
-	case e.Offset+uint64(len(e.Bytes)) <= have:
-		m.stray(e, "doubled")
-		return
-	}
-	if c.state == "asking" {
-		m.turn(c, "found")
-	}
-	c.questions = 0
-	c.data = append(c.data, e.Bytes[have-e.Offset:]...)
-	if m.streams() {
-		m.deliver(c)
-	}
-	if c.ending != nil && uint64(len(c.data)) >= c.ending.Length && !m.Ended() {
-		m.end(at, *c.ending)
-	}
-}
-
-func (m *Machine) streams() bool {
-	last := m.stage == len(m.config.Route.Stages)-1
-	return last && m.config.Route.Stages[m.stage].Stream
-}
-
-// deliver hands on what the caller has not yet had. A call that takes over a
-// stream must agree with what was already delivered; if it does not, the
-// stream cannot be made whole.
-func (m *Machine) deliver(c *call) {
-	n := min(len(c.data), len(m.delivered))
-	if !bytes.Equal(c.data[:n], m.delivered[:n]) {
-		m.finish(tanagerroad.Answer{Kind: tanagerroad.Failed, Reason: "a repeated run differs from what was already streamed"})
-		return
-	}
-	if len(c.data) <= len(m.delivered) {
-		return
-	}
-	fresh := c.data[len(m.delivered):]
-	m.delivered = append(m.delivered, fresh...)
-	m.do(Action{Kind: Deliver, Key: c.key, Bytes: fresh})
-	m.dropOthers(c) // the first to stream wins over its hedge
-}
-
 func (m *Machine) dropOthers(winner *call) {
 	for _, key := range m.liveKeys() {
 		c := m.calls[key]
@@ -567,87 +440,11 @@
 	return keys
 }
 
-func (m *Machine) end(at time.Duration, e Event) {
-	c := m.find(e)
-	if c == nil {
-		return
-	}
-	if e.Kept == nil && uint64(len(c.data)) < e.Length {
-		m.endBeforeData(at, c, e)
-		return
-	}
-	if e.Kept == nil && !intact(c.data, e) {
-		e.Unknown = true // it ran, and what it gave is lost
-		e.Reason = fmt.Sprintf("the result has %d bytes and another digest, not the %d announced", len(c.data), e.Length)
-		m.fail(at, e)
-		return
-	}
-	m.turn(c, "end")
-	c.load, c.kept, c.waited = e.Load, e.Kept, e.Waited
-	m.learn(c, true, false)
-	m.dropOthers(c)
-	if m.stage < len(m.config.Route.Stages)-1 {
-		m.input, m.reference, m.noInput = c.data, e.Kept, false
-		m.enterStage(m.stage + 1)
-		m.pick(at, false)
-		return
-	}
-	m.complete(at, c)
-}
-
-// endBeforeData keeps an end that overtook its data, and asks for what is
-// missing.
-func (m *Machine) endBeforeData(at time.Duration, c *call, e Event) {
-	c.questions++
-	if c.questions > maxQuestions {
-		e.Unknown, e.Reason = true, "the result never came whole"
-		m.fail(at, e)
-		return
-	}
-	c.ending = &e
-	m.do(Action{Kind: Fetch, Key: c.key, Address: c.address, From: uint64(len(c.data))})
-}
-
-func intact(data []byte, e Event) bool {
-	return uint64(len(data)) == e.Length && xxhash.Sum64(data) == e.Digest
-}
-
 func (m *Machine) enterStage(stage int) {
 	m.stage = stage
 	m.tries, m.refusals, m.exclude = 0, 0, nil
 }
 
-func (m *Machine) complete(at time.Duration, c *call) {
-	answer := m.whole(c.data)
-	if !m.config.Once {
-		m.finish(answer)
-		return
-	}
-	if !m.move("settle") {
-		return
-	}
-	m.answer = &answer
-	m.do(Action{Kind: Settle, Key: c.key, State: "complete", Bytes: c.data})
-	m.do(Action{Kind: SetTimer, Name: "settle", At: min(m.config.Deadline, at+settlePatience)})
-}
-
-// settled: the quorum answered, or was waited for long enough. A result is
-// true whether or not the quorum keeps it; that nothing ran is true only if the
-// quorum took the claim back.
-func (m *Machine) settled(e Event) {
-	switch m.state {
-	case "settling":
-		m.finish(*m.answer)
-	case "releasing":
-		if e.State != "accepted" {
-			m.answer.Kind, m.answer.Reason = tanagerroad.Unknown, "whether another sending of it runs is not known"
-		}
-		m.finish(*m.answer)
-	default:
-		m.stray(e, "nothing waits for it")
-	}
-}
-
 func (m *Machine) learn(c *call, ok, refused bool) {
 	if c.reported {
 		return
@@ -665,178 +462,6 @@
 	}
 }
 
-// turnedAway: the sidecar says for certain that the call did not run.
-func (m *Machine) turnedAway(at time.Duration, e Event) {
-	c := m.find(e)
-	if c == nil {
-		return
-	}
-	m.turn(c, "turn-away")
-	c.load = e.Load
-	m.learn(c, false, true)
-	m.noteRetry(e.RetryAfter)
-	m.refusals++
-	m.tries--
-	m.ran = m.mayHaveRun()
-	m.exclude = append(m.exclude, c.server)
-	if e.InputGone && m.stage > 0 && !m.config.Once {
-		m.stepBack(at)
-		return
-	}
-	if m.active() > 0 {
-		return
-	}
-	if m.refusals >= maxTurnedAway {
-		m.giveUp(at, e.Reason)
-		return
-	}
-	m.pick(at, false)
-}
-
-// mayHaveRun reports whether any call went out that was not turned away.
-func (m *Machine) mayHaveRun() bool {
-	for _, c := range m.calls {
-		if c.sent && c.state != "turned-away" {
-			return true
-		}
-	}
-	return false
-}
-
-// stepBack runs the stage before once more: the sidecar that kept its result
-// has it no longer.
-func (m *Machine) stepBack(at time.Duration) {
-	m.dropOthers(nil)
-	m.stage--
-	m.enterStage(m.stage)
-	m.reference = nil
-	m.input = m.inputOf(m.stage)
-	if m.stage > 0 && m.input == nil {
-		m.stage = 0
-		m.input = m.config.Body
-	}
-	m.pick(at, true)
-}
-
-// inputOf is the whole result that the stage before gave, if it is held here.
-func (m *Machine) inputOf(stage int) []byte {
-	if stage == 0 {
-		return m.config.Body
-	}
-	for _, c := range m.calls {
-		if c.key.Stage == stage-1 && c.state == "ended" && len(c.data) > 0 {
-			return c.data
-		}
-	}
-	return nil
-}
-
-// fail: the call ran, or may have run, and brings no result.
-func (m *Machine) fail(at time.Duration, e Event) {
-	c := m.find(e)
-	if c == nil {
-		return
-	}
-	m.turn(c, "fail")
-	m.learn(c, false, false)
-	if m.config.Once {
-		kind := tanagerroad.Failed
-		if e.Unknown {
-			kind = tanagerroad.Unknown
-		}
-		m.settleAndFinish(c, kind, e.Reason)
-		return
-	}
-	if e.Crashed {
-		m.alone = true // from now on it may run only with nothing beside it
-	}
-	m.retryOrFail(at, c, e.Reason)
-}
-
-func (m *Machine) retryOrFail(at time.Duration, c *call, reason string) {
-	m.exclude = append(m.exclude, c.server)
-	if m.active() > 0 {
-		return
-	}
-	if m.tries >= maxTries {
-		m.giveUp(at, reason)
-		return
-	}
-	m.pick(at, true)
-}
-
-// lost: the stream broke or went silent. What became of the call is asked over
-// a new connection; nothing is sent again blindly.
-func (m *Machine) lost(at time.Duration, e Event) {
-	c := m.find(e)
-	if c == nil {
-		return
-	}
-	if !m.turn(c, "lose") {
-		return
-	}
-	c.questions++
-	if m.config.Once {
-		m.askOrUnknown(at, c, false)
-		return
-	}
-	if c.questions > 1 {
-		m.turn(c, "fail")
-		m.learn(c, false, false)
-		m.retryOrFail(at, c, "contact with the sidecar was lost")
-		return
-	}
-	m.do(Action{Kind: Fetch, Key: c.key, Address: c.address, From: uint64(len(c.data))})
-}
-
-func (m *Machine) askOrUnknown(at time.Duration, c *call, fence bool) {
-	if c.questions > maxQuestions {
-		// Not settled: a later resend may still find the sidecar.
-		m.finish(tanagerroad.Answer{Kind: tanagerroad.Unknown, Reason: "its sidecar cannot be reached"})
-		return
-	}
-	m.question(c, fence)
-}
-
-// told: a sidecar answered what became of a call.
-func (m *Machine) told(at time.Duration, e Event) {
-	c, ok := m.calls[e.Key]
-	if !ok || c.state != "asking" {
-		m.stray(e, "nothing was asked")
-		return
-	}
-	switch e.State {
-	case "never-started":
-		m.neverStarted(at, c)
-	case "new":
-		// Its entry may be about to send it; fence it off if it is not
-		// there soon.
-		m.do(Action{Kind: SetTimer, Name: "fence", Key: c.key, At: at + fenceAfter})
-	case "queued", "running", "done", "failed":
-		m.turn(c, "found")
-		c.questions = 0
-		m.do(Action{Kind: Fetch, Key: c.key, Address: c.address, From: uint64(len(c.data))})
-	case "unknown":
-		m.turn(c, "fail")
-		m.settleAndFinish(c, tanagerroad.Unknown, "its sidecar cannot say whether it ran")
-	default: // no answer
-		m.do(Action{Kind: SetTimer, Name: "ask", Key: c.key, At: at + askAgain})
-	}
-}
-
-func (m *Machine) neverStarted(at time.Duration, c *call) {
-	m.turn(c, "turn-away")
-	m.learn(c, false, true)
-	m.exclude = append(m.exclude, c.server)
-	m.refusals++
-	m.ran = m.mayHaveRun()
-	if m.refusals >= maxTurnedAway {
-		m.giveUp(at, "no sidecar took it")
-		return
-	}
-	m.pick(at, false)
-}
-
 func (m *Machine) timer(at time.Duration, e Event) {
 	switch e.Name {
 	case "deadline":
@@ -844,7 +469,7 @@
 	case "settle":
 		m.settled(e)
 	case "ask", "fence":
-		if c, ok := m.calls[e.Key]; ok && c.state == "asking" {
+		if c, ok := m.calls[e.Key]; ok && c.state == callAsking {
 			m.askOrUnknown(at, c, e.Name == "fence")
 		}
 	case "hedge":
@@ -855,7 +480,7 @@
 // hedge runs a second call beside one that is slow to answer.
 func (m *Machine) hedge(at time.Duration, key tanagerroad.Key) {
 	c, ok := m.calls[key]
-	if !ok || key.Stage != m.stage || c.state != "running" || len(c.data) > 0 || m.active() > 1 || m.config.Once || m.alone {
+	if !ok || key.Stage != m.stage || c.state != callRunning || len(c.data) > 0 || m.active() > 1 || m.config.Once || m.alone {
 		return
 	}
 	if at+m.remaining() > m.config.Deadline {
@@ -867,7 +492,7 @@
 
 // deadline: no more waiting. What may still run is told the truth about.
 func (m *Machine) deadline(at time.Duration) {
-	if m.state == "settling" || m.state == "releasing" {
+	if m.state == settling || m.state == releasing {
 		return // their own timer ends them
 	}
 	if m.config.Once && m.ran {
@@ -885,7 +510,7 @@
 	}
 	switch {
 	case !m.config.Once:
-	case m.state == "staging" && m.bound != nil:
+	case m.state == staging && m.bound != nil:
 		m.release(at, answer)
 		return
 	case m.bound != nil || m.config.Resend:
@@ -896,28 +521,11 @@
 	m.finish(answer)
 }
 
-// release gives the claim back before the request is answered: only the quorum
-// knows whether another sending has taken it over and runs.
-func (m *Machine) release(at time.Duration, answer tanagerroad.Answer) {
-	if !m.move("release") {
-		return
-	}
-	m.dropOthers(nil)
-	m.answer = &answer
-	m.do(Action{Kind: Settle, Key: *m.bound, State: string(answer.Kind), Reason: answer.Reason})
-	m.do(Action{Kind: SetTimer, Name: "settle", At: at + releasePatience})
-}
-
 // leastRetryAfter is told to callers when no sidecar named a time.
 const leastRetryAfter = 500 * time.Millisecond
 
 func (m *Machine) retryAfter() time.Duration { return max(m.retry, leastRetryAfter) }
 
-func (m *Machine) settleAndFinish(c *call, kind tanagerroad.AnswerKind, reason string) {
-	m.do(Action{Kind: Settle, Key: c.key, State: string(kind), Reason: reason})
-	m.finish(tanagerroad.Answer{Kind: kind, Reason: reason})
-}
-
 func (m *Machine) finish(answer tanagerroad.Answer) {
 	if !m.move(string(answer.Kind)) {
 		return
@@ -931,7 +539,7 @@
 // callerGone: nobody waits any more. A not-repeatable call that may run is
 // followed to its end, so that a resend finds the answer.
 func (m *Machine) callerGone(at time.Duration) {
-	if m.config.Once && (m.ran || m.state == "releasing") {
+	if m.config.Once && (m.ran || m.state == releasing) {
 		return
 	}
 	m.giveUp(at, "the caller went away")
