--- /dev/null
+++ b/core/pick/bench_test.go
@@ -0,0 +1,26 @@
+package pick_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"tanagerroad"
+	"tanagerroad/core/pick"
+)
+
+// BenchmarkScored picks among pools of three sizes.
+func BenchmarkScored(b *testing.B) {
+	for _, n := range []int{5, 40, 600} {
+		b.Run(fmt.Sprintf("servers-%d", n), func(b *testing.B) {
+			b.ReportAllocs()
+			p := pick.NewScored(noPrice)
+			p.Observe(0, servers(n))
+			for i := 0; b.Loop(); i++ {
+				at := time.Duration(i) * time.Millisecond
+				c := p.Pick(at, tanagerroad.Ask{Pool: "p", From: here, Seed: uint64(i)})
+				p.Done(at+time.Millisecond, tanagerroad.Result{Server: c.Server, Pool: "p", Service: time.Millisecond, OK: true})
+			}
+		})
+	}
+}
--- a/core/pick/scored.go
+++ b/core/pick/scored.go
@@ -106,14 +106,15 @@
 	typical := p.typical(can)
 	price := p.prices(ask.Pool)
 	var best *belief
-	var bestScore time.Duration
-	var why string
+	var least score
+	var lowest time.Duration
 	for i, b := range can {
-		score, reason := p.score(at, b, ask, typical, price)
+		s := p.score(at, b, ask, typical, price)
 		spread := float64(draw(ask, i)%1000) / 1000
-		score += time.Duration(noise * spread * float64(score))
-		if best == nil || score < bestScore {
-			best, bestScore, why = b, score, reason
+		sum := s.work + s.wait + s.crossing
+		sum += time.Duration(noise * spread * float64(sum))
+		if best == nil || sum < lowest {
+			best, least, lowest = b, s, sum
 		}
 	}
 	best.own++
@@ -121,7 +122,7 @@
 	return tanagerroad.Choice{
 		Server:     best.server.ID,
 		Address:    best.server.Address,
-		Reason:     fmt.Sprintf("lowest score %s: %s", bestScore.Round(time.Microsecond), why),
+		Reason:     "lowest score: " + least.String(),
 		Candidates: beliefNames(can),
 	}
 }
@@ -174,7 +175,14 @@
 	return median(known)
 }
 
-func (p *Scored) score(at time.Duration, b *belief, ask tanagerroad.Ask, typical time.Duration, price Price) (time.Duration, string) {
+// score is a server's predicted finish, and the price of reaching it.
+type score struct{ work, wait, crossing time.Duration }
+
+func (s score) String() string {
+	return fmt.Sprintf("work %s, wait %s, crossing %s", s.work.Round(time.Microsecond), s.wait.Round(time.Microsecond), s.crossing)
+}
+
+func (p *Scored) score(at time.Duration, b *belief, ask tanagerroad.Ask, typical time.Duration, price Price) score {
 	busy := p.inFlight(at, b)
 	slots := float64(max(1, b.server.Load.Limit))
 	if b.server.Load.Limit == 0 {
@@ -193,9 +201,7 @@
 	if load >= 1 {
 		wait = time.Duration(float64(service) * (busy + 1.5 - slots) / slots)
 	}
-	cross := crossing(b.server.Place, ask, price)
-	score := work + wait + cross
-	return score, fmt.Sprintf("work %s, wait %s, crossing %s", work.Round(time.Microsecond), wait.Round(time.Microsecond), cross)
+	return score{work, wait, crossing(b.server.Place, ask, price)}
 }
 
 // service is the time that a server takes for one attempt. Service times vary,
