--- a/io/demo/demo_test.go
+++ b/io/demo/demo_test.go
@@ -16,6 +16,7 @@
 	"tanagerroad/core/table"
 	"tanagerroad/io/demo"
 	"tanagerroad/io/load"
+	"tanagerroad/io/operator"
 	"tanagerroad/io/standin"
 )
 
@@ -76,7 +77,7 @@
 func relayed(t *testing.T, relays *[]*relay) func(*demo.Config) {
 	return func(c *demo.Config) {
 		c.Sidecar = func(s *settings.Sidecar) {
-			r, closeRelay, err := newRelay(s.Peer.Address)
+			r, closeRelay, err := newRelay("127.0.0.1:0", s.Peer.Address)
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -139,6 +140,78 @@
 	}
 }
 
+// TestSilentControlConnections freezes every established connection to and
+// between control instances. A change made then is in force everywhere within
+// seconds, and bookings go on.
+func TestSilentControlConnections(t *testing.T) {
+	if testing.Short() {
+		t.Skip("waits for silence")
+	}
+	var relays []*relay
+	c, ctx := cluster(t, func(config *demo.Config) {
+		config.Control = func(s *settings.Control) {
+			behind, err := demo.Free(1)
+			if err != nil {
+				t.Fatal(err)
+			}
+			r, closeRelay, err := newRelay(s.Peer.Address, behind[0])
+			if err != nil {
+				t.Fatal(err)
+			}
+			t.Cleanup(closeRelay)
+			relays = append(relays, r)
+			s.Peer.Advertise, s.Peer.Address = s.Peer.Address, behind[0]
+		}
+	})
+	call(t, ctx, c, 0, load.Request{Route: "book", ID: "before", Body: []byte("x")})
+	frozen := 0
+	for _, r := range relays {
+		frozen += r.freeze()
+	}
+	if frozen == 0 {
+		t.Fatal("no connection was there to be frozen")
+	}
+	const bound = 10 * time.Second
+	start := time.Now()
+	revision := uint64(1)
+	put := operator.Put{ChangeID: "thawed", Operator: "test", FromRevision: revision, Pools: demoPools(t)}
+	for {
+		reply, err := operator.SendPut(ctx, http.DefaultClient, c.ControlOps[0], "", put)
+		if err == nil && reply.Outcome == "accepted" {
+			break
+		}
+		if time.Since(start) > bound {
+			t.Fatalf("no change is accepted %s after the freeze: %+v, %v", bound, reply, err)
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	for {
+		var status operator.TableStatus
+		_, err := operator.Ask(ctx, http.DefaultClient, http.MethodGet, c.ControlOps[0], "/tables/status", "", nil, &status)
+		if err == nil && status.Revision == revision+1 && status.InForce == status.Processes && status.InForce >= 15 {
+			break
+		}
+		if time.Since(start) > bound {
+			t.Fatalf("%s after the freeze: %+v, %v", bound, status, err)
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	t.Logf("in force everywhere %s after the freeze", time.Since(start))
+	if reply := call(t, ctx, c, 1, load.Request{Route: "book", ID: "after", Body: []byte("x")}); !reply.Whole {
+		t.Errorf("a booking afterwards: %+v", reply)
+	}
+}
+
+// demoPools is the demo's pools table, as a change of its own.
+func demoPools(t *testing.T) []byte {
+	t.Helper()
+	layout, err := demo.Layout(t.TempDir(), zap.NewNop())
+	if err != nil {
+		t.Fatal(err)
+	}
+	return layout.Pools
+}
+
 // TestBookingOnADeadConnectionRunsOnce: the backend server reads the request,
 // counts it and closes the connection. Nobody sends it again by itself.
 func TestBookingOnADeadConnectionRunsOnce(t *testing.T) {
@@ -171,6 +244,33 @@
 	}
 }
 
+// TestWhatIsLeftAtTheBoundIsAnsweredTruthfully: an entry stops while a booking
+// hangs; at the stop's bound its caller learns that it may have run.
+func TestWhatIsLeftAtTheBoundIsAnsweredTruthfully(t *testing.T) {
+	c, ctx := cluster(t, func(config *demo.Config) {
+		config.Entry = func(s *settings.Entry) { s.Stop.Bound = tanagerroad.Duration(300 * time.Millisecond) }
+	})
+	got := make(chan load.Reply, 1)
+	go func() {
+		reply, err := load.Call(ctx, http.DefaultClient, c.EntryURLs[0], load.Request{
+			Route: "book", Workspace: "demo", ID: "hangs", Body: []byte(standin.FaultHang),
+		})
+		if err != nil {
+			t.Errorf("the caller was cut off: %v", err)
+		}
+		got <- reply
+	}()
+	for runs(c, "hangs") == 0 && ctx.Err() == nil {
+		time.Sleep(10 * time.Millisecond)
+	}
+	if left := c.Entries[0].Stop(); left != 1 {
+		t.Errorf("the stop says that %d were left, want 1", left)
+	}
+	if reply := <-got; reply.Kind != tanagerroad.Unknown {
+		t.Errorf("the caller was told %s, want unknown: it may run", reply.Kind)
+	}
+}
+
 // TestRequestThatKills: a request that crashes each backend server that runs it
 // is run a second time alone and then refused everywhere, also under new ids
 // and at other entries; others are served, and an operator may lift it.
--- a/io/demo/relay_test.go
+++ b/io/demo/relay_test.go
@@ -15,8 +15,8 @@
 	gates   []chan struct{} // closed: frozen
 }
 
-func newRelay(target string) (*relay, func(), error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+func newRelay(address, target string) (*relay, func(), error) {
+	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, nil, err
 	}
