backend: the overlap check of a resumed stream is seen red

Change: a case that repeats the stream event by event.

Figures: without the check: slice bounds out of range, red; with it green.

--- a/io/backend/stream_test.go
+++ b/io/backend/stream_test.go
@@ -22,6 +22,7 @@
 	}{
 		{"from the offset", "id: 8\ndata: \"three \"\n\n" + end, whole},
 		{"once more from the start", "id: 0\ndata: \"one two \"\n\nid: 8\ndata: \"three \"\n\n" + end, whole},
+		{"event by event from the start", first + "id: 8\ndata: \"three \"\n\n" + end, whole},
 		{"overlapping", "id: 4\ndata: \"two three \"\n\n" + end, whole},
 		{"with a gap", "id: 9\ndata: \"hree \"\n\n" + end, lost},
 		{"ended too early", end, lost},
