--- /dev/null
+++ b/core/registry/fuzz_test.go
@@ -0,0 +1,41 @@
+package registry_test
+
+import (
+	"testing"
+
+	"google.golang.org/protobuf/proto"
+
+	"tanagerroad/core/registry"
+	"tanagerroad/core/wire"
+)
+
+// FuzzApply: no command, however malformed, ends the process or makes an image
+// that cannot be restored.
+func FuzzApply(f *testing.F) {
+	for _, c := range []*wire.Command{put("a", 0), claim("a", 1), settle("a", "complete", 1, []byte("x")), {}} {
+		data, err := proto.Marshal(c)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(data, data)
+	}
+	f.Fuzz(func(t *testing.T, one, two []byte) {
+		r := registry.New(registry.DefaultConfig())
+		for i, data := range [][]byte{one, two, one} {
+			var c wire.Command
+			if proto.Unmarshal(data, &c) != nil {
+				continue
+			}
+			if r.Apply(uint64(i), &c).GetKind() == "" {
+				t.Error("a command without an outcome")
+			}
+		}
+		image, err := r.Image()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := registry.New(registry.DefaultConfig()).Restore(image); err != nil {
+			t.Error(err)
+		}
+	})
+}
--- a/io/caller/door.go
+++ b/io/caller/door.go
@@ -100,11 +100,6 @@
 func (e *Entry) admit(config request.Config, seed uint64) router.Verdict {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.stopping && len(e.runs) == 0 {
-		// Still answered while others are in flight: the balancer may not
-		// have noticed yet.
-		e.count("served-while-leaving", 1)
-	}
 	return e.decide(router.Event{
 		Kind: router.Admit, Route: config.Route.Name, Workspace: config.Workspace, Fingerprint: config.Fingerprint,
 		Left: config.Deadline - e.config.Clock.Now(), Seed: seed,
--- a/io/caller/entry.go
+++ b/io/caller/entry.go
@@ -200,6 +200,13 @@
 	return len(e.view.Servers())
 }
 
+// Admission is the number of requests admitted and not ended, and its limit.
+func (e *Entry) Admission() (now, most int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.router.InFlight()
+}
+
 // InFlight is the number of requests without their final answer.
 func (e *Entry) InFlight() int {
 	e.mu.Lock()
--- a/io/control/service.go
+++ b/io/control/service.go
@@ -48,7 +48,6 @@
 	directory *directory.Directory
 	processes map[string]*process
 	wake      *signal.Signal
-	suspect   bool
 	leaving   context.Context
 	Leave     func() // ends all watches, so that their processes go elsewhere
 }
@@ -99,7 +98,6 @@
 	if len(lapsed) > 0 {
 		event.LeaseLapsed.Log(s.logger, zap.Strings("servers", lapsed), zap.Bool("suspect-ourselves", suspect))
 	}
-	s.suspect = suspect
 	if s.directory.Sequence() != before {
 		s.wake.Give()
 	}
--- a/io/process/roles.go
+++ b/io/process/roles.go
@@ -50,6 +50,7 @@
 		return p.fail(err)
 	}
 	p.onClose(closeEntry)
+	registerEntryMetrics(b.metrics, entry)
 	server, err := p.listen("caller", s.Caller, entry.Handler())
 	if err != nil {
 		return p.fail(err)
@@ -105,6 +106,7 @@
 		return p.fail(err)
 	}
 	p.onClose(closeSidecar)
+	registerSidecarMetrics(b.metrics, sidecar)
 	peers, stopPeers, err := peer.NewServer(s.Peer, b.meter, func(g *grpc.Server) { wire.RegisterSidecarServer(g, sidecar) })
 	if err != nil {
 		return p.fail(err)
@@ -161,7 +163,6 @@
 	p.onClose(func() { _ = closeFolder() })
 	registryConfig := registry.DefaultConfig()
 	registryConfig.ClaimRetention = s.Retention.D()
-	var service *control.Service
 	member, closeMember, err := quorum.New(quorum.Config{
 		Settings: s, Registry: registryConfig, Disk: folder, Clock: b.clock, Links: b.links, Logger: p.Logger,
 	})
