directory, caller: a clock that went back, made-up workspaces, sizes of later inputs

Cause, the first two red first: a sidecar that restarted with a clock gone back kept its old generation in every entry's view, so that bookings were bound to a start that is no more; callers who make up workspace names added metrics without bound (52 after 50 names); the price of bytes was reckoned from the request's body at every stage, not from the stage's input.

Change: what changes while a directory is watched is its latest word; workspaces that the tables do not name are counted together; a pick knows the size of its input. A control instance that is alone stops at once.

--- a/core/directory/directory.go
+++ b/core/directory/directory.go
@@ -232,8 +232,11 @@
 		v.dropMissing(delta.Servers)
 	}
 	for _, s := range delta.Servers {
+		// A whole directory may come from an instance that lags. What changes
+		// while one is watched is its latest word, even where a sidecar came
+		// back with a clock that had gone back.
 		held, known := v.servers[s.ID]
-		if !known || !held.Newer(s) {
+		if !delta.Full || !known || !held.Newer(s) {
 			v.servers[s.ID] = s
 		}
 	}
--- a/core/directory/directory_test.go
+++ b/core/directory/directory_test.go
@@ -132,6 +132,21 @@
 	}
 }
 
+func TestViewFollowsAClockThatWentBack(t *testing.T) {
+	view := directory.NewView()
+	late, early := server(1, tanagerroad.Serving, 1), server(1, tanagerroad.Serving, 1)
+	late.Generation = 9
+	view.Take(directory.Delta{Full: true, Servers: []tanagerroad.Server{late}, Sequence: 1})
+	view.Take(directory.Delta{Full: true, Servers: []tanagerroad.Server{early}, Sequence: 2})
+	if got := view.Servers()[0].Generation; got != 9 {
+		t.Errorf("a whole directory that lags brought generation %d back", got)
+	}
+	view.Take(directory.Delta{Servers: []tanagerroad.Server{early}, Sequence: 3})
+	if got := view.Servers()[0].Generation; got != 1 {
+		t.Errorf("the view holds generation %d after the directory changed to 1", got)
+	}
+}
+
 func TestOlderAnnouncementsAreDropped(t *testing.T) {
 	d := directory.New(directory.DefaultConfig())
 	d.Renew(0, server(1, tanagerroad.Leaving, 5))
--- a/core/router/router.go
+++ b/core/router/router.go
@@ -121,6 +121,12 @@
 	return route, ok
 }
 
+// Listed reports whether the tables name a workspace.
+func (r *Router) Listed(workspace string) bool {
+	_, ok := r.tables.Shares[workspace]
+	return ok
+}
+
 // InFlight is the number of requests admitted and not ended, and the limit.
 func (r *Router) InFlight() (now, most int) { return r.shares.InFlight(), r.shares.Limit() }
 
--- a/io/caller/door.go
+++ b/io/caller/door.go
@@ -109,7 +109,7 @@
 func (e *Entry) refused(w http.ResponseWriter, config request.Config, verdict router.Verdict) {
 	event.Refused.Log(e.config.Logger, zap.String("request", config.ID), zap.String("route", config.Route.Name),
 		zap.String("workspace", config.Workspace), zap.String("reason", verdict.Reason), zap.Duration("retry-after", verdict.RetryAfter))
-	e.count("requests."+config.Route.Name+"."+config.Workspace+".refused", 1)
+	e.countRequest(config, "refused")
 	e.count("refusals."+config.Route.Name, 1)
 	answer := tanagerroad.Answer{Kind: tanagerroad.NotRun, Reason: verdict.Reason, RetryAfter: verdict.RetryAfter}
 	if config.Once && config.Resend {
--- a/io/caller/door_test.go
+++ b/io/caller/door_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -93,6 +94,19 @@
 	}
 }
 
+// TestMetricsAreBounded: callers who make up workspaces add no metrics.
+func TestMetricsAreBounded(t *testing.T) {
+	e := lonely(t)
+	for i := range 50 {
+		request := httptest.NewRequest(http.MethodPost, "/v1/routes/ask", strings.NewReader("x"))
+		request.Header.Set(HeaderWorkspace, fmt.Sprintf("made-up-%d", i))
+		e.Handler().ServeHTTP(httptest.NewRecorder(), request)
+	}
+	if n := len(e.config.Metrics.GetAll()); n > 20 {
+		t.Errorf("%d metrics after 50 made-up workspaces", n)
+	}
+}
+
 // FuzzDoor: whatever a caller sends, the answer is typed and comes at once.
 func FuzzDoor(f *testing.F) {
 	handler := lonely(f).Handler()
--- a/io/caller/entry.go
+++ b/io/caller/entry.go
@@ -239,6 +239,19 @@
 	return e.places[server]
 }
 
+// countRequest counts by route and workspace. Callers may name any workspace, so
+// those that the tables do not are counted together.
+func (e *Entry) countRequest(config request.Config, what string) {
+	workspace := config.Workspace
+	e.mu.Lock()
+	listed := e.router.Listed(workspace)
+	e.mu.Unlock()
+	if !listed {
+		workspace = "unlisted"
+	}
+	e.count("requests."+config.Route.Name+"."+workspace+"."+what, 1)
+}
+
 func (e *Entry) count(name string, n int64) {
 	metrics.GetOrRegisterCounter(name, e.config.Metrics).Inc(n)
 }
--- a/io/caller/run.go
+++ b/io/caller/run.go
@@ -49,20 +49,21 @@
 // run carries out what one request's machine decides. All of it happens on the
 // goroutine of the caller's HTTP handler; streams and timers post events.
 type run struct {
-	entry   *Entry
-	config  request.Config
-	seed    uint64
-	machine *request.Machine
-	sink    sink
-	events  chan request.Event
-	ctx     context.Context // ends with the run
-	calls   map[tanagerroad.Key]*outcall
-	queue   []request.Event // events that came up while acting
-	inputAt tanagerroad.Place
-	arrived time.Duration
-	timers  []*time.Timer
-	first   bool // a byte was delivered
-	answer  tanagerroad.Answer
+	entry     *Entry
+	config    request.Config
+	seed      uint64
+	machine   *request.Machine
+	sink      sink
+	events    chan request.Event
+	ctx       context.Context // ends with the run
+	calls     map[tanagerroad.Key]*outcall
+	queue     []request.Event   // events that came up while acting
+	inputAt   tanagerroad.Place // where the next stage's input lies
+	inputSize int
+	arrived   time.Duration
+	timers    []*time.Timer
+	first     bool // a byte was delivered
+	answer    tanagerroad.Answer
 }
 
 // serve runs a request to its end. gone closes when the caller goes away.
@@ -72,7 +73,7 @@
 	r := &run{
 		entry: e, config: config, seed: seed, machine: request.New(config), sink: out,
 		events: make(chan request.Event, eventsLength), ctx: ctx, calls: map[tanagerroad.Key]*outcall{},
-		inputAt: e.config.Settings.Place(), arrived: e.config.Clock.Now(),
+		inputAt: e.config.Settings.Place(), inputSize: len(config.Body), arrived: e.config.Clock.Now(),
 	}
 	e.mu.Lock()
 	e.runs[r] = true
@@ -107,7 +108,7 @@
 	if onTime {
 		name = "attained"
 	}
-	e.count("requests."+r.config.Route.Name+"."+r.config.Workspace+"."+name, 1)
+	e.countRequest(r.config, name)
 	e.count("answers."+string(r.answer.Kind), 1)
 	metrics.GetOrRegisterTimer("latency."+r.config.Route.Name, e.config.Metrics).Update(took)
 	event.Answered.Log(e.config.Logger, zap.String("request", r.config.ID), zap.String("route", r.config.Route.Name),
@@ -177,10 +178,9 @@
 func (r *run) stageName(stage int) string { return r.config.Route.Stages[stage].Name }
 
 func (r *run) pick(now time.Duration, a request.Action) {
-	input := r.config.Body
 	verdict := r.entry.ask(router.Event{
 		Kind: router.Pick, Route: r.config.Route.Name, Stage: a.Key.Stage, Left: r.config.Deadline - now,
-		Bytes: len(input), Prefix: router.Prefix(input), From: r.inputAt, Exclude: a.Exclude, Extra: a.Extra,
+		Bytes: r.inputSize, Prefix: router.Prefix(r.config.Body), From: r.inputAt, Exclude: a.Exclude, Extra: a.Extra,
 		Seed: xxhash.Sum64String(a.Key.String()) ^ r.seed,
 	})
 	log := r.entry.config.Logger
@@ -522,9 +522,10 @@
 func (r *run) arrivedFrom(a request.Action, c *outcall) {
 	at := r.entry.place(c.server)
 	if a.Reference != nil {
-		r.inputAt = at
+		r.inputAt, r.inputSize = at, int(a.Reference.Length)
 		return
 	}
+	r.inputSize = a.Size
 	r.moved(at, r.entry.config.Settings.Place(), a.Size)
 	r.inputAt = r.entry.config.Settings.Place()
 }
--- a/io/quorum/quorum.go
+++ b/io/quorum/quorum.go
@@ -451,7 +451,7 @@
 // leads or the context ends.
 func (q *Quorum) Leave(ctx context.Context) {
 	q.leaveOnce.Do(func() { close(q.leaving) })
-	for q.View().Role == replica.Leader && ctx.Err() == nil {
+	for view := q.View(); view.Role == replica.Leader && len(view.Members) > 1 && ctx.Err() == nil; view = q.View() {
 		select {
 		case <-ctx.Done():
 		case <-time.After(tickEvery):
