registry: conviction does not hang on the order of crash reports

The two crashes of the first sending are reported by two sidecars; when the report of the second, alone, came first it made a suspect only, and the first, not alone, did not convict either.

Ruled out: a slow watch alone (the quarantine was still without a conviction).

Change: two crashes convict when one of them had nothing beside it, in whatever order they are reported. The test waits until the quorum knows of every crash, no longer for 300 ms alone.

--- a/core/registry/registry.go
+++ b/core/registry/registry.go
@@ -320,9 +320,11 @@
 	next := proto.CloneOf(known)
 	next.Crashes++
 	next.UntilMillis = r.latest + r.config.Suspicion.Milliseconds()
-	// Only one that was a suspect already and crashed again with nothing
-	// beside it is convicted; a neighbour of it never is.
-	if next.GetConvicted() || ok && c.GetAlone() {
+	next.Alone = next.GetAlone() || c.GetAlone()
+	// Two crashes convict if one of them had nothing beside it; a neighbour
+	// never runs alone when another crashes. The reports come from different
+	// sidecars, in any order.
+	if next.GetCrashes() > 1 && next.GetAlone() {
 		next.Convicted = true
 		next.UntilMillis = r.latest + r.config.Quarantine.Milliseconds()
 	}
--- a/core/registry/registry_test.go
+++ b/core/registry/registry_test.go
@@ -152,3 +152,32 @@
 		}
 	})
 }
+
+func crash(alone bool, report string) *wire.Command {
+	return &wire.Command{AtMillis: 1, Body: &wire.Command_Crash{Crash: &wire.Crash{Fingerprint: 7, Alone: alone, Report: report}}}
+}
+
+// TestConviction: two crashes convict, one of them alone, in whatever order their
+// reports come; a neighbour that never crashed a server alone is not convicted.
+func TestConviction(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		alone  []bool
+		wanted bool
+	}{
+		{"once beside others", []bool{false}, false},
+		{"once alone", []bool{true}, false},
+		{"beside others, then alone", []bool{false, true}, true},
+		{"the report of the second comes first", []bool{true, false}, true},
+		{"a neighbour, again and again", []bool{false, false, false}, false},
+	} {
+		r := registry.New(registry.DefaultConfig())
+		for i, alone := range c.alone {
+			r.Apply(uint64(i), crash(alone, fmt.Sprint(i)))
+			r.Apply(uint64(i), crash(alone, fmt.Sprint(i))) // a resend counts once
+		}
+		if got := r.Quarantine().GetConvictions()[0].GetConvicted(); got != c.wanted {
+			t.Errorf("%s: convicted %v, want %v", c.name, got, c.wanted)
+		}
+	}
+}
--- a/io/demo/demo_test.go
+++ b/io/demo/demo_test.go
@@ -284,17 +284,13 @@
 		if last.Kind == tanagerroad.Complete {
 			t.Fatal("a request that kills was answered")
 		}
-		time.Sleep(300 * time.Millisecond)
+		awaitReports(t, ctx, c)
 	}
 	if last.Kind != tanagerroad.NotRun || !strings.Contains(last.Reason, "quarantined") {
 		t.Errorf("the sixth sending is %s (%s), want it refused as quarantined", last.Kind, last.Reason)
 	}
-	crashes := 0
-	for _, s := range c.StandIns {
-		crashes += s.Crashes()
-	}
-	if crashes > 3 {
-		t.Errorf("it killed %d backend servers before it was refused", crashes)
+	if n := crashes(c); n > 3 {
+		t.Errorf("it killed %d backend servers before it was refused", n)
 	}
 	innocent := call(t, ctx, c, 1, load.Request{Route: "history", Body: []byte("harmless"), Repeatable: true})
 	if !innocent.Whole {
@@ -302,6 +298,32 @@
 	}
 }
 
+func crashes(c *demo.Cluster) int {
+	n := 0
+	for _, s := range c.StandIns {
+		n += s.Crashes()
+	}
+	return n
+}
+
+// awaitReports waits until the quorum knows of every crash, and entries have had
+// the time of a watch to hear of it.
+func awaitReports(t *testing.T, ctx context.Context, c *demo.Cluster) {
+	t.Helper()
+	known := 0
+	for known < crashes(c) {
+		var list []struct{ Crashes int }
+		if _, err := operator.Ask(ctx, http.DefaultClient, http.MethodGet, c.ControlOps[0], "/quarantine", "", nil, &list); err != nil {
+			t.Fatal(err)
+		}
+		known = 0
+		for _, conviction := range list {
+			known += conviction.Crashes
+		}
+	}
+	time.Sleep(300 * time.Millisecond)
+}
+
 // TestNoQuorumIsSaidAtOnce: without a quorum a booking is refused as not run,
 // a resend of one is unknown, and other routes are served as before.
 func TestNoQuorumIsSaidAtOnce(t *testing.T) {
