--- a/core/pick/scored.go
+++ b/core/pick/scored.go
@@ -16,17 +16,17 @@
 	reportHalfLife  = 2 * time.Second        // a load report counts half after it
 	serviceWeight   = 0.2                    // of a new service time in the running mean
 	stragglerFactor = 4.0                    // times the pool's median service time
-	clearly         = 2                      // times the pool's median, or its part, that is no chance
+	clearFactor     = 2                      // times the pool's median, or its part, that is no chance
 	stragglerRuns   = 3                      // attempts before a mean is believed
 	failuresToEject = 3                      // in a row
 	ejection        = 5 * time.Second        // first time aside; doubles up to maxEjection
-	maxEjection     = 40 * time.Second       //
+	maxEjection     = 40 * time.Second       // the longest time aside
 	ejectShare      = 0.34                   // of a pool that may be aside at once
 	warmUp          = 5 * time.Second        // a new or returned server is eased in over it
 	serviceHalfLife = 5 * time.Second        // a service time counts half after it, so that who is shunned is tried again
 	prefixHalfLife  = 30 * time.Second       // belief that a server holds a prefix
 	prefixSaves     = 0.5                    // of the service time
-	prefixesKept    = 4096                   //
+	prefixesKept    = 4096                   // pairs of server and prefix, the oldest go first
 	firstService    = 100 * time.Millisecond // before anything is known of a pool
 	noise           = 0.05                   // of the score, so that equals are spread
 )
@@ -208,7 +208,7 @@
 // so a server counts as different from the pool only when it clearly is.
 func (p *Scored) service(at time.Duration, b *belief, typical time.Duration, free bool) time.Duration {
 	service := typical
-	if b.service > clearly*typical || clearly*b.service < typical && b.service > 0 {
+	if b.service > clearFactor*typical || clearFactor*b.service < typical && b.service > 0 {
 		service += time.Duration(faded(at-b.learned) * float64(b.service-typical))
 	}
 	// Where nothing waits, an attempt that is out for longer than usual says
