registry: a harmless run clears a suspect, never a conviction

Cause: found in reading: a sidecar on which a suspect did no harm lifted whatever was known of the fingerprint, a conviction included that had come meanwhile.

Change: such a lift clears suspects only; an operator's clears both.

--- a/core/registry/registry.go
+++ b/core/registry/registry.go
@@ -341,7 +341,8 @@
 }
 
 func (r *Registry) lift(l *wire.Lift) *wire.Outcome {
-	if _, ok := r.convictions[l.GetFingerprint()]; ok {
+	known, ok := r.convictions[l.GetFingerprint()]
+	if ok && !(known.GetConvicted() && l.GetSuspectOnly()) {
 		delete(r.convictions, l.GetFingerprint())
 		r.quarantine++
 	}
--- a/core/registry/registry_test.go
+++ b/core/registry/registry_test.go
@@ -181,3 +181,27 @@
 		}
 	}
 }
+
+// TestGoodRunLiftsNoConviction: a run that did no harm clears a suspect; a
+// conviction is lifted by an operator alone.
+func TestGoodRunLiftsNoConviction(t *testing.T) {
+	lift := func(suspects bool) *wire.Command {
+		return &wire.Command{AtMillis: 1, Body: &wire.Command_Lift{Lift: &wire.Lift{Fingerprint: 7, SuspectOnly: suspects}}}
+	}
+	r := registry.New(registry.DefaultConfig())
+	r.Apply(1, crash(false, "a"))
+	r.Apply(2, lift(true))
+	if n := len(r.Quarantine().GetConvictions()); n != 0 {
+		t.Errorf("a suspect that did no harm is still one")
+	}
+	r.Apply(3, crash(false, "b"))
+	r.Apply(4, crash(true, "c"))
+	r.Apply(5, lift(true))
+	if n := len(r.Quarantine().GetConvictions()); n != 1 {
+		t.Errorf("a run that did no harm lifted a conviction")
+	}
+	r.Apply(6, lift(false))
+	if n := len(r.Quarantine().GetConvictions()); n != 0 {
+		t.Errorf("an operator's lift did nothing")
+	}
+}
--- a/io/backend/sidecar.go
+++ b/io/backend/sidecar.go
@@ -305,7 +305,7 @@
 		Fingerprint: c.Fingerprint, Route: c.Route, Alone: c.Alone, Report: c.ID,
 	}}}
 	if c.Harmless {
-		command = &wire.Command{Body: &wire.Command_Lift{Lift: &wire.Lift{Fingerprint: c.Fingerprint}}}
+		command = &wire.Command{Body: &wire.Command_Lift{Lift: &wire.Lift{Fingerprint: c.Fingerprint, SuspectOnly: true}}}
 	} else {
 		event.BackendCrashed.Log(s.config.Logger, zap.Uint64("fingerprint", c.Fingerprint), zap.String("route", c.Route), zap.Bool("alone", c.Alone))
 		s.count("crashes")
