--- a/cmd/tanagerroad/capacity_test.go
+++ b/cmd/tanagerroad/capacity_test.go
@@ -296,3 +296,29 @@
 		}
 	}
 }
+
+// BenchmarkRelay: tokens that an entry and a sidecar relay for each second of
+// their own processor time, from an engine that gives them as fast as it can.
+func BenchmarkRelay(b *testing.B) {
+	const tokens, streams = 50000, 12
+	y := startSystem(b, func(s *settings.StandInServer) {
+		if s.Kind == "model-engine" {
+			s.Tokens, s.Time = tokens, 0
+		}
+	})
+	spent := func() (entry, sidecars time.Duration) {
+		return y.spent("entry-0").processor, y.spent("sidecar-4").processor + y.spent("sidecar-5").processor
+	}
+	entry, sidecars := spent()
+	for range streams {
+		reply, err := load.Call(context.Background(), http.DefaultClient, "http://"+y.entries[0], load.Request{
+			Route: "ask", Workspace: "test", Body: []byte("x"), Repeatable: true,
+		})
+		if err != nil || !reply.Whole {
+			b.Fatalf("%v, %s", err, reply.Kind)
+		}
+	}
+	entryAfter, sidecarsAfter := spent()
+	b.ReportMetric(tokens*streams/(entryAfter-entry).Seconds(), "entry-tokens/cpu-s")
+	b.ReportMetric(tokens*streams/(sidecarsAfter-sidecars).Seconds(), "sidecar-tokens/cpu-s")
+}
--- a/cmd/tanagerroad/system_test.go
+++ b/cmd/tanagerroad/system_test.go
@@ -76,8 +76,9 @@
 }
 
 // startSystem starts three control instances, two entries, and two sidecars
-// each for bookings, services and models, with their stand-ins in one process.
-func startSystem(t testing.TB) *system {
+// each for bookings, services and models, with their stand-ins in one process,
+// which adapt may change.
+func startSystem(t testing.TB, adapt ...func(*settings.StandInServer)) *system {
 	t.Helper()
 	y := newSystem(t)
 	free, err := demo.Free(22)
@@ -106,6 +107,9 @@
 		if pool == "models" {
 			server.Kind, server.Tokens, server.Time = "model-engine", 40, settingsDuration(400*time.Millisecond)
 		}
+		for _, change := range adapt {
+			change(&server)
+		}
 		y.standIns = append(y.standIns, server.Address)
 		hosts.Servers = append(hosts.Servers, server)
 	}
