replica, control: the committed membership is kept, not searched for; one fan-out to all instances

Newest asked all instances with a loop of its own beside that of Statuses.

Ruled out: computing it in the status alone (the loop owns the replica).

Change: the replica keeps the committed membership where it commits, installs and starts; Compact uses it too, since all that is committed is applied. One askAll serves Newest and Statuses, which so asks at once, no longer in turn.

Behaviour is as it was.

--- a/core/replica/log.go
+++ b/core/replica/log.go
@@ -269,7 +269,11 @@
 	r.commit = index
 	for r.applied < r.commit {
 		r.applied++
-		r.out.Apply = append(r.out.Apply, r.entries[r.applied-r.mark.GetIndex()-1])
+		e := r.entries[r.applied-r.mark.GetIndex()-1]
+		if len(e.GetMembers()) > 0 {
+			r.settled = e.GetMembers()
+		}
+		r.out.Apply = append(r.out.Apply, e)
 	}
 }
 
@@ -313,6 +317,7 @@
 	}
 	r.mark, r.entries = mark, rest
 	r.commit, r.applied = mark.GetIndex(), mark.GetIndex()
+	r.settled = mark.GetMembers()
 	r.refreshMembers()
 	r.out.Apply = nil
 	r.out.Install = r.journal()
@@ -348,7 +353,7 @@
 // there. It returns the records of the new journal, to be written as a whole.
 func (r *Replica) Compact(image []byte) []*wire.Record {
 	term, _ := r.termAt(r.applied)
-	mark := &wire.SnapshotMark{Index: r.applied, Term: term, Members: r.membersAt(r.applied), Image: image}
+	mark := &wire.SnapshotMark{Index: r.applied, Term: term, Members: r.settled, Image: image}
 	r.entries = slices.Clone(r.entries[r.applied-r.mark.GetIndex():])
 	r.mark = mark
 	for _, p := range r.peers {
@@ -356,13 +361,3 @@
 	}
 	return r.journal()
 }
-
-func (r *Replica) membersAt(index uint64) []*wire.Member {
-	members := r.mark.GetMembers()
-	for _, e := range r.entries {
-		if e.GetIndex() <= index && len(e.GetMembers()) > 0 {
-			members = e.GetMembers()
-		}
-	}
-	return members
-}
--- a/core/replica/replica.go
+++ b/core/replica/replica.go
@@ -109,6 +109,7 @@
 	commit  uint64
 	applied uint64
 	members []*wire.Member // in force, from the log or the snapshot
+	settled []*wire.Member // newest that is committed
 
 	heard    time.Duration // from a leader, or vote given
 	timeout  time.Duration
@@ -136,6 +137,7 @@
 	r.term, r.vote = stored.Hard.GetTerm(), stored.Hard.GetVote()
 	r.entries = stored.Entries
 	r.commit, r.applied = r.mark.GetIndex(), r.mark.GetIndex()
+	r.settled = r.mark.GetMembers()
 	r.refreshMembers()
 	r.resetTimeout(at)
 	if len(r.mark.GetImage()) > 0 {
@@ -187,7 +189,7 @@
 func (r *Replica) Members() []*wire.Member { return r.members }
 
 // SettledMembers is the newest membership that is committed.
-func (r *Replica) SettledMembers() []*wire.Member { return r.membersAt(r.commit) }
+func (r *Replica) SettledMembers() []*wire.Member { return r.settled }
 
 // FirstMembers is the membership that the log continues from.
 func (r *Replica) FirstMembers() []*wire.Member { return r.mark.GetMembers() }
--- a/io/control/client.go
+++ b/io/control/client.go
@@ -159,50 +159,52 @@
 	return last, nil
 }
 
-// Newest asks every instance for the revision that it holds beyond the known one.
-// It returns the highest, nil if there is none, and how many instances answered.
-func (c *Client) Newest(ctx context.Context, known uint64) (highest *wire.Revision, answered int) {
+// askAll asks every instance at once and returns the answers by address; who
+// does not answer in time is left out.
+func askAll[T any](ctx context.Context, c *Client, ask func(context.Context, wire.ControlClient) (T, error)) map[string]T {
 	ctx, cancel := context.WithTimeout(ctx, tryTimeout)
 	defer cancel()
 	var mu sync.Mutex
 	var group sync.WaitGroup
+	answers := map[string]T{}
 	for _, address := range c.addresses {
 		group.Go(func() {
 			conn, err := c.links.To(address)
 			if err != nil {
 				return
 			}
-			reply, err := wire.NewControlClient(conn).Read(ctx, &wire.ReadRequest{What: readNewest, Revision: known})
+			answer, err := ask(ctx, wire.NewControlClient(conn))
 			if err != nil {
 				return
 			}
 			mu.Lock()
 			defer mu.Unlock()
-			answered++
-			if reply.GetRevision().GetNumber() > highest.GetNumber() {
-				highest = reply.GetRevision()
-			}
+			answers[address] = answer
 		})
 	}
 	group.Wait()
-	return highest, answered
+	return answers
 }
 
-// Statuses asks every instance for its status.
-func (c *Client) Statuses(ctx context.Context) map[string]*wire.StatusReply {
-	out := map[string]*wire.StatusReply{}
-	for _, address := range c.addresses {
-		conn, err := c.links.To(address)
-		if err != nil {
-			continue
-		}
-		tryCtx, cancel := context.WithTimeout(ctx, tryTimeout)
-		if reply, err := wire.NewControlClient(conn).Status(tryCtx, &wire.StatusRequest{}); err == nil {
-			out[address] = reply
+// Newest asks every instance for the revision that it holds beyond the known one.
+// It returns the highest, nil if there is none, and how many instances answered.
+func (c *Client) Newest(ctx context.Context, known uint64) (highest *wire.Revision, answered int) {
+	replies := askAll(ctx, c, func(ctx context.Context, instance wire.ControlClient) (*wire.ReadReply, error) {
+		return instance.Read(ctx, &wire.ReadRequest{What: readNewest, Revision: known})
+	})
+	for _, reply := range replies {
+		if reply.GetRevision().GetNumber() > highest.GetNumber() {
+			highest = reply.GetRevision()
 		}
-		cancel()
 	}
-	return out
+	return highest, len(replies)
+}
+
+// Statuses asks every instance for its status.
+func (c *Client) Statuses(ctx context.Context) map[string]*wire.StatusReply {
+	return askAll(ctx, c, func(ctx context.Context, instance wire.ControlClient) (*wire.StatusReply, error) {
+		return instance.Status(ctx, &wire.StatusRequest{})
+	})
 }
 
 // Watcher keeps a watch at a control instance.
