--- a/cmd/tanagerroad/main.go
+++ b/cmd/tanagerroad/main.go
@@ -6,6 +6,9 @@
 	"os"
 
 	"tanagerroad/io/command"
+	"tanagerroad/platform"
 )
 
-func main() { os.Exit(command.Run(os.Args[1:], os.Stdout, os.Stderr)) }
+func main() {
+	os.Exit(command.Run(os.Args[1:], command.Config{Out: os.Stdout, Err: os.Stderr, Dialect: platform.Dialect{}}))
+}
--- a/cmd/tanagerroad/main_test.go
+++ b/cmd/tanagerroad/main_test.go
@@ -18,6 +18,7 @@
 	"tanagerroad/io/command"
 	"tanagerroad/io/demo"
 	"tanagerroad/io/load"
+	"tanagerroad/platform"
 )
 
 // asProgram makes the test binary behave as the program itself.
@@ -28,7 +29,9 @@
 		main()
 	}
 	testscript.Main(m, map[string]func(){
-		"tanagerroad": func() { os.Exit(command.Run(os.Args[1:], os.Stdout, os.Stderr)) },
+		"tanagerroad": func() {
+			os.Exit(command.Run(os.Args[1:], command.Config{Out: os.Stdout, Err: os.Stderr, Dialect: platform.Dialect{}}))
+		},
 	})
 }
 
--- /dev/null
+++ b/core/batch/batch.go
@@ -0,0 +1,393 @@
+// Package batch decides how the pieces of stages wait, and which backend
+// server makes which of them in one call. A call costs much the same whatever
+// it holds, so that half-empty calls from many places would saturate a pool at
+// a small part of its capacity: one owner gathers the pieces of a pool over all
+// requests. It answers bursts of staged requests, where pieces come faster than
+// calls end: pieces that can still make their aim go first, by the time that is
+// left to them, and a job that cannot be done by its deadline is refused at
+// once.
+package batch
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"tanagerroad"
+)
+
+const (
+	// hopTime is what passes between a call's end and the next one's start.
+	hopTime = 20 * time.Millisecond
+	// speedWeight is the newest call's part in the mean of a server's speed.
+	speedWeight = 0.3
+	// ejectTime is how long a backend server that failed a call gets none.
+	ejectTime = 700 * time.Millisecond
+	// slowFactor is how much slower than its pool a backend server may be
+	// before it is given work only when no other is idle.
+	slowFactor = 2.5
+	// triesMost is how often a piece is tried before its job fails.
+	triesMost = 4
+)
+
+// Job is the pieces of one stage of one request.
+type Job struct {
+	ID       string // unique to the owner
+	Request  string
+	Stage    int
+	Pieces   []int
+	Key      string
+	Inputs   []string
+	Deadline time.Duration // of the request
+	Due      time.Duration // until then it is in time for the request's aim
+	Priority int
+	Bytes    int // of one result
+}
+
+// Piece is one piece of a job.
+type Piece struct {
+	Job   *Job
+	Piece int
+	tries int
+}
+
+// Call is one call to a backend server.
+type Call struct {
+	Server   tanagerroad.Announcement
+	Pieces   []*Piece
+	Started  time.Duration
+	Expected time.Duration // its length
+	Waiting  int           // pieces left waiting
+	expected float64       // work of the call at the pool's usual speed
+}
+
+// Made is the end of one piece.
+type Made struct {
+	Job    *Job
+	Piece  int
+	Handle string // empty: not made, and Reason says why
+	Reason string
+	Zone   string
+}
+
+// Reasons beside those of backend servers.
+const (
+	Lapsed   = "deadline passed"
+	NoServer = "no backend server"
+)
+
+type worker struct {
+	tanagerroad.Announcement
+	calls    int
+	freeAt   time.Duration // predicted
+	speed    float64       // time of a call against the pool's traits
+	ejected  time.Duration
+	idleFrom time.Duration
+	held     map[string]held // results, by handle
+	heldSum  int64
+	pending  int64 // bytes of results being made
+}
+
+type held struct {
+	bytes int64
+	until time.Duration
+}
+
+// Pool is the waiting pieces and the backend servers of one pool.
+type Pool struct {
+	traits  tanagerroad.PieceTraits
+	workers map[string]*worker
+	queue   []*Piece
+	jobs    map[string]*Job
+	speed   float64 // mean of the pool
+}
+
+// New returns a pool without backend servers.
+func New(traits tanagerroad.PieceTraits) *Pool {
+	return &Pool{traits: traits, workers: map[string]*worker{}, jobs: map[string]*Job{}, speed: 1}
+}
+
+// Retrait replaces the traits, which a configuration may change.
+func (p *Pool) Retrait(traits tanagerroad.PieceTraits) { p.traits = traits }
+
+// Update replaces the backend servers.
+func (p *Pool) Update(at time.Duration, servers []tanagerroad.Announcement) {
+	next := map[string]*worker{}
+	for _, a := range servers {
+		w, ok := p.workers[a.ID]
+		if !ok || w.Born != a.Born || w.Address != a.Address {
+			w = &worker{speed: 1, held: map[string]held{}, idleFrom: at}
+		}
+		w.Announcement = a
+		next[a.ID] = w
+	}
+	p.workers = next
+}
+
+// Waiting is the number of pieces that wait.
+func (p *Pool) Waiting() int { return len(p.queue) }
+
+// capacity is the pieces that the pool makes in a second with full calls.
+func (p *Pool) capacity() float64 {
+	full := p.traits.Call + time.Duration(p.traits.Batch)*p.traits.Item
+	return float64(len(p.workers)) * float64(p.traits.Batch) / (full.Seconds() * max(p.speed, 0.1))
+}
+
+// Predict is when a job of so many pieces that is due then would be made: what
+// goes before it, at the pool's full speed, and its own call.
+func (p *Pool) Predict(at time.Duration, pieces int, due time.Duration, priority int) time.Duration {
+	before := 0
+	for _, q := range p.queue {
+		if p.before(at, q.Job, &Job{Due: due, Deadline: due, Priority: priority}) {
+			before++
+		}
+	}
+	wait := time.Duration(0)
+	if c := p.capacity(); c > 0 {
+		wait = time.Duration(float64(before) / c * float64(time.Second))
+	}
+	free := time.Duration(-1)
+	for _, w := range p.workers {
+		if left := max(0, w.freeAt-at); free < 0 || left < free {
+			free = left
+		}
+	}
+	own := time.Duration(float64(p.traits.Call+time.Duration(min(pieces, p.traits.Batch))*p.traits.Item) * p.speed)
+	return at + max(free, 0) + wait + own
+}
+
+// Add takes a job in. It reports false, and when there may be room again, for
+// one that cannot be made by its deadline.
+func (p *Pool) Add(at time.Duration, job *Job) (ok bool, retry time.Duration) {
+	if len(p.workers) > 0 {
+		if end := p.Predict(at, len(job.Pieces), job.Due, job.Priority); end > job.Deadline {
+			return false, end - job.Deadline
+		}
+	}
+	p.jobs[job.ID] = job
+	for _, n := range job.Pieces {
+		p.queue = append(p.queue, &Piece{Job: job, Piece: n})
+	}
+	return true, 0
+}
+
+// Cancel forgets a job; pieces in a call are made all the same.
+func (p *Pool) Cancel(id string) {
+	delete(p.jobs, id)
+	p.queue = slices.DeleteFunc(p.queue, func(q *Piece) bool { return q.Job.ID == id })
+}
+
+// before orders jobs: those that can still make their aim go first.
+func (p *Pool) before(at time.Duration, a, b *Job) bool {
+	lateA, lateB := a.Due < at, b.Due < at
+	if lateA != lateB {
+		return lateB
+	}
+	if lateA && a.Priority != b.Priority {
+		return a.Priority < b.Priority
+	}
+	return a.Due < b.Due
+}
+
+// Lapse drops what has passed its deadline.
+func (p *Pool) Lapse(at time.Duration) []Made {
+	var out []Made
+	p.queue = slices.DeleteFunc(p.queue, func(q *Piece) bool {
+		if q.Job.Deadline > at {
+			return false
+		}
+		out = append(out, Made{Job: q.Job, Piece: q.Piece, Reason: Lapsed})
+		return true
+	})
+	return out
+}
+
+// Next is the next call that should be made now; false when there is none.
+func (p *Pool) Next(at time.Duration) (*Call, bool) {
+	if len(p.queue) == 0 {
+		return nil, false
+	}
+	w := p.idle(at)
+	if w == nil {
+		return nil, false
+	}
+	slices.SortStableFunc(p.queue, func(a, b *Piece) int {
+		switch {
+		case p.before(at, a.Job, b.Job):
+			return -1
+		case p.before(at, b.Job, a.Job):
+			return 1
+		}
+		return cmp.Compare(a.Job.ID, b.Job.ID)
+	})
+	call := &Call{Server: w.Announcement, Started: at}
+	room := p.room(at, w)
+	var rest []*Piece
+	for _, q := range p.queue {
+		bytes := int64(q.Job.Bytes)
+		fits := len(call.Pieces) < p.traits.Batch && (bytes <= room || len(call.Pieces) == 0)
+		if !fits {
+			rest = append(rest, q)
+			continue
+		}
+		call.Pieces = append(call.Pieces, q)
+		room -= bytes
+		w.pending += bytes
+	}
+	p.queue = rest
+	work := p.traits.Call + time.Duration(len(call.Pieces))*p.traits.Item
+	call.expected = float64(work)
+	call.Expected = time.Duration(float64(work) * w.speed)
+	call.Waiting = len(rest)
+	w.calls++
+	w.freeAt = at + call.Expected
+	return call, true
+}
+
+// room is the bytes of results that a backend server can still keep.
+func (p *Pool) room(at time.Duration, w *worker) int64 {
+	for handle, h := range w.held {
+		if h.until < at {
+			w.heldSum -= h.bytes
+			delete(w.held, handle)
+		}
+	}
+	if p.traits.Room <= 0 {
+		return 1 << 62
+	}
+	return p.traits.Room - w.heldSum - w.pending
+}
+
+// idle is the backend server that has had nothing to do for the longest; a
+// slow one only where no other is idle.
+func (p *Pool) idle(at time.Duration) *worker {
+	var best *worker
+	for _, w := range p.workers {
+		if w.calls >= p.traits.Slots || at < w.ejected {
+			continue
+		}
+		if best == nil || p.prefer(w, best) {
+			best = w
+		}
+	}
+	return best
+}
+
+func (p *Pool) prefer(a, b *worker) bool {
+	slowA, slowB := a.speed > slowFactor*p.speed, b.speed > slowFactor*p.speed
+	if slowA != slowB {
+		return slowB
+	}
+	if a.idleFrom != b.idleFrom {
+		return a.idleFrom < b.idleFrom
+	}
+	return a.ID < b.ID
+}
+
+// Wake is when Next may have more to say without another event.
+func (p *Pool) Wake(at time.Duration) (time.Duration, bool) {
+	if len(p.queue) == 0 {
+		return 0, false
+	}
+	next := p.queue[0].Job.Deadline
+	for _, q := range p.queue {
+		next = min(next, q.Job.Deadline)
+	}
+	for _, w := range p.workers {
+		if w.ejected > at {
+			next = min(next, w.ejected)
+		}
+	}
+	return next, true
+}
+
+// Done ends a call with the outcomes of its pieces, in their order; nil when
+// the call failed as a whole. Pieces that may be tried again wait again.
+func (p *Pool) Done(at time.Duration, call *Call, outcomes []tanagerroad.PieceOutcome, full bool) []Made {
+	w := p.workers[call.Server.ID]
+	if w != nil && w.Born != call.Server.Born {
+		w = nil
+	}
+	if w != nil {
+		p.settle(at, w, call, outcomes, full)
+	}
+	var out []Made
+	for i, q := range call.Pieces {
+		if outcomes != nil && outcomes[i].Handle != "" {
+			out = append(out, Made{Job: q.Job, Piece: q.Piece, Handle: outcomes[i].Handle, Zone: call.Server.Zone})
+			if w != nil && q.Job.Bytes > 0 {
+				w.held[outcomes[i].Handle] = held{int64(q.Job.Bytes), at + p.traits.Keep}
+				w.heldSum += int64(q.Job.Bytes)
+			}
+			continue
+		}
+		reason := NoServer
+		if outcomes != nil {
+			reason = outcomes[i].Reason
+		}
+		if _, wanted := p.jobs[q.Job.ID]; !wanted {
+			continue
+		}
+		q.tries++
+		again := reason != tanagerroad.PieceGone && reason != tanagerroad.PieceLate && at < q.Job.Deadline
+		if again && (full || q.tries < triesMost) {
+			p.queue = append(p.queue, q)
+			continue
+		}
+		out = append(out, Made{Job: q.Job, Piece: q.Piece, Reason: reason})
+	}
+	return out
+}
+
+// settle takes what a call's end says about its backend server.
+func (p *Pool) settle(at time.Duration, w *worker, call *Call, outcomes []tanagerroad.PieceOutcome, full bool) {
+	w.calls = max(0, w.calls-1)
+	w.idleFrom, w.freeAt = at, at
+	for _, q := range call.Pieces {
+		w.pending -= int64(q.Job.Bytes)
+	}
+	if outcomes == nil {
+		w.ejected = at + ejectTime
+		if full {
+			w.ejected = at + p.traits.Call/2
+		}
+		return
+	}
+	took := float64(at-call.Started-hopTime) / max(call.expected, 1)
+	w.speed += speedWeight * (took - w.speed)
+	var sum float64
+	for _, other := range p.workers {
+		sum += min(other.speed, 4)
+	}
+	p.speed = sum / float64(len(p.workers))
+}
+
+// Forget ends the job when all its pieces have ended.
+func (p *Pool) Forget(id string) { delete(p.jobs, id) }
+
+// Free notes that results are given up, and sorts them by the backend server
+// that holds them.
+func (p *Pool) Free(handles []string) map[string][]string {
+	out := map[string][]string{}
+	for _, handle := range handles {
+		for _, w := range p.workers {
+			if h, ok := w.held[handle]; ok {
+				w.heldSum -= h.bytes
+				delete(w.held, handle)
+				out[w.Address] = append(out[w.Address], handle)
+				break
+			}
+		}
+	}
+	return out
+}
+
+// Places is how many backend servers there are, and how many are at work.
+func (p *Pool) Places() (servers, busy int) {
+	for _, w := range p.workers {
+		if w.calls > 0 {
+			busy++
+		}
+	}
+	return len(p.workers), busy
+}
--- /dev/null
+++ b/core/fleet/fleet.go
@@ -0,0 +1,277 @@
+// Package fleet places requests on the backend servers of a pool. It answers
+// two loads: steady traffic from many gateways, each of which sees only its own
+// part, and traffic while some backend servers fail, slow down or come back.
+package fleet
+
+import (
+	"slices"
+	"time"
+
+	"tanagerroad"
+)
+
+// Costs of a placement, in the time that they cost a caller.
+const (
+	regionCost     = 16 * time.Millisecond   // there and back between regions
+	zoneCost       = 2 * time.Millisecond    // there and back between zones of a region
+	waitingCost    = 400 * time.Millisecond  // for each request that waits for a slot there
+	runningCost    = 1500 * time.Microsecond // a request beside it slows every token
+	tokenCost      = 8 * time.Microsecond    // a prompt token read anew
+	resultZoneCost = 60 * time.Millisecond   // stage results fetched across zones, with their price
+	coldCost       = 50 * time.Millisecond   // a backend server that is still warming up
+	firstGuess     = 30 * time.Millisecond   // latency of one that has not answered yet
+	reportLife     = 1500 * time.Millisecond // a load report says nothing after it
+	ejectFirst     = 500 * time.Millisecond  // pause after a failure, doubled for each further one
+	ejectMost      = 8 * time.Second         // longest pause
+	partLife       = 20 * time.Second        // a prompt part counts as kept for so long after its use
+	latencyWeight  = 0.2                     // of the newest answer in the mean
+	partsMost      = 4096                    // prompt parts remembered of one backend server
+)
+
+// Ask is what a request needs.
+type Ask struct {
+	Pool       string
+	From       tanagerroad.Place
+	ResultZone string // where most bytes of its stage results lie; empty: nowhere
+	Parts      []tanagerroad.PromptPart
+	Exclude    []string
+	Chance     uint64 // breaks ties
+}
+
+// Choice is one placement and why it fell so.
+type Choice struct {
+	tanagerroad.Announcement
+	Cost       time.Duration
+	InFlight   int // own requests there, this one included
+	Reported   int // requests there by its latest report
+	ReportAge  time.Duration
+	Candidates int
+	Kept       int // prompt tokens believed to be kept there
+}
+
+// Outcome is how an attempt ended.
+type Outcome struct {
+	Failed  bool          // the backend server or the way to it is at fault
+	Latency time.Duration // to the first byte of its answer; 0: none came
+	Running int           // load that the answer reported
+	Waiting int
+	Slots   int // 0: nothing was reported
+}
+
+type server struct {
+	tanagerroad.Announcement
+	inFlight  int
+	latency   time.Duration
+	reported  int // requests by others when it was reported
+	waiting   int
+	reportAt  time.Duration
+	failures  int
+	ejected   time.Duration // until then
+	parts     map[string]time.Duration
+	neighbour int // requests of neighbouring gateways
+}
+
+// Fleet is what one gateway believes about the backend servers.
+type Fleet struct {
+	regions map[string]string // by zone
+	servers map[string]*server
+	pools   map[string][]*server
+	version uint64
+}
+
+// New returns an empty fleet; regions holds the region of each zone.
+func New(regions map[string]string) *Fleet {
+	return &Fleet{regions: regions, servers: map[string]*server{}, pools: map[string][]*server{}}
+}
+
+// Update replaces the backend servers that may be used.
+func (f *Fleet) Update(usable []tanagerroad.Announcement) {
+	f.version++
+	next := map[string]*server{}
+	f.pools = map[string][]*server{}
+	for _, a := range usable {
+		s, ok := f.servers[a.ID]
+		if !ok || s.Born != a.Born || s.Address != a.Address {
+			s = &server{latency: firstGuess, parts: map[string]time.Duration{}}
+		}
+		s.Announcement = a
+		next[a.ID] = s
+		f.pools[a.Pool] = append(f.pools[a.Pool], s)
+	}
+	f.servers = next
+}
+
+// Version grows with each update.
+func (f *Fleet) Version() uint64 { return f.version }
+
+// Pool lists the usable backend servers of a pool.
+func (f *Fleet) Pool(name string) []tanagerroad.Announcement {
+	out := make([]tanagerroad.Announcement, len(f.pools[name]))
+	for i, s := range f.pools[name] {
+		out[i] = s.Announcement
+	}
+	return out
+}
+
+// Len is the number of usable backend servers.
+func (f *Fleet) Len() int { return len(f.servers) }
+
+// Pick chooses a backend server and counts the attempt as in flight there;
+// false when the pool has none that is not excluded.
+func (f *Fleet) Pick(at time.Duration, ask Ask) (Choice, bool) {
+	var best *server
+	var least time.Duration
+	var kept int
+	candidates := 0
+	list := f.pools[ask.Pool]
+	for i := range list {
+		// Starting at a place of chance spreads equal costs.
+		s := list[(uint64(i)+ask.Chance)%uint64(len(list))]
+		if slices.Contains(ask.Exclude, s.ID) {
+			continue
+		}
+		candidates++
+		cost, tokens := f.cost(at, s, ask)
+		if best == nil || cost < least {
+			best, least, kept = s, cost, tokens
+		}
+	}
+	if best == nil {
+		return Choice{}, false
+	}
+	best.inFlight++
+	best.remember(at, ask.Parts)
+	return Choice{
+		Announcement: best.Announcement, Cost: least, InFlight: best.inFlight, Reported: best.reported + best.waiting,
+		ReportAge: at - best.reportAt, Candidates: candidates, Kept: kept,
+	}, true
+}
+
+// cost predicts what a placement costs the caller, and the prompt tokens that
+// are kept there.
+func (f *Fleet) cost(at time.Duration, s *server, ask Ask) (time.Duration, int) {
+	total, kept := s.latency, 0
+	if len(ask.Parts) > 0 {
+		fresh := 0
+		hit := true
+		for _, p := range ask.Parts {
+			used, ok := s.parts[p.ID]
+			hit = hit && ok && at-used < partLife
+			if hit {
+				kept += p.Tokens
+			} else {
+				fresh += p.Tokens
+			}
+		}
+		total += time.Duration(fresh) * tokenCost
+	}
+	load := s.inFlight + s.neighbour
+	if age := at - s.reportAt; age < reportLife {
+		load = max(load, s.inFlight+int(float64(s.reported)*(1-float64(age)/float64(reportLife))))
+		load += s.waiting
+	}
+	total += time.Duration(load) * runningCost
+	if over := load + 1 - max(1, s.Slots); over > 0 {
+		total += time.Duration(over) * waitingCost
+	}
+	total += f.distance(ask.From.Zone, s.Zone)
+	if ask.ResultZone != "" && ask.ResultZone != s.Zone {
+		total += resultZoneCost
+	}
+	if s.Cold > 0 {
+		total += coldCost
+	}
+	if at < s.ejected {
+		total += time.Hour // only where nothing else is left
+	}
+	return total, kept
+}
+
+func (f *Fleet) distance(a, b string) time.Duration {
+	switch {
+	case a == b:
+		return 0
+	case f.regions[a] == f.regions[b]:
+		return zoneCost
+	}
+	return regionCost
+}
+
+func (s *server) remember(at time.Duration, parts []tanagerroad.PromptPart) {
+	if len(s.parts) > partsMost {
+		for id, used := range s.parts {
+			if at-used > partLife {
+				delete(s.parts, id)
+			}
+		}
+	}
+	for _, p := range parts {
+		s.parts[p.ID] = at
+	}
+}
+
+// Answered notes that the first byte of an answer came, with its load report.
+func (f *Fleet) Answered(at time.Duration, id string, o Outcome) {
+	s, ok := f.servers[id]
+	if !ok {
+		return
+	}
+	if o.Latency > 0 {
+		s.latency += time.Duration(latencyWeight * float64(o.Latency-s.latency))
+	}
+	if o.Slots > 0 {
+		s.reported, s.waiting, s.reportAt = max(0, o.Running-s.inFlight), o.Waiting, at
+	}
+}
+
+// Done notes the end of an attempt.
+func (f *Fleet) Done(at time.Duration, id string, o Outcome) {
+	s, ok := f.servers[id]
+	if !ok {
+		return
+	}
+	s.inFlight = max(0, s.inFlight-1)
+	if !o.Failed {
+		s.failures, s.ejected = 0, 0
+		return
+	}
+	s.failures++
+	pause := ejectFirst << min(s.failures-1, 4)
+	s.ejected = at + min(pause, ejectMost)
+}
+
+// Misplaced notes that another backend server answered at the address of this
+// one: it is gone until it announces itself anew.
+func (f *Fleet) Misplaced(at time.Duration, id string) {
+	if s, ok := f.servers[id]; ok {
+		s.ejected = at + ejectMost
+	}
+}
+
+// Neighbours replaces what neighbouring gateways have in flight.
+func (f *Fleet) Neighbours(shares map[string]int) {
+	for id, s := range f.servers {
+		s.neighbour = shares[id]
+	}
+}
+
+// Shares is what this gateway has in flight, by backend server.
+func (f *Fleet) Shares() map[string]int {
+	out := map[string]int{}
+	for id, s := range f.servers {
+		if s.inFlight > 0 {
+			out[id] = s.inFlight
+		}
+	}
+	return out
+}
+
+// Places is the number of slots of a pool, and how many of them are believed
+// to be taken.
+func (f *Fleet) Places(pool string) (slots, taken int) {
+	for _, s := range f.pools[pool] {
+		slots += max(1, s.Slots)
+		taken += s.inFlight + max(s.neighbour, s.reported)
+	}
+	return slots, taken
+}
--- /dev/null
+++ b/core/pipeline/pipeline.go
@@ -0,0 +1,242 @@
+// Package pipeline follows one request through the stages that come before it
+// runs: which stages can start, by when each must end, and which results the
+// request itself needs.
+package pipeline
+
+import (
+	"slices"
+	"time"
+
+	"tanagerroad"
+)
+
+const (
+	// engineTime is kept for the request itself after its last stage.
+	engineTime = 150 * time.Millisecond
+	// waitTime is kept for each stage's wait beside its call.
+	waitTime = 100 * time.Millisecond
+	// leastTime is the least that the request itself takes.
+	leastTime = 30 * time.Millisecond
+	// restartsMost bounds how often stages are made again after results were
+	// lost.
+	restartsMost = 2
+)
+
+// Config is one request.
+type Config struct {
+	Stages   []tanagerroad.CatalogStage
+	Pieces   []int // of each stage; a stage without pieces is left out
+	Traits   func(pool string) *tanagerroad.PieceTraits
+	Aim      time.Duration // when the request is in time
+	Deadline time.Duration
+}
+
+// Job is one stage to be made.
+type Job struct {
+	Stage    int
+	Pool     string
+	Pieces   []int
+	Inputs   []string
+	Due      time.Duration
+	Deadline time.Duration
+	Bytes    int
+}
+
+type result struct {
+	handle, zone string
+}
+
+type stage struct {
+	started bool
+	results []result // by piece; an empty handle is missing
+	missing int
+}
+
+// Pipeline is the progress of one request.
+type Pipeline struct {
+	config   Config
+	stages   []stage
+	tails    []time.Duration // what follows a stage, at the usual speed
+	shortest []time.Duration // what follows it at the least
+	restarts int
+}
+
+// New returns a request with all its stages to be made.
+func New(config Config) *Pipeline {
+	p := &Pipeline{config: config}
+	p.reset()
+	p.tails = p.following(func(t *tanagerroad.PieceTraits) time.Duration {
+		return t.Call + time.Duration(t.Batch/2)*t.Item + waitTime
+	}, engineTime)
+	p.shortest = p.following(func(t *tanagerroad.PieceTraits) time.Duration { return t.Call + t.Item }, leastTime)
+	return p
+}
+
+func (p *Pipeline) count(i int) int {
+	if i < len(p.config.Pieces) {
+		return p.config.Pieces[i]
+	}
+	return 0
+}
+
+func (p *Pipeline) reset() {
+	p.stages = make([]stage, len(p.config.Stages))
+	for i := range p.stages {
+		p.stages[i] = stage{results: make([]result, p.count(i)), missing: p.count(i)}
+	}
+}
+
+// following sums the longest chain of stages that come after each.
+func (p *Pipeline) following(cost func(*tanagerroad.PieceTraits) time.Duration, end time.Duration) []time.Duration {
+	out := make([]time.Duration, len(p.stages))
+	for i := range out {
+		out[i] = end
+	}
+	for range p.stages { // stages may stand in any order
+		for i, s := range p.config.Stages {
+			own := time.Duration(0)
+			if traits := p.config.Traits(s.Pool); traits != nil && p.count(i) > 0 {
+				own = cost(traits)
+			}
+			for _, before := range s.After {
+				out[before] = max(out[before], out[i]+own)
+			}
+		}
+	}
+	return out
+}
+
+// Ready returns the stages whose inputs are all made, once each.
+func (p *Pipeline) Ready() []Job {
+	var out []Job
+	for i, s := range p.config.Stages {
+		if p.stages[i].started || p.count(i) == 0 || !p.inputsMade(i) {
+			continue
+		}
+		p.stages[i].started = true
+		job := Job{
+			Stage: i, Pool: s.Pool, Bytes: s.Bytes,
+			Due: p.config.Aim - p.tails[i], Deadline: p.config.Deadline - p.shortest[i],
+		}
+		for n := range p.count(i) {
+			job.Pieces = append(job.Pieces, n)
+		}
+		for _, before := range s.After {
+			job.Inputs = append(job.Inputs, p.handles(before)...)
+		}
+		out = append(out, job)
+	}
+	return out
+}
+
+func (p *Pipeline) inputsMade(i int) bool {
+	return !slices.ContainsFunc(p.config.Stages[i].After, func(before int) bool { return p.stages[before].missing > 0 })
+}
+
+func (p *Pipeline) handles(i int) []string {
+	var out []string
+	for _, r := range p.stages[i].results {
+		if r.handle != "" {
+			out = append(out, r.handle)
+		}
+	}
+	return out
+}
+
+// Made takes a result. One that is there already is kept; the second is
+// reported as superfluous.
+func (p *Pipeline) Made(stage, piece int, handle, zone string) bool {
+	if stage >= len(p.stages) || piece >= len(p.stages[stage].results) || p.stages[stage].results[piece].handle != "" {
+		return false
+	}
+	p.stages[stage].results[piece] = result{handle, zone}
+	p.stages[stage].missing--
+	return true
+}
+
+// Done reports whether all stages are made.
+func (p *Pipeline) Done() bool {
+	return !slices.ContainsFunc(p.stages, func(s stage) bool { return s.missing > 0 })
+}
+
+// Restart begins anew after results were lost; false when that was done often
+// enough. It returns the results that are of no use any more.
+func (p *Pipeline) Restart() (dropped []string, ok bool) {
+	dropped = p.Handles()
+	if p.restarts >= restartsMost {
+		return dropped, false
+	}
+	p.restarts++
+	p.reset()
+	return dropped, true
+}
+
+// Restarts is how often the stages were begun anew.
+func (p *Pipeline) Restarts() int { return p.restarts }
+
+// Handles lists all results made.
+func (p *Pipeline) Handles() []string {
+	var out []string
+	for i := range p.stages {
+		out = append(out, p.handles(i)...)
+	}
+	return out
+}
+
+// Inputs lists the results that the request itself needs: those of stages that
+// no other stage follows.
+func (p *Pipeline) Inputs() []string {
+	var out []string
+	for i := range p.stages {
+		if !p.followed(i) {
+			out = append(out, p.handles(i)...)
+		}
+	}
+	return out
+}
+
+func (p *Pipeline) followed(i int) bool {
+	return slices.ContainsFunc(p.config.Stages, func(s tanagerroad.CatalogStage) bool { return slices.Contains(s.After, i) })
+}
+
+// Spent lists the results that nothing needs any more once the stage is made:
+// those of stages before it that all that follow have taken.
+func (p *Pipeline) Spent() []string {
+	var out []string
+	for i := range p.stages {
+		if p.followed(i) && p.followersMade(i) {
+			out = append(out, p.handles(i)...)
+		}
+	}
+	return out
+}
+
+func (p *Pipeline) followersMade(i int) bool {
+	for j, s := range p.config.Stages {
+		if slices.Contains(s.After, i) && p.stages[j].missing > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// Zone is where most bytes of the inputs lie; empty when there are none.
+func (p *Pipeline) Zone() string {
+	bytes := map[string]int{}
+	best := ""
+	for i := range p.stages {
+		if p.followed(i) {
+			continue
+		}
+		for _, r := range p.stages[i].results {
+			if r.handle == "" {
+				continue
+			}
+			bytes[r.zone] += max(1, p.config.Stages[i].Bytes)
+			if best == "" || bytes[r.zone] > bytes[best] || bytes[r.zone] == bytes[best] && r.zone < best {
+				best = r.zone
+			}
+		}
+	}
+	return best
+}
--- a/core/registry/image.go
+++ b/core/registry/image.go
@@ -19,6 +19,7 @@
 		Changes:    r.changes,
 		Quarantine: r.Quarantine(),
 		Reports:    r.reports,
+		Catalog:    r.catalog,
 	}
 	// Settled claims stand in the order in which they settled, so that a
 	// restored registry forgets them in the same order.
@@ -74,6 +75,7 @@
 		r.convictions[c.GetFingerprint()] = c
 	}
 	r.reports = image.GetReports()
+	r.catalog = image.GetCatalog()
 	for _, f := range image.GetFences() {
 		r.fences[f.GetServer()] = f
 	}
--- a/core/registry/registry.go
+++ b/core/registry/registry.go
@@ -103,8 +103,9 @@
 	quarantine  uint64 // version
 	reports     []string
 
-	fences map[string]*wire.FenceState
-	latest int64 // highest command time seen, Unix milliseconds
+	fences  map[string]*wire.FenceState
+	catalog *wire.Catalog
+	latest  int64 // highest command time seen, Unix milliseconds
 }
 
 // New returns an empty registry, at revision 0.
@@ -138,6 +139,8 @@
 		return r.lift(body.Lift)
 	case *wire.Command_Fence:
 		return r.fence(body.Fence)
+	case *wire.Command_PutCatalog:
+		return r.putCatalog(body.PutCatalog.GetCatalog())
 	}
 	return &wire.Outcome{Kind: Invalid, Reason: "an unknown command"}
 }
@@ -155,6 +158,18 @@
 	return nil
 }
 
+// Catalog is the gateways' configuration in force; nil before the first.
+func (r *Registry) Catalog() *wire.Catalog { return r.catalog }
+
+// putCatalog keeps the highest version. An older or equal one is accepted and
+// changes nothing, so that a resend after a lost answer gets the same answer.
+func (r *Registry) putCatalog(c *wire.Catalog) *wire.Outcome {
+	if r.catalog == nil || c.GetVersion() > r.catalog.GetVersion() {
+		r.catalog = c
+	}
+	return &wire.Outcome{Kind: Accepted, Revision: r.catalog.GetVersion()}
+}
+
 // Changes is the change log, oldest first.
 func (r *Registry) Changes() []*wire.Change { return r.changes }
 
--- a/core/settings/settings.go
+++ b/core/settings/settings.go
@@ -25,6 +25,7 @@
 	RoleSidecar = "sidecar"
 	RoleControl = "control"
 	RoleStandIn = "stand-in"
+	RoleGateway = "gateway"
 )
 
 // Common is what every process needs.
@@ -140,17 +141,51 @@
 type Control struct {
 	Role string `json:"role" required:"true" doc:"control"`
 	Common
-	Operator  Operator             `json:"operator"`
-	Record    Record               `json:"record"`
-	Stop      Stop                 `json:"stop"`
-	Peer      Peer                 `json:"peer" required:"true"`
-	Instances []string             `json:"instances" required:"true" doc:"peer addresses of all control instances, this one included; 1, 3, 5 or 7"`
-	Data      string               `json:"data" required:"true" doc:"data folder"`
-	Election  tanagerroad.Duration `json:"election" doc:"silence of the leader after which another is sought"`
-	Beat      tanagerroad.Duration `json:"beat" doc:"time between the leader's heartbeats"`
-	Compact   tanagerroad.Size     `json:"compact" doc:"journal size that a snapshot replaces"`
-	Retention tanagerroad.Duration `json:"retention" doc:"how long a settled claim and its answer are kept"`
-	Group     bool                 `json:"group" doc:"write and sync changes that wait together as one"`
+	Operator    Operator             `json:"operator"`
+	Record      Record               `json:"record"`
+	Stop        Stop                 `json:"stop"`
+	Peer        Peer                 `json:"peer" required:"true"`
+	Instances   []string             `json:"instances" required:"true" doc:"peer addresses of all control instances, this one included; 1, 3, 5 or 7"`
+	Data        string               `json:"data" required:"true" doc:"data folder"`
+	Election    tanagerroad.Duration `json:"election" doc:"silence of the leader after which another is sought"`
+	Beat        tanagerroad.Duration `json:"beat" doc:"time between the leader's heartbeats"`
+	Compact     tanagerroad.Size     `json:"compact" doc:"journal size that a snapshot replaces"`
+	Retention   tanagerroad.Duration `json:"retention" doc:"how long a settled claim and its answer are kept"`
+	Group       bool                 `json:"group" doc:"write and sync changes that wait together as one"`
+	Registrar   Door                 `json:"registrar" doc:"where backend servers announce themselves and operators change the gateways' configuration; no address: nowhere"`
+	ControlPort int                  `json:"control-port" doc:"port of the instances' peer listeners, in place of the one listed; 0: the one listed"`
+	Bootstrap   bool                 `json:"bootstrap" doc:"with an empty disk: a first cluster may be formed"`
+	Open        bool                 `json:"open" doc:"instances need not list all, nor this one: others are taken in when they ask"`
+}
+
+// ZonePlace says in which region an availability zone lies.
+type ZonePlace struct {
+	Zone   string `json:"zone" required:"true" doc:"availability zone"`
+	Region string `json:"region" required:"true" doc:"region that it lies in"`
+}
+
+// Placing is how a gateway places and repeats requests.
+type Placing struct {
+	RetryRatio float64 `json:"retry-ratio" doc:"attempts beyond the first allowed for each request, over all gateways"`
+	RetrySlack float64 `json:"retry-slack" doc:"attempts beyond the first allowed besides, shared by all gateways"`
+}
+
+// Gateway is the settings of a gateway.
+type Gateway struct {
+	Role string `json:"role" required:"true" doc:"gateway"`
+	Common
+	Operator    Operator             `json:"operator"`
+	Record      Record               `json:"record"`
+	Stop        Stop                 `json:"stop"`
+	Caller      Door                 `json:"caller" required:"true"`
+	Ready       string               `json:"ready" required:"true" doc:"host:port at which the balancer asks whether it is ready"`
+	Peer        Peer                 `json:"peer" required:"true"`
+	Control     []string             `json:"control" required:"true" doc:"addresses of control instances, from which all are found"`
+	ControlPort int                  `json:"control-port" doc:"port of the control instances' peer listeners, in place of the one listed; 0: the one listed"`
+	Zones       []ZonePlace          `json:"zones" doc:"all availability zones"`
+	Placing     Placing              `json:"placing"`
+	Memory      tanagerroad.Size     `json:"memory" doc:"memory that the process may use"`
+	Silence     tanagerroad.Duration `json:"silence" doc:"how long a control instance may be silent before what it hears counts for nothing"`
 }
 
 // StandInServer is one fake backend server.
@@ -222,6 +257,20 @@
 		Compact:   8 * mib,
 		Retention: duration(15 * time.Minute),
 		Group:     true,
+		Registrar: Door{MaxBody: 4 * mib, MaxHeader: 16 * kib, HeaderTimeout: duration(5 * time.Second), MaxInFlight: 256},
+		Bootstrap: true,
+	}
+}
+
+// DefaultGateway is a gateway's settings before its file is read.
+func DefaultGateway() Gateway {
+	return Gateway{
+		Record: defaultRecord(), Stop: Stop{Bound: duration(7 * time.Second), Grace: duration(3 * time.Second)},
+		Caller:  Door{MaxBody: 4 * mib, MaxHeader: 64 * kib, HeaderTimeout: duration(5 * time.Second), MaxInFlight: 1024},
+		Peer:    Peer{MaxStreams: 1024, MaxMessage: 8 * mib},
+		Placing: Placing{RetryRatio: 0.15, RetrySlack: 40},
+		Memory:  256 * mib,
+		Silence: duration(10 * time.Second),
 	}
 }
 
@@ -278,12 +327,16 @@
 	c.common(s.Common, s.Operator, s.Record)
 	c.peer(s.Peer)
 	c.addresses("instances", s.Instances)
-	if n := len(s.Instances); n > 7 || n%2 == 0 {
+	s.Instances = withPort(s.Instances, s.ControlPort)
+	if n := len(s.Instances); !s.Open && (n > 7 || n%2 == 0) {
 		c.fault("instances", fmt.Sprintf("%d addresses", n), "1, 3, 5 or 7")
 	}
-	if !slices.Contains(s.Instances, s.Peer.Reachable()) {
+	if !s.Open && !slices.Contains(s.Instances, s.Peer.Reachable()) {
 		c.fault("instances", "no "+strconv.Quote(s.Peer.Reachable()), "this instance's own peer address among them")
 	}
+	if s.Registrar.Address != "" {
+		c.door("registrar", s.Registrar)
+	}
 	if s.Data == "" {
 		c.fault("data", `""`, "a folder")
 	}
@@ -294,6 +347,38 @@
 	return s, c.findings
 }
 
+// withPort gives all addresses the port; 0 leaves them as they are.
+func withPort(addresses []string, port int) []string {
+	if port == 0 {
+		return addresses
+	}
+	out := make([]string, len(addresses))
+	for i, address := range addresses {
+		host, _, _ := net.SplitHostPort(address) // checked before
+		out[i] = net.JoinHostPort(host, strconv.Itoa(port))
+	}
+	return out
+}
+
+// ParseGateway reads and checks a gateway's settings.
+func ParseGateway(file string, data []byte) (Gateway, tanagerroad.Findings) {
+	s := DefaultGateway()
+	c := read(file, data, &s)
+	c.role(s.Role, RoleGateway)
+	c.common(s.Common, s.Operator, s.Record)
+	c.door("caller", s.Caller)
+	c.address("ready", s.Ready)
+	c.peer(s.Peer)
+	c.addresses("control", s.Control)
+	s.Control = withPort(s.Control, s.ControlPort)
+	c.positive("memory", int64(s.Memory))
+	c.positive("silence", int64(s.Silence))
+	if s.Placing.RetryRatio < 0 || s.Placing.RetrySlack < 0 {
+		c.fault("placing", "a negative budget", "budgets of zero or more")
+	}
+	return s, c.findings
+}
+
 // ParseStandIn reads and checks a stand-in's settings.
 func ParseStandIn(file string, data []byte) (StandIn, tanagerroad.Findings) {
 	s := DefaultStandIn()
@@ -326,6 +411,9 @@
 	case RoleStandIn:
 		_, f := ParseStandIn(file, data)
 		return f
+	case RoleGateway:
+		_, f := ParseGateway(file, data)
+		return f
 	}
 	var head struct {
 		Role string `json:"role" required:"true"`
@@ -333,7 +421,7 @@
 	if f := document.Decode(file, data, &head); len(f) > 0 && head.Role == "" {
 		return f[:1]
 	}
-	return tanagerroad.Findings{{File: file, Line: 1, Path: "role", Found: strconv.Quote(head.Role), Want: "entry, sidecar, control or stand-in"}}
+	return tanagerroad.Findings{{File: file, Line: 1, Path: "role", Found: strconv.Quote(head.Role), Want: "entry, sidecar, control, gateway or stand-in"}}
 }
 
 type check struct {
@@ -482,7 +570,7 @@
 }
 
 // Markdown renders the settings of all roles as they stand in
-// docs/OPERATING.md.
+// docs/OPERATIONS.md.
 func Markdown() string {
 	var b strings.Builder
 	for _, role := range []struct {
@@ -492,6 +580,7 @@
 		{RoleEntry, DefaultEntry()},
 		{RoleSidecar, DefaultSidecar()},
 		{RoleControl, DefaultControl()},
+		{RoleGateway, DefaultGateway()},
 		{RoleStandIn, DefaultStandIn()},
 	} {
 		fmt.Fprintf(&b, "### Settings of %s\n\n| setting | default | meaning |\n|---|---|---|\n", role.name)
--- a/core/settings/settings_test.go
+++ b/core/settings/settings_test.go
@@ -9,14 +9,14 @@
 	"tanagerroad/core/settings"
 )
 
-// TestSettingsAreDocumented compares docs/OPERATING.md with the code.
+// TestSettingsAreDocumented compares docs/OPERATIONS.md with the code.
 func TestSettingsAreDocumented(t *testing.T) {
-	page, err := os.ReadFile("../../docs/OPERATING.md")
+	page, err := os.ReadFile("../../docs/OPERATIONS.md")
 	if err != nil {
 		t.Fatal(err)
 	}
 	if !strings.Contains(string(page), settings.Markdown()) {
-		t.Errorf("docs/OPERATING.md does not list the settings as they are; it should read:\n%s", settings.Markdown())
+		t.Errorf("docs/OPERATIONS.md does not list the settings as they are; it should read:\n%s", settings.Markdown())
 	}
 }
 
--- a/io/command/command.go
+++ b/io/command/command.go
@@ -29,9 +29,17 @@
 // Version of the program.
 const Version = "0.1.0"
 
-// streams are the standard streams of a run.
+// Config is what a run of the program is given.
+type Config struct {
+	Out, Err io.Writer
+	Dialect  tanagerroad.Dialect // of gateways and registrars
+}
+
+// streams are the standard streams of a run, and the dialect that its roles
+// speak.
 type streams struct {
 	out, err io.Writer
+	dialect  tanagerroad.Dialect
 }
 
 // spec is one subcommand.
@@ -50,6 +58,7 @@
 		{"entry", "run an entry", "tanagerroad entry examples/fjellknus/entry-bergen-1.json", roleCommand("entry"), false},
 		{"sidecar", "run the sidecar of one backend server", "tanagerroad sidecar examples/fjellknus/sidecar-booking-1.json", roleCommand("sidecar"), false},
 		{"control", "run a control instance", "tanagerroad control examples/fjellknus/control-1.json", roleCommand("control"), false},
+		{"gateway", "run a gateway", "tanagerroad gateway gateway.json", roleCommand("gateway"), false},
 		{"stand-in", "run fake backend servers", "tanagerroad stand-in examples/fjellknus/stand-in.json", roleCommand("stand-in"), false},
 		{"table", "get, check, put, log or status of the two tables", "tanagerroad table put --routes routes.json --pools pools.json --from-revision 0", tableCommand, false},
 		{"check", "report all findings in settings files and tables", "tanagerroad check entry.json routes.json pools.json", checkCommand, true},
@@ -66,8 +75,9 @@
 func (u *usage) Error() string { return u.text }
 
 // Run runs the command line and returns the exit code.
-func Run(args []string, stdout, stderr io.Writer) int {
-	s := streams{stdout, stderr}
+func Run(args []string, config Config) int {
+	s := streams{config.Out, config.Err, config.Dialect}
+	stderr := config.Err
 	err := run(args, s)
 	var findings tanagerroad.Findings
 	var wrong *usage
--- a/io/command/commands.go
+++ b/io/command/commands.go
@@ -22,6 +22,7 @@
 	"tanagerroad/core/table"
 	"tanagerroad/io/demo"
 	"tanagerroad/io/load"
+	"tanagerroad/io/logline"
 	"tanagerroad/io/operator"
 	"tanagerroad/io/process"
 )
@@ -40,7 +41,7 @@
 	return func(sub *flaggy.Subcommand) action {
 		var file string
 		sub.AddPositionalValue(&file, "settings", 1, true, "settings file")
-		return func(_ context.Context, _ streams, _ []string) error {
+		return func(_ context.Context, s streams, _ []string) error {
 			data, err := readFile(file)
 			if err != nil {
 				return err
@@ -51,15 +52,15 @@
 			if findings := settings.Check(file, data); len(findings) > 0 {
 				return findings
 			}
-			return serve(file, data)
+			return serve(s.dialect, file, data)
 		}
 	}
 }
 
-func serve(file string, data []byte) error {
+func serve(dialect tanagerroad.Dialect, file string, data []byte) error {
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM)
-	p, err := process.Start(process.Environment{}, file, data)
+	p, err := process.Start(process.Environment{Dialect: dialect}, file, data)
 	if err != nil {
 		return err
 	}
@@ -87,10 +88,11 @@
 		if verbose {
 			level = "info"
 		}
-		logger, err := process.NewLogger(level)
+		logger, closeLog, err := logline.New(logline.Config{Level: level, Out: s.err})
 		if err != nil {
 			return err
 		}
+		defer closeLog()
 		return runDemo(ctx, s, d, asJSON, keep, logger)
 	}
 }
--- a/io/control/service.go
+++ b/io/control/service.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -16,6 +17,7 @@
 	"tanagerroad/core/directory"
 	"tanagerroad/core/event"
 	"tanagerroad/core/registry"
+	"tanagerroad/core/roster"
 	"tanagerroad/core/wire"
 	"tanagerroad/io/peer"
 	"tanagerroad/io/quorum"
@@ -46,6 +48,7 @@
 
 	mu        sync.Mutex
 	directory *directory.Directory
+	roster    *roster.Roster // backend servers that announce themselves to control instances
 	processes map[string]*process
 	wake      *signal.Signal
 	leaving   context.Context
@@ -57,6 +60,7 @@
 	s := &Service{
 		quorum: q, clock: clock, logger: logger,
 		directory: directory.New(directory.DefaultConfig()),
+		roster:    roster.New(roster.DefaultConfig()),
 		processes: map[string]*process{},
 		wake:      signal.New(),
 	}
@@ -98,7 +102,11 @@
 	if len(lapsed) > 0 {
 		event.LeaseLapsed.Log(s.logger, zap.Strings("servers", lapsed), zap.Bool("suspect-ourselves", suspect))
 	}
-	if s.directory.Sequence() != before {
+	silent := s.roster.Expire(now, here)
+	for _, id := range silent {
+		event.ServerLapsed.Log(s.logger, zap.String("server", id))
+	}
+	if s.directory.Sequence() != before || len(silent) > 0 {
 		s.wake.Give()
 	}
 	for id, p := range s.processes {
@@ -108,6 +116,32 @@
 	}
 }
 
+// here is the source of what backend servers say to this instance itself.
+const here = "here"
+
+// Announced takes what a backend server says to this instance.
+func (s *Service) Announced(a tanagerroad.Announcement) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.roster.Take(s.clock.Now(), here, a) {
+		event.ServerAnnounced.Log(s.logger, zap.String("server", a.ID), zap.String("pool", a.Pool), zap.String("address", a.Address),
+			zap.String("state", string(a.State)), zap.Uint64("sequence", a.Sequence), zap.Int64("born", a.Born))
+		s.wake.Give()
+	}
+}
+
+// Told takes what another control instance has heard, so that the last word of
+// a backend server outlives the instance that it was said to.
+func (s *Service) Told(update *wire.Update) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, a := range update.GetAnnounced() {
+		if s.roster.Take(s.clock.Now(), "", peer.AnnouncementFromWire(a)) {
+			s.wake.Give()
+		}
+	}
+}
+
 // Propose carries a command to the quorum.
 func (s *Service) Propose(ctx context.Context, command *wire.Command) (*wire.Outcome, error) {
 	return s.quorum.Propose(ctx, command)
@@ -124,6 +158,7 @@
 	ok := s.quorum.Read(ctx, func(r *registry.Registry) {
 		reply.Revision = r.Current()
 		reply.Quarantine = r.Quarantine()
+		reply.Catalog = r.Catalog()
 		if request.GetWhat() == "log" {
 			reply.Changes = r.Changes()
 		}
@@ -195,7 +230,10 @@
 			told = s.hear(notice, told)
 		}
 	}()
-	w := &watcher{revision: first.GetRevision(), directory: first.GetWantDirectory()}
+	w := &watcher{
+		revision: first.GetRevision(), directory: first.GetWantDirectory(),
+		roster: first.GetWantRoster(), catalog: first.GetCatalog(),
+	}
 	for {
 		update, wake := s.news(w)
 		if err := stream.Send(update); err != nil {
@@ -255,6 +293,48 @@
 	sequence   uint64
 	fullAt     time.Duration
 	told       bool
+
+	roster    bool
+	catalog   uint64
+	announced uint64 // sequence of the roster
+	gateways  []string
+	instances []string
+}
+
+// rosterNews adds what a gateway, or another control instance, has not been
+// told of.
+func (s *Service) rosterNews(w *watcher, view quorum.View, update *wire.Update) {
+	if c := view.Catalog; c.GetVersion() > w.catalog {
+		update.Catalog, w.catalog = c, c.GetVersion()
+	}
+	update.Whole = w.announced == 0
+	entries, sequence := s.roster.Since(here, w.announced)
+	w.announced = sequence
+	for _, e := range entries {
+		a := peer.AnnouncementToWire(e.Announcement)
+		a.Heard = e.Heard
+		update.Announced = append(update.Announced, a)
+	}
+	if gateways := s.gateways(); !slices.Equal(gateways, w.gateways) {
+		update.Gateways, w.gateways = gateways, gateways
+	}
+	if len(view.Instances) > 0 && !slices.Equal(view.Instances, w.instances) {
+		update.Instances, w.instances = view.Instances, view.Instances
+	}
+}
+
+// gatewayLapse is the silence after which a gateway is no neighbour any more.
+const gatewayLapse = 3 * time.Second
+
+func (s *Service) gateways() []string {
+	var out []string
+	for _, p := range s.processes {
+		if p.notice.GetAddress() != "" && s.clock.Now()-p.heard < gatewayLapse {
+			out = append(out, p.notice.GetAddress())
+		}
+	}
+	slices.Sort(out)
+	return out
 }
 
 // news returns what the watcher has not been told, and the channel that closes
@@ -274,6 +354,9 @@
 		w.quarantine = view.Quarantine.GetVersion()
 	}
 	w.told = true
+	if w.roster {
+		s.rosterNews(w, view, update)
+	}
 	if !w.directory {
 		return update, wake
 	}
--- a/io/peer/convert.go
+++ b/io/peer/convert.go
@@ -61,3 +61,20 @@
 	}
 	return delta
 }
+
+// AnnouncementToWire converts what a backend server says of itself.
+func AnnouncementToWire(a tanagerroad.Announcement) *wire.Announcement {
+	return &wire.Announcement{
+		Id: a.ID, Pool: a.Pool, Address: a.Address, Zone: a.Zone, Slots: uint32(max(0, a.Slots)), State: string(a.State),
+		Sequence: a.Sequence, BornMillis: a.Born, ColdMillis: a.Cold.Milliseconds(),
+	}
+}
+
+// AnnouncementFromWire converts what a backend server says of itself.
+func AnnouncementFromWire(a *wire.Announcement) tanagerroad.Announcement {
+	return tanagerroad.Announcement{
+		ID: a.GetId(), Pool: a.GetPool(), Address: a.GetAddress(), Zone: a.GetZone(), Slots: int(a.GetSlots()),
+		State: tanagerroad.ServerState(a.GetState()), Sequence: a.GetSequence(), Born: a.GetBornMillis(),
+		Cold: time.Duration(a.GetColdMillis()) * time.Millisecond,
+	}
+}
--- a/io/process/process.go
+++ b/io/process/process.go
@@ -14,13 +14,13 @@
 
 	"github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
-	"go.uber.org/zap/zapcore"
 
 	"tanagerroad"
 	"tanagerroad/core/event"
 	"tanagerroad/core/settings"
 	"tanagerroad/core/stop"
 	"tanagerroad/core/trace"
+	"tanagerroad/io/logline"
 	"tanagerroad/io/operator"
 	"tanagerroad/io/peer"
 )
@@ -36,43 +36,33 @@
 	leave    func()
 	drain    func(context.Context) int // returns what was left
 	closers  []func()
+	closeLog func() // after the last line
 	mu       sync.Mutex
 	state    string
 }
 
 // Environment is what processes of one program share.
 type Environment struct {
-	Logger *zap.Logger // nil: JSON lines on standard error
+	Logger  *zap.Logger         // nil: JSON lines on standard output
+	Dialect tanagerroad.Dialect // of gateways and registrars; nil: neither can run
 }
 
 func newProcess(env Environment, common settings.Common, role string, record settings.Record, st settings.Stop) (*Process, error) {
-	logger := env.Logger
+	logger, closeLog := env.Logger, func() {}
 	if logger == nil {
 		var err error
-		if logger, err = NewLogger(record.Level); err != nil {
+		if logger, closeLog, err = logline.New(logline.Config{Level: record.Level, Out: os.Stdout}); err != nil {
 			return nil, err
 		}
 	}
 	logger = logger.With(zap.String("process", common.Process), zap.String("role", role), zap.String("zone", common.Zone))
 	return &Process{
+		closeLog:  closeLog,
 		Addresses: map[string]string{}, Logger: logger, stopping: st, state: stop.Serving,
 		leave: func() {}, drain: func(context.Context) int { return 0 },
 	}, nil
 }
 
-// NewLogger writes JSON lines to standard error.
-func NewLogger(level string) (*zap.Logger, error) {
-	lowest, err := zapcore.ParseLevel(level)
-	if err != nil {
-		return nil, fmt.Errorf("log level: %w", err)
-	}
-	encoder := zap.NewProductionEncoderConfig()
-	encoder.EncodeTime = zapcore.RFC3339NanoTimeEncoder
-	encoder.EncodeDuration = zapcore.StringDurationEncoder
-	core := zapcore.NewCore(zapcore.NewJSONEncoder(encoder), zapcore.Lock(os.Stderr), lowest)
-	return zap.New(core), nil
-}
-
 func (p *Process) onClose(f func()) { p.closers = append(p.closers, f) }
 
 // openTrace opens the file that decisions are recorded in.
@@ -159,10 +149,10 @@
 	if left > 0 {
 		p.move(stop.BoundReached)
 	}
-	p.Close()
+	p.closeAll()
 	p.move(stop.Drained)
 	event.Stopped.Log(p.Logger, zap.Int("left", left))
-	_ = p.Logger.Sync() // standard error need not support it
+	p.closeLog()
 	return left
 }
 
@@ -171,6 +161,11 @@
 
 // Close ends the process at once, as its death would.
 func (p *Process) Close() {
+	p.closeAll()
+	p.closeLog()
+}
+
+func (p *Process) closeAll() {
 	for i := len(p.closers) - 1; i >= 0; i-- {
 		p.closers[i]()
 	}
--- a/io/process/roles.go
+++ b/io/process/roles.go
@@ -3,7 +3,10 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"net/http"
+	"runtime/debug"
+	"sync"
 	"time"
 
 	"google.golang.org/grpc"
@@ -16,9 +19,12 @@
 	"tanagerroad/io/caller"
 	"tanagerroad/io/control"
 	"tanagerroad/io/disk"
+	"tanagerroad/io/gateway"
 	"tanagerroad/io/operator"
 	"tanagerroad/io/peer"
 	"tanagerroad/io/quorum"
+	"tanagerroad/io/registrar"
+	"tanagerroad/io/signal"
 	"tanagerroad/io/standin"
 )
 
@@ -191,6 +197,11 @@
 		return 0
 	}
 	client := control.NewClient(b.links, s.Instances, p.Logger)
+	if s.Registrar.Address != "" {
+		if err := p.register(env, s, service, client, b); err != nil {
+			return p.fail(err)
+		}
+	}
 	tables := operator.Tables{Client: client, Instances: len(s.Instances)}
 	registerControlMetrics(b.metrics, member)
 	err = p.operate(operator.Config{
@@ -208,6 +219,110 @@
 	return p, nil
 }
 
+// register opens the door at which backend servers announce themselves, and
+// hears what the other instances were told.
+func (p *Process) register(env Environment, s settings.Control, service *control.Service, client *control.Client, b base) error {
+	if env.Dialect == nil {
+		return errNoDialect
+	}
+	config := registrar.Config{
+		Dialect: env.Dialect, Directory: service, Quorum: client, Logger: p.Logger, MaxBody: int64(s.Registrar.MaxBody),
+	}
+	server, err := p.listen("registrar", s.Registrar, config.Handler())
+	if err != nil {
+		return err
+	}
+	p.onClose(func() { _ = server.Close() })
+	ctx, cancel := context.WithCancel(context.Background())
+	var group sync.WaitGroup
+	p.onClose(func() {
+		cancel()
+		group.Wait()
+	})
+	for _, address := range s.Instances {
+		if address == s.Peer.Reachable() {
+			continue
+		}
+		watcher := control.Watcher{
+			Client: client, Every: watchEvery, Nudge: signal.New(), Take: service.Told,
+			Notice: func() *wire.Notice {
+				return &wire.Notice{Process: s.Process, Role: s.Role, Zone: s.Zone, Region: s.Region, WantRoster: true, Catalog: noCatalog}
+			},
+		}
+		group.Go(func() { watcher.Watch(ctx, []string{address}) })
+	}
+	return nil
+}
+
+const (
+	// watchEvery is how often a control instance tells another that it lives.
+	watchEvery = time.Second
+	// noCatalog is a version above all others: the log brings configurations.
+	noCatalog = math.MaxUint64
+)
+
+var errNoDialect = errors.New("this program speaks no dialect of backend servers and callers")
+
+// NewGateway starts a gateway.
+func NewGateway(env Environment, s settings.Gateway) (*Process, error) {
+	if env.Dialect == nil {
+		return nil, errNoDialect
+	}
+	p, err := newProcess(env, s.Common, s.Role, s.Record, s.Stop)
+	if err != nil {
+		return nil, err
+	}
+	debug.SetMemoryLimit(int64(memoryPart * float64(s.Memory)))
+	b := p.base()
+	g, closeGateway := gateway.New(gateway.Config{
+		Settings: s, Dialect: env.Dialect, Clock: b.clock, Logger: p.Logger, Links: b.links, Metrics: b.metrics,
+	})
+	p.onClose(closeGateway)
+	registerGauges(b.metrics, map[string]func() int64{
+		"requests.in-flight": func() int64 { return int64(g.InFlight()) },
+		"roster.usable":      func() int64 { return int64(g.Servers()) },
+		"catalog.version":    func() int64 { return int64(g.Version()) },
+	})
+	peers, stopPeers, err := peer.NewServer(s.Peer, b.meter, func(server *grpc.Server) { wire.RegisterGatewayServer(server, g) })
+	if err != nil {
+		return p.fail(err)
+	}
+	p.Addresses["peer"] = peers.Address
+	p.onClose(func() { stopPeers(ended()) })
+	server, err := p.listen("caller", s.Caller, g)
+	if err != nil {
+		return p.fail(err)
+	}
+	p.onClose(func() { _ = server.Close() })
+	ready, err := p.listen("ready", settings.Door{Address: s.Ready, MaxHeader: maxAnnounceHeader, HeaderTimeout: s.Caller.HeaderTimeout}, g.ReadyHandler())
+	if err != nil {
+		return p.fail(err)
+	}
+	p.onClose(func() { _ = ready.Close() })
+	p.leave = g.Leave
+	p.drain = func(ctx context.Context) int {
+		if err := server.Shutdown(ctx); err != nil {
+			return g.InFlight() // cut at the bound
+		}
+		return 0
+	}
+	err = p.operate(operator.Config{
+		Settings: s.Operator, Metrics: b.metrics, Ready: g.Ready,
+		Status: func(context.Context) any {
+			return Status{Process: s.Process, Role: s.Role, Revision: g.Version(), InFlight: g.InFlight(), Servers: g.Servers(), Ready: g.Ready()}
+		},
+	})
+	if err != nil {
+		return p.fail(err)
+	}
+	p.started()
+	return p, nil
+}
+
+// memoryPart is the part of the memory allowed above which garbage is
+// collected more often; the rest is for stacks, code and buffers in the system.
+const memoryPart = 0.7
+
 // controlDrain is how long a control instance waits for calls to end.
 const controlDrain = 2 * time.Second
 
@@ -257,6 +372,12 @@
 			return nil, findings
 		}
 		return NewControl(env, s)
+	case settings.RoleGateway:
+		s, findings := settings.ParseGateway(file, data)
+		if len(findings) > 0 {
+			return nil, findings
+		}
+		return NewGateway(env, s)
 	case settings.RoleStandIn:
 		s, findings := settings.ParseStandIn(file, data)
 		if len(findings) > 0 {
--- a/io/quorum/quorum.go
+++ b/io/quorum/quorum.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -59,6 +60,8 @@
 	ClaimBytes int
 	LogEntries int
 	DiskFailed bool
+	Catalog    *wire.Catalog
+	Instances  []string // peer addresses of the members, sorted
 }
 
 type proposal struct {
@@ -186,6 +189,9 @@
 		answers := q.transport.hello(ctx, q.Hello(), q.config.Settings.Instances)
 		answers[q.config.Settings.Peer.Reachable()] = q.Hello()
 		formation, members := replica.DecideFormation(q.Hello(), q.config.Settings.Instances, answers)
+		if formation == replica.Form && len(answers) > 0 && !q.config.Settings.Bootstrap && !formedElsewhere(answers) {
+			formation = replica.Wait // an emptied instance begins no history of its own
+		}
 		switch formation {
 		case replica.Form:
 			if q.adopt(members) {
@@ -205,6 +211,16 @@
 	}
 }
 
+// formedElsewhere reports whether some instance holds a history.
+func formedElsewhere(answers map[string]*wire.HelloReply) bool {
+	for _, answer := range answers {
+		if !answer.GetEmpty() {
+			return true
+		}
+	}
+	return false
+}
+
 // adopt begins a journal with the first membership.
 func (q *Quorum) adopt(members []*wire.Member) bool {
 	mark := &wire.SnapshotMark{Members: members}
@@ -422,11 +438,15 @@
 
 // publish shows the present view to the rest of the process.
 func (q *Quorum) publish() {
-	v := View{ID: q.id, Revision: q.registry.Current(), Quarantine: q.registry.Quarantine(), DiskFailed: q.failed}
+	v := View{ID: q.id, Revision: q.registry.Current(), Quarantine: q.registry.Quarantine(), DiskFailed: q.failed, Catalog: q.registry.Catalog()}
 	v.Claims, v.ClaimBytes = q.registry.Claims()
 	if q.replica != nil {
 		v.Role, v.Term, v.Commit = q.replica.Role(), q.replica.Term(), q.replica.Commit()
 		v.Leader, v.Members = q.replica.LeaderAddress(), q.replica.SettledMembers()
+		for _, m := range v.Members {
+			v.Instances = append(v.Instances, m.GetAddress())
+		}
+		slices.Sort(v.Instances)
 		for _, m := range q.replica.Members() {
 			q.transport.learn(m.GetId(), m.GetAddress())
 		}
@@ -439,7 +459,7 @@
 			event.NoQuorum.Log(q.config.Logger, zap.Uint64("term", v.Term))
 		}
 	}
-	if old == nil || old.Revision != v.Revision || old.Quarantine.GetVersion() != v.Quarantine.GetVersion() {
+	if old == nil || old.Revision != v.Revision || old.Catalog != v.Catalog || old.Quarantine.GetVersion() != v.Quarantine.GetVersion() {
 		q.news.Give()
 	}
 }
