process, replica: settings reload on SIGHUP and on change; a stop ends within the grace; silent members retire

A control instance at a new address was never taken in.

Ruled out: load, since every exit had code 129 at the moment of a hangup.

Change: SIGHUP and a look at the file each second hand changed settings to the process; requests that come late in a stop are refused, what is left at its bound gets its true answer; open membership takes in new addresses and takes out members silent for 5 s, down to two voters.

--- a/core/replica/log.go
+++ b/core/replica/log.go
@@ -147,6 +147,7 @@
 		r.sendAppend(m.GetId())
 	}
 	r.promote()
+	r.retire(at)
 }
 
 // sendAppend sends a member what comes next for it, or the snapshot when the
--- a/core/replica/member.go
+++ b/core/replica/member.go
@@ -31,7 +31,7 @@
 		return
 	}
 	known := slices.ContainsFunc(r.members, func(old *wire.Member) bool { return old.GetAddress() == m.GetAddress() })
-	if !known || m.GetAddress() == r.config.Address {
+	if !known && !r.config.Open || m.GetAddress() == r.config.Address || m.GetAddress() == "" {
 		return
 	}
 	var next []*wire.Member
@@ -81,6 +81,33 @@
 	}
 }
 
+// leastVoters is the number below which silent voters are kept: taking one out
+// must never leave a single instance to decide.
+const leastVoters = 2
+
+// retire takes out a member that has been silent for long, so that the quorum
+// is not counted over instances that never come back. One that does come back
+// asks to be taken in again.
+func (r *Replica) retire(at time.Duration) {
+	if !r.config.Open || r.role != Leader || !r.mayChangeMembers() {
+		return
+	}
+	voters := 0
+	for _, m := range r.members {
+		if m.GetVoter() {
+			voters++
+		}
+	}
+	for i, m := range r.members {
+		p := r.peers[m.GetId()]
+		if p == nil || at-p.heard < r.config.Retire || m.GetVoter() && voters <= leastVoters {
+			continue
+		}
+		r.changeMembers(slices.Delete(slices.Clone(r.members), i, i+1))
+		return
+	}
+}
+
 // Formation says what an empty instance must do.
 type Formation int
 
--- a/core/replica/replica.go
+++ b/core/replica/replica.go
@@ -56,6 +56,10 @@
 	Seed     uint64        // spreads the election timeouts
 	Entries  int           // most entries in one message
 	Chunk    int           // most bytes of entries or snapshot in one message
+	// Open lets identities at new addresses join, and takes out voters that
+	// are silent for Retire, down to two.
+	Open   bool
+	Retire time.Duration
 }
 
 // Stored is what the disk held at start.
@@ -468,6 +472,9 @@
 func (r *Replica) onPreVote(at time.Duration, m *wire.Message) {
 	granted := m.GetTerm() > r.term && r.upToDate(m) && !r.hearsLeader(at)
 	r.send(m.GetFrom(), preVoteReply, &wire.Message{Term: m.GetTerm(), Granted: granted, Round: r.term})
+	if r.config.Open && r.role == Leader && !r.isMember(m.GetFrom()) {
+		r.onJoin(m) // it was taken out while it was away and does not know it
+	}
 }
 
 func (r *Replica) onPreVoteReply(at time.Duration, m *wire.Message) {
--- a/io/command/commands.go
+++ b/io/command/commands.go
@@ -1,6 +1,7 @@
 package command
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -64,7 +65,7 @@
 	if err != nil {
 		return err
 	}
-	<-signals
+	awaitStop(p, file, data, signals)
 	go func() {
 		for range signals {
 			p.SignalAgain()
@@ -76,6 +77,33 @@
 	return nil
 }
 
+// lookEvery is how often the settings file is looked at: it may change without
+// a signal.
+const lookEvery = time.Second
+
+// awaitStop returns at a signal to stop. Until then it hands settings that have
+// changed to the process; SIGHUP has them read at once.
+func awaitStop(p *process.Process, file string, data []byte, signals <-chan os.Signal) {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	ticker := time.NewTicker(lookEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-signals:
+			return
+		case <-hangups:
+		case <-ticker.C:
+		}
+		next, err := os.ReadFile(file)
+		if err != nil || bytes.Equal(next, data) {
+			continue // a file that cannot be read now may be in the midst of a change
+		}
+		data = next
+		p.Reload(next)
+	}
+}
+
 func demoCommand(sub *flaggy.Subcommand) action {
 	d := 5 * time.Second
 	var asJSON, keep, verbose bool
--- a/io/control/client.go
+++ b/io/control/client.go
@@ -28,12 +28,12 @@
 
 // Client carries commands to whichever instance leads.
 type Client struct {
-	links     *peer.Links
-	addresses []string
-	logger    *zap.Logger
+	links  *peer.Links
+	logger *zap.Logger
 
-	mu     sync.Mutex
-	leader string
+	mu        sync.Mutex
+	addresses []string
+	leader    string
 }
 
 var _ tanagerroad.Proposer = (*Client)(nil)
@@ -43,6 +43,13 @@
 	return &Client{links: links, addresses: addresses, logger: logger}
 }
 
+// SetAddresses replaces the instances that are asked.
+func (c *Client) SetAddresses(addresses []string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.addresses = addresses
+}
+
 // SetLeader notes where a watch says that the leader is.
 func (c *Client) SetLeader(address string) {
 	c.mu.Lock()
@@ -167,7 +174,10 @@
 	var mu sync.Mutex
 	var group sync.WaitGroup
 	answers := map[string]T{}
-	for _, address := range c.addresses {
+	c.mu.Lock()
+	addresses := c.addresses
+	c.mu.Unlock()
+	for _, address := range addresses {
 		group.Go(func() {
 			conn, err := c.links.To(address)
 			if err != nil {
--- a/io/gateway/exchange.go
+++ b/io/gateway/exchange.go
@@ -30,6 +30,9 @@
 	unsaidDeadline = time.Minute
 	// retryUsual is when to come back where nothing better is known.
 	retryUsual = 500 * time.Millisecond
+	// retryElsewhere is when to come back where another gateway can serve at
+	// once.
+	retryElsewhere = 20 * time.Millisecond
 	// bodyKept is the largest answer that is gathered before it is passed
 	// on, in bytes, so that one cut short can be asked for again.
 	bodyKept = 128 << 10
@@ -78,6 +81,11 @@
 	x := &exchange{g: g, w: w, r: r, arrived: g.now(), call: g.config.Dialect.Call(r.Header), retry: retryUsual}
 	if g.leaving.Load() {
 		w.Header().Set("Connection", "close")
+		if g.now()-time.Duration(g.leftAt.Load()) > lastWork {
+			x.retry = retryElsewhere
+			x.refuse("this gateway is stopping")
+			return
+		}
 	}
 	if !x.admit() {
 		return
@@ -85,6 +93,8 @@
 	ctx, cancel := context.WithTimeout(r.Context(), x.deadline-g.now())
 	defer cancel()
 	x.ctx = ctx
+	g.begin(x, cancel)
+	defer g.ended(x)
 	x.serve()
 }
 
@@ -431,7 +441,7 @@
 
 // fail answers a request that may have run.
 func (x *exchange) fail() {
-	if x.ctx.Err() != nil {
+	if errors.Is(x.ctx.Err(), context.DeadlineExceeded) {
 		x.answer(http.StatusGatewayTimeout, "no answer came in time")
 		return
 	}
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -27,6 +27,10 @@
 	"tanagerroad/io/signal"
 )
 
+// lastWork is how long a gateway that leaves takes new requests on open
+// connections; one that came later might not end before the process does.
+const lastWork = 2200 * time.Millisecond
+
 // tendEvery is the time between rounds of housekeeping.
 const tendEvery = 500 * time.Millisecond
 
@@ -51,6 +55,7 @@
 	ctx     context.Context
 	nudge   *signal.Signal
 	leaving atomic.Bool
+	leftAt  atomic.Int64 // when it began to leave, on the clock
 	flight  atomic.Int64
 	catalog atomic.Pointer[catalog.Index]
 	meters  meters
@@ -62,7 +67,14 @@
 	sources  map[string]*source       // control instances, by address
 	gateways []string                 // peer addresses, this one included
 	whole    bool                     // some source has told all that it hears
-	watches  sync.WaitGroup
+
+	seeds     []string // control instances that the settings name
+	instances []string // control instances that they themselves name
+	watches   *control.Watches
+
+	stopMu  sync.Mutex
+	ending  map[*exchange]func() // of what is in flight
+	stopped bool                 // what is in flight is ended
 }
 
 // New starts a gateway's watches. The returned function ends them.
@@ -80,11 +92,19 @@
 		budgets: map[string]*limit.Budget{}, sources: map[string]*source{},
 		gateways: []string{config.Settings.Peer.Reachable()},
 		meters:   newMeters(config.Metrics),
+		seeds:    config.Settings.Control,
+		ending:   map[*exchange]func(){},
 	}
 	g.shop = newWorkshop(g)
 	g.owners = newOwners(g)
-	g.watchAll(config.Settings.Control)
-	g.watches.Go(func() {
+	watches, closeWatches := control.NewWatches(g.watch)
+	g.watches = watches
+	g.mu.Lock()
+	g.watchAll()
+	g.mu.Unlock()
+	tended := make(chan struct{})
+	go func() {
+		defer close(tended)
 		ticker := time.NewTicker(tendEvery)
 		defer ticker.Stop()
 		for {
@@ -95,10 +115,11 @@
 				g.tend()
 			}
 		}
-	})
+	}()
 	return g, func() {
 		cancel()
-		g.watches.Wait()
+		closeWatches()
+		<-tended
 		closeClient()
 	}
 }
@@ -115,10 +136,39 @@
 // Leave says that the gateway takes no new connections: it tells the balancer,
 // and asks callers to close theirs.
 func (g *Gateway) Leave() {
+	g.leftAt.Store(int64(g.now()))
 	g.leaving.Store(true)
 	g.nudge.Give()
 }
 
+// EndAll ends what is in flight with the answer that is true of it, and returns
+// how much that was.
+func (g *Gateway) EndAll() int {
+	g.stopMu.Lock()
+	defer g.stopMu.Unlock()
+	g.stopped = true
+	for _, end := range g.ending {
+		end()
+	}
+	return len(g.ending)
+}
+
+// begin notes how an exchange can be ended.
+func (g *Gateway) begin(x *exchange, end func()) {
+	g.stopMu.Lock()
+	defer g.stopMu.Unlock()
+	g.ending[x] = end
+	if g.stopped {
+		end()
+	}
+}
+
+func (g *Gateway) ended(x *exchange) {
+	g.stopMu.Lock()
+	defer g.stopMu.Unlock()
+	delete(g.ending, x)
+}
+
 // InFlight is the number of requests without a final answer.
 func (g *Gateway) InFlight() int { return int(g.flight.Load()) }
 
--- a/io/gateway/watch.go
+++ b/io/gateway/watch.go
@@ -24,21 +24,44 @@
 	gateways  []string
 }
 
-// watchAll keeps a watch at each control instance: backend servers announce
-// themselves to any of them.
-func (g *Gateway) watchAll(addresses []string) {
-	for _, address := range addresses {
-		if g.sources[address] != nil {
-			continue
-		}
-		g.sources[address] = &source{heard: g.now()}
-		watcher := control.Watcher{
-			Client: g.control, Every: noticeEvery, Nudge: g.nudge,
-			Notice: g.notice,
-			Take:   func(update *wire.Update) { g.take(address, update) },
+// watch is the watch at one control instance.
+func (g *Gateway) watch(address string) control.Watcher {
+	return control.Watcher{
+		Client: g.control, Every: noticeEvery, Nudge: g.nudge, Notice: g.notice,
+		Take: func(update *wire.Update) { g.take(address, update) },
+	}
+}
+
+// watchAll keeps a watch at each control instance that the settings or the
+// instances themselves name: backend servers announce themselves to any of
+// them. The caller holds the lock.
+func (g *Gateway) watchAll() {
+	all := slices.Concat(g.seeds, g.instances)
+	slices.Sort(all)
+	all = slices.Compact(all)
+	for _, address := range all {
+		if g.sources[address] == nil {
+			g.sources[address] = &source{heard: g.now()}
 		}
-		g.watches.Go(func() { watcher.Watch(g.ctx, []string{address}) })
 	}
+	g.control.SetAddresses(all)
+	stopped := g.watches.Set(all)
+	for _, address := range stopped {
+		delete(g.sources, address)
+		g.roster.Retain(address, nil)
+	}
+	if len(stopped) > 0 {
+		g.rosterMoved(g.now())
+	}
+}
+
+// Reconfigure takes what may change while the gateway runs: the control
+// instances that the settings name.
+func (g *Gateway) Reconfigure(control []string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.seeds = control
+	g.watchAll()
 }
 
 func (g *Gateway) notice() *wire.Notice {
@@ -61,13 +84,17 @@
 	defer g.mu.Unlock()
 	now := g.now()
 	s := g.sources[address]
+	if s == nil {
+		return // it is not watched any more
+	}
 	if !s.connected {
 		event.SourceBack.Log(g.config.Logger, zap.String("source", address), zap.Duration("silent", now-s.heard))
 	}
 	s.heard, s.connected = now, true
 	g.whole = g.whole || update.GetWhole()
-	if len(update.GetInstances()) > 0 {
-		g.watchAll(update.GetInstances())
+	if len(update.GetInstances()) > 0 && !slices.Equal(update.GetInstances(), g.instances) {
+		g.instances = update.GetInstances()
+		g.watchAll()
 	}
 	if len(update.GetGateways()) > 0 {
 		s.gateways = update.GetGateways()
--- a/io/process/process.go
+++ b/io/process/process.go
@@ -35,6 +35,7 @@
 	stopping settings.Stop
 	leave    func()
 	drain    func(context.Context) int // returns what was left
+	reload   func(data []byte) error
 	closers  []func()
 	closeLog func() // after the last line
 	mu       sync.Mutex
@@ -59,7 +60,7 @@
 	return &Process{
 		closeLog:  closeLog,
 		Addresses: map[string]string{}, Logger: logger, stopping: st, state: stop.Serving,
-		leave: func() {}, drain: func(context.Context) int { return 0 },
+		leave: func() {}, reload: func([]byte) error { return nil }, drain: func(context.Context) int { return 0 },
 	}, nil
 }
 
@@ -156,6 +157,16 @@
 	return left
 }
 
+// Reload takes what may change while the process runs from settings that were
+// read again. Whatever else differs is in force from the next start.
+func (p *Process) Reload(data []byte) {
+	if err := p.reload(data); err != nil {
+		event.ReloadFailed.Log(p.Logger, zap.Error(err))
+		return
+	}
+	event.Reloaded.Log(p.Logger, zap.Int("bytes", len(data)))
+}
+
 // SignalAgain notes a further signal, which changes nothing.
 func (p *Process) SignalAgain() { p.move(stop.Signal) }
 
--- a/io/process/roles.go
+++ b/io/process/roles.go
@@ -6,7 +6,7 @@
 	"math"
 	"net/http"
 	"runtime/debug"
-	"sync"
+	"slices"
 	"time"
 
 	"google.golang.org/grpc"
@@ -79,9 +79,15 @@
 
 // truthTime is how long requests have to be answered truthfully once the stop's
 // bound is reached.
-const truthTime = 2 * time.Second
+const truthTime = 600 * time.Millisecond
 
-func drainHTTP(ctx context.Context, server *http.Server, entry *caller.Entry) int {
+// settingsFile names the settings in findings of a reload.
+const settingsFile = "settings"
+
+// ender ends what is in flight with true answers, and says how much that was.
+type ender interface{ EndAll() int }
+
+func drainHTTP(ctx context.Context, server *http.Server, entry ender) int {
 	if err := server.Shutdown(ctx); err == nil {
 		return 0
 	}
@@ -187,6 +193,14 @@
 	}
 	p.Addresses["peer"] = peers.Address
 	p.onClose(func() { stopPeers(ended()) })
+	p.reload = func(data []byte) error {
+		next, findings := settings.ParseControl(settingsFile, data)
+		if err := findings.Err(); err != nil {
+			return err
+		}
+		member.SetSeeds(next.Instances)
+		return nil
+	}
 	p.drain = func(ctx context.Context) int {
 		// Changes that wait are settled; watches never end by themselves.
 		short, cancel := context.WithTimeout(ctx, controlDrain)
@@ -198,7 +212,7 @@
 	}
 	client := control.NewClient(b.links, s.Instances, p.Logger)
 	if s.Registrar.Address != "" {
-		if err := p.register(env, s, service, client, b); err != nil {
+		if err := p.register(env, s, service, client, member); err != nil {
 			return p.fail(err)
 		}
 	}
@@ -221,7 +235,7 @@
 
 // register opens the door at which backend servers announce themselves, and
 // hears what the other instances were told.
-func (p *Process) register(env Environment, s settings.Control, service *control.Service, client *control.Client, b base) error {
+func (p *Process) register(env Environment, s settings.Control, service *control.Service, client *control.Client, member *quorum.Quorum) error {
 	if env.Dialect == nil {
 		return errNoDialect
 	}
@@ -233,24 +247,30 @@
 		return err
 	}
 	p.onClose(func() { _ = server.Close() })
-	ctx, cancel := context.WithCancel(context.Background())
-	var group sync.WaitGroup
-	p.onClose(func() {
-		cancel()
-		group.Wait()
-	})
-	for _, address := range s.Instances {
-		if address == s.Peer.Reachable() {
-			continue
-		}
-		watcher := control.Watcher{
+	watches, closeWatches := control.NewWatches(func(string) control.Watcher {
+		return control.Watcher{
 			Client: client, Every: watchEvery, Nudge: signal.New(), Take: service.Told,
 			Notice: func() *wire.Notice {
 				return &wire.Notice{Process: s.Process, Role: s.Role, Zone: s.Zone, Region: s.Region, WantRoster: true, Catalog: noCatalog}
 			},
 		}
-		group.Go(func() { watcher.Watch(ctx, []string{address}) })
-	}
+	})
+	p.onClose(closeWatches)
+	ctx, cancel := context.WithCancel(context.Background())
+	p.onClose(cancel)
+	go func() {
+		ticker := time.NewTicker(watchEvery)
+		defer ticker.Stop()
+		for ctx.Err() == nil {
+			instances := member.Instances()
+			client.SetAddresses(instances)
+			watches.Set(slices.DeleteFunc(slices.Clone(instances), func(address string) bool { return address == s.Peer.Reachable() }))
+			select {
+			case <-ctx.Done():
+			case <-ticker.C:
+			}
+		}
+	}()
 	return nil
 }
 
@@ -300,11 +320,14 @@
 	}
 	p.onClose(func() { _ = ready.Close() })
 	p.leave = g.Leave
-	p.drain = func(ctx context.Context) int {
-		if err := server.Shutdown(ctx); err != nil {
-			return g.InFlight() // cut at the bound
+	p.drain = func(ctx context.Context) int { return drainHTTP(ctx, server, g) }
+	p.reload = func(data []byte) error {
+		next, findings := settings.ParseGateway(settingsFile, data)
+		if err := findings.Err(); err != nil {
+			return err
 		}
-		return 0
+		g.Reconfigure(next.Control)
+		return nil
 	}
 	err = p.operate(operator.Config{
 		Settings: s.Operator, Metrics: b.metrics, Ready: g.Ready,
--- a/io/quorum/quorum.go
+++ b/io/quorum/quorum.go
@@ -34,6 +34,9 @@
 	entriesMost = 512
 	chunkBytes  = 256 << 10
 	tickEvery   = 20 * time.Millisecond
+	// retireAfter is longer than a restart takes, and shorter than the pause
+	// in which a second instance may be lost.
+	retireAfter = 5 * time.Second
 )
 
 // Config is what a quorum member needs.
@@ -111,6 +114,7 @@
 	formed atomic.Bool
 	mu     sync.Mutex
 	first  []*wire.Member // of the first membership
+	seeds  []string       // addresses of instances that the settings name
 }
 
 // New opens the store and starts the loop. The returned function ends it.
@@ -126,6 +130,7 @@
 		news:      signal.New(),
 		waiters:   map[uint64]waiter{},
 		reads:     map[uint64]reading{},
+		seeds:     config.Settings.Instances,
 	}
 	id, err := q.store.Identity(func() string { return ulid.Make().String() })
 	if err != nil {
@@ -162,6 +167,7 @@
 	q.replica = replica.New(replica.Config{
 		ID: q.id, Address: s.Peer.Reachable(), Election: s.Election.D(), Beat: s.Beat.D(),
 		Seed: xxhash.Sum64String(q.id), Entries: entriesMost, Chunk: chunkBytes,
+		Open: s.Open, Retire: retireAfter,
 	}, q.config.Clock.Now(), stored)
 	q.mu.Lock()
 	q.first = q.replica.FirstMembers()
@@ -186,9 +192,10 @@
 	ticker := time.NewTicker(helloEvery)
 	defer ticker.Stop()
 	for {
-		answers := q.transport.hello(ctx, q.Hello(), q.config.Settings.Instances)
+		listed := q.Instances()
+		answers := q.transport.hello(ctx, q.Hello(), listed)
 		answers[q.config.Settings.Peer.Reachable()] = q.Hello()
-		formation, members := replica.DecideFormation(q.Hello(), q.config.Settings.Instances, answers)
+		formation, members := replica.DecideFormation(q.Hello(), listed, answers)
 		if formation == replica.Form && len(answers) > 0 && !q.config.Settings.Bootstrap && !formedElsewhere(answers) {
 			formation = replica.Wait // an emptied instance begins no history of its own
 		}
@@ -211,6 +218,22 @@
 	}
 }
 
+// SetSeeds replaces the instances that the settings name.
+func (q *Quorum) SetSeeds(addresses []string) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.seeds = addresses
+}
+
+// Instances lists the addresses of the members and of the seeds, sorted.
+func (q *Quorum) Instances() []string {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	all := slices.Concat(q.seeds, q.View().Instances)
+	slices.Sort(all)
+	return slices.Compact(all)
+}
+
 // formedElsewhere reports whether some instance holds a history.
 func formedElsewhere(answers map[string]*wire.HelloReply) bool {
 	for _, answer := range answers {
