batch, fleet: calls spaced over the length of one, room counted, prompts placed by their shared part

Ruled out: too few servers (capacity 128 pieces a second, 61 asked for).

Change: spacing, room with a margin and frees counted, priorities and zones in the order; a prompt's home is the rendezvous of its last shared part, the same at every gateway, and its large results are made in that zone when they can.

--- a/core/batch/batch.go
+++ b/core/batch/batch.go
@@ -26,6 +26,18 @@
 	// slowFactor is how much slower than its pool a backend server may be
 	// before it is given work only when no other is idle.
 	slowFactor = 2.5
+	// sizeMargin covers results that are larger than their stage's usual size,
+	// and those that are given up but not yet freed.
+	sizeMargin = 1.1
+	// fullPause is how long a backend server without room gets no results to
+	// keep.
+	fullPause = 200 * time.Millisecond
+	// zoneBonus is how much earlier a piece is taken in the zone that wants
+	// its result.
+	zoneBonus = 100 * time.Millisecond
+	// priorityStep is how much a job of one priority may wait longer than one
+	// of the next.
+	priorityStep = 150 * time.Millisecond
 	// triesMost is how often a piece is tried before its job fails.
 	triesMost = 4
 )
@@ -41,9 +53,13 @@
 	Deadline time.Duration // of the request
 	Due      time.Duration // until then it is in time for the request's aim
 	Priority int
-	Bytes    int // of one result
+	Bytes    int    // of one result
+	Zone     string // that wants the results; empty: any
 }
 
+// size is the room that a result is counted with.
+func (j *Job) size() int64 { return int64(sizeMargin * float64(j.Bytes)) }
+
 // Piece is one piece of a job.
 type Piece struct {
 	Job   *Job
@@ -85,7 +101,8 @@
 	idleFrom time.Duration
 	held     map[string]held // results, by handle
 	heldSum  int64
-	pending  int64 // bytes of results being made
+	pending  int64         // bytes of results being made
+	full     time.Duration // until then it has no room
 }
 
 type held struct {
@@ -100,6 +117,7 @@
 	queue   []*Piece
 	jobs    map[string]*Job
 	speed   float64 // mean of the pool
+	sent    time.Duration
 }
 
 // New returns a pool without backend servers.
@@ -138,7 +156,7 @@
 func (p *Pool) Predict(at time.Duration, pieces int, due time.Duration, priority int) time.Duration {
 	before := 0
 	for _, q := range p.queue {
-		if p.before(at, q.Job, &Job{Due: due, Deadline: due, Priority: priority}) {
+		if p.before(at, q.Job, &Job{Due: due, Deadline: due, Priority: priority}, "") {
 			before++
 		}
 	}
@@ -177,8 +195,8 @@
 	p.queue = slices.DeleteFunc(p.queue, func(q *Piece) bool { return q.Job.ID == id })
 }
 
-// before orders jobs: those that can still make their aim go first.
-func (p *Pool) before(at time.Duration, a, b *Job) bool {
+// before orders jobs for a zone: those that can still make their aim go first.
+func (p *Pool) before(at time.Duration, a, b *Job, zone string) bool {
 	lateA, lateB := a.Due < at, b.Due < at
 	if lateA != lateB {
 		return lateB
@@ -186,7 +204,17 @@
 	if lateA && a.Priority != b.Priority {
 		return a.Priority < b.Priority
 	}
-	return a.Due < b.Due
+	return a.turn(zone) < b.turn(zone)
+}
+
+// turn is a job's place in the order: less urgent ones, and those whose results
+// are wanted in another zone, are set back a little.
+func (j *Job) turn(zone string) time.Duration {
+	turn := j.Due + time.Duration(j.Priority)*priorityStep
+	if j.Zone != "" && zone != "" && j.Zone != zone {
+		turn += zoneBonus
+	}
+	return turn
 }
 
 // Lapse drops what has passed its deadline.
@@ -204,18 +232,44 @@
 
 // Next is the next call that should be made now; false when there is none.
 func (p *Pool) Next(at time.Duration) (*Call, bool) {
-	if len(p.queue) == 0 {
+	if len(p.queue) == 0 || at < p.held(at) {
 		return nil, false
 	}
-	w := p.idle(at)
-	if w == nil {
-		return nil, false
+	for _, w := range p.idle(at) {
+		if call := p.fill(at, w); call != nil {
+			p.sent = at
+			return call, true
+		}
+	}
+	return nil, false
+}
+
+// held is when the next call may start. Calls are spaced over the length of
+// one, the more so the fewer backend servers are idle: otherwise those that
+// become idle together take one piece each and are all at work when the next
+// pieces come. A full call need not wait.
+func (p *Pool) held(at time.Duration) time.Duration {
+	if len(p.queue) >= p.traits.Batch || len(p.workers) == 0 {
+		return at
+	}
+	busy := 0
+	for _, w := range p.workers {
+		if w.calls > 0 {
+			busy++
+		}
 	}
+	n := len(p.workers)
+	usual := time.Duration(float64(p.traits.Call+time.Duration(p.traits.Batch/2)*p.traits.Item) * p.speed)
+	return p.sent + usual*time.Duration(busy)/time.Duration(n*n)
+}
+
+// fill takes the pieces for a call to w; nil when none fits.
+func (p *Pool) fill(at time.Duration, w *worker) *Call {
 	slices.SortStableFunc(p.queue, func(a, b *Piece) int {
 		switch {
-		case p.before(at, a.Job, b.Job):
+		case p.before(at, a.Job, b.Job, w.Zone):
 			return -1
-		case p.before(at, b.Job, a.Job):
+		case p.before(at, b.Job, a.Job, w.Zone):
 			return 1
 		}
 		return cmp.Compare(a.Job.ID, b.Job.ID)
@@ -224,15 +278,16 @@
 	room := p.room(at, w)
 	var rest []*Piece
 	for _, q := range p.queue {
-		bytes := int64(q.Job.Bytes)
-		fits := len(call.Pieces) < p.traits.Batch && (bytes <= room || len(call.Pieces) == 0)
-		if !fits {
-			rest = append(rest, q)
+		if size := q.Job.size(); len(call.Pieces) < p.traits.Batch && size <= room {
+			call.Pieces = append(call.Pieces, q)
+			room -= size
+			w.pending += size
 			continue
 		}
-		call.Pieces = append(call.Pieces, q)
-		room -= bytes
-		w.pending += bytes
+		rest = append(rest, q)
+	}
+	if len(call.Pieces) == 0 {
+		return nil
 	}
 	p.queue = rest
 	work := p.traits.Call + time.Duration(len(call.Pieces))*p.traits.Item
@@ -241,7 +296,7 @@
 	call.Waiting = len(rest)
 	w.calls++
 	w.freeAt = at + call.Expected
-	return call, true
+	return call
 }
 
 // room is the bytes of results that a backend server can still keep.
@@ -255,22 +310,28 @@
 	if p.traits.Room <= 0 {
 		return 1 << 62
 	}
+	if at < w.full {
+		return 0
+	}
 	return p.traits.Room - w.heldSum - w.pending
 }
 
-// idle is the backend server that has had nothing to do for the longest; a
-// slow one only where no other is idle.
-func (p *Pool) idle(at time.Duration) *worker {
-	var best *worker
+// idle lists the backend servers that have nothing to do, the one that has been
+// so for the longest first, slow ones last.
+func (p *Pool) idle(at time.Duration) []*worker {
+	var out []*worker
 	for _, w := range p.workers {
-		if w.calls >= p.traits.Slots || at < w.ejected {
-			continue
-		}
-		if best == nil || p.prefer(w, best) {
-			best = w
+		if w.calls < p.traits.Slots && at >= w.ejected {
+			out = append(out, w)
 		}
 	}
-	return best
+	slices.SortFunc(out, func(a, b *worker) int {
+		if p.prefer(a, b) {
+			return -1
+		}
+		return 1
+	})
+	return out
 }
 
 func (p *Pool) prefer(a, b *worker) bool {
@@ -290,6 +351,9 @@
 		return 0, false
 	}
 	next := p.queue[0].Job.Deadline
+	if held := p.held(at); held > at {
+		next = held
+	}
 	for _, q := range p.queue {
 		next = min(next, q.Job.Deadline)
 	}
@@ -297,6 +361,9 @@
 		if w.ejected > at {
 			next = min(next, w.ejected)
 		}
+		if w.full > at {
+			next = min(next, w.full)
+		}
 	}
 	return next, true
 }
@@ -316,8 +383,8 @@
 		if outcomes != nil && outcomes[i].Handle != "" {
 			out = append(out, Made{Job: q.Job, Piece: q.Piece, Handle: outcomes[i].Handle, Zone: call.Server.Zone})
 			if w != nil && q.Job.Bytes > 0 {
-				w.held[outcomes[i].Handle] = held{int64(q.Job.Bytes), at + p.traits.Keep}
-				w.heldSum += int64(q.Job.Bytes)
+				w.held[outcomes[i].Handle] = held{q.Job.size(), at + p.traits.Keep}
+				w.heldSum += q.Job.size()
 			}
 			continue
 		}
@@ -328,7 +395,11 @@
 		if _, wanted := p.jobs[q.Job.ID]; !wanted {
 			continue
 		}
-		q.tries++
+		if reason == tanagerroad.PieceRoom && w != nil {
+			w.full = at + fullPause
+		} else {
+			q.tries++
+		}
 		again := reason != tanagerroad.PieceGone && reason != tanagerroad.PieceLate && at < q.Job.Deadline
 		if again && (full || q.tries < triesMost) {
 			p.queue = append(p.queue, q)
@@ -344,7 +415,7 @@
 	w.calls = max(0, w.calls-1)
 	w.idleFrom, w.freeAt = at, at
 	for _, q := range call.Pieces {
-		w.pending -= int64(q.Job.Bytes)
+		w.pending -= q.Job.size()
 	}
 	if outcomes == nil {
 		w.ejected = at + ejectTime
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -7,6 +7,8 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"tanagerroad"
 )
 
@@ -16,7 +18,7 @@
 	zoneCost       = 2 * time.Millisecond    // there and back between zones of a region
 	waitingCost    = 400 * time.Millisecond  // for each request that waits for a slot there
 	runningCost    = 1500 * time.Microsecond // a request beside it slows every token
-	tokenCost      = 8 * time.Microsecond    // a prompt token read anew
+	tokenCost      = 20 * time.Microsecond   // a prompt token read anew, which delays all that run there
 	resultZoneCost = 60 * time.Millisecond   // stage results fetched across zones, with their price
 	coldCost       = 50 * time.Millisecond   // a backend server that is still warming up
 	firstGuess     = 30 * time.Millisecond   // latency of one that has not answered yet
@@ -116,6 +118,46 @@
 // Len is the number of usable backend servers.
 func (f *Fleet) Len() int { return len(f.servers) }
 
+// sharedPart is the part of a prompt that places it: the last one that other
+// requests share.
+func sharedPart(parts []tanagerroad.PromptPart) string {
+	switch len(parts) {
+	case 0:
+		return ""
+	case 1:
+		return parts[0].ID
+	}
+	return parts[len(parts)-2].ID
+}
+
+// home is the backend server of the pool that keeps a prompt part: all gateways
+// that know the same backend servers agree on it without a word.
+func (f *Fleet) home(at time.Duration, pool, part string) *server {
+	var best *server
+	var most uint64
+	for _, s := range f.pools[pool] {
+		if at < s.ejected || s.Cold > 0 {
+			continue
+		}
+		if weight := xxhash.Sum64String(part + "|" + s.ID); best == nil || weight > most {
+			best, most = s, weight
+		}
+	}
+	return best
+}
+
+// HomeZone is the zone in which a prompt's shared parts are likely kept; empty
+// when there is none.
+func (f *Fleet) HomeZone(at time.Duration, pool string, parts []tanagerroad.PromptPart) string {
+	if len(parts) == 0 {
+		return ""
+	}
+	if s := f.home(at, pool, sharedPart(parts)); s != nil {
+		return s.Zone
+	}
+	return ""
+}
+
 // Pick chooses a backend server and counts the attempt as in flight there;
 // false when the pool has none that is not excluded.
 func (f *Fleet) Pick(at time.Duration, ask Ask) (Choice, bool) {
@@ -124,6 +166,10 @@
 	var kept int
 	candidates := 0
 	list := f.pools[ask.Pool]
+	var home *server
+	if len(ask.Parts) > 0 {
+		home = f.home(at, ask.Pool, sharedPart(ask.Parts))
+	}
 	for i := range list {
 		// Starting at a place of chance spreads equal costs.
 		s := list[(uint64(i)+ask.Chance)%uint64(len(list))]
@@ -131,7 +177,7 @@
 			continue
 		}
 		candidates++
-		cost, tokens := f.cost(at, s, ask)
+		cost, tokens := f.cost(at, s, ask, s == home)
 		if best == nil || cost < least {
 			best, least, kept = s, cost, tokens
 		}
@@ -149,14 +195,15 @@
 
 // cost predicts what a placement costs the caller, and the prompt tokens that
 // are kept there.
-func (f *Fleet) cost(at time.Duration, s *server, ask Ask) (time.Duration, int) {
+func (f *Fleet) cost(at time.Duration, s *server, ask Ask, home bool) (time.Duration, int) {
 	total, kept := s.latency, 0
 	if len(ask.Parts) > 0 {
 		fresh := 0
 		hit := true
-		for _, p := range ask.Parts {
+		for i, p := range ask.Parts {
 			used, ok := s.parts[p.ID]
-			hit = hit && ok && at-used < partLife
+			shared := i < len(ask.Parts)-1 || i == 0
+			hit = hit && (ok && at-used < partLife || home && shared)
 			if hit {
 				kept += p.Tokens
 			} else {
--- a/io/gateway/stages.go
+++ b/io/gateway/stages.go
@@ -25,6 +25,7 @@
 	freed    map[string]bool
 	gone     bool // a backend server says that an input is gone
 	losses   int
+	zone     string // in which the request itself will likely run
 }
 
 type stageJob struct {
@@ -35,13 +36,16 @@
 }
 
 func newStageRun(x *exchange) *stageRun {
+	x.g.mu.Lock()
+	zone := x.g.fleet.HomeZone(x.g.now(), x.pool, x.call.Parts)
+	x.g.mu.Unlock()
 	// A result for each piece, and one for each loss of an owner.
 	room := ownerTries * (1 + len(x.route.Stages))
 	for _, n := range x.call.Pieces {
 		room += n
 	}
 	return &stageRun{
-		x: x, results: make(chan *wire.PieceResult, room*3), jobs: map[uint64]*stageJob{}, freed: map[string]bool{},
+		x: x, zone: zone, results: make(chan *wire.PieceResult, room*3), jobs: map[uint64]*stageJob{}, freed: map[string]bool{},
 		pipeline: pipeline.New(pipeline.Config{
 			Stages: x.route.Stages, Pieces: x.call.Pieces, Aim: x.arrived + x.route.Aim, Deadline: x.deadline,
 			Traits: func(pool string) *tanagerroad.PieceTraits {
@@ -79,7 +83,7 @@
 	ask := &wire.PieceJob{
 		Request: x.call.ID, Pool: job.Pool, Stage: uint32(job.Stage), Inputs: job.Inputs,
 		LeftMillis: (job.Deadline - now).Milliseconds(), SlackMillis: (job.Due - now).Milliseconds(),
-		Priority: int32(x.priority), ResultBytes: uint32(job.Bytes),
+		Priority: int32(x.priority), ResultBytes: uint32(job.Bytes), Zone: s.zone,
 	}
 	if len(job.Inputs) == 0 {
 		ask.Key = x.call.PieceKey
--- a/io/gateway/workshop.go
+++ b/io/gateway/workshop.go
@@ -27,6 +27,8 @@
 	// freeEvery gathers results that are given up into one call to each
 	// backend server.
 	freeEvery = 100 * time.Millisecond
+	// leastWake keeps what is due again and again from taking the processor.
+	leastWake = 5 * time.Millisecond
 	// freeTimeout bounds a call that gives results up.
 	freeTimeout = 2 * time.Second
 	// answerMost is the largest answer to a call, in bytes.
@@ -40,8 +42,9 @@
 	mu    sync.Mutex
 	pools map[string]*batch.Pool
 	jobs  map[string]*order
-	free  map[string][]string // results to give up, by address
-	timer *time.Timer         // for freeing
+	free  map[string][]string    // results to give up, by address
+	timer *time.Timer            // for freeing
+	wakes map[string]*time.Timer // by pool, for what is due without another event
 }
 
 // order is a job with who waits for it.
@@ -54,7 +57,7 @@
 }
 
 func newWorkshop(g *Gateway) *workshop {
-	return &workshop{g: g, pools: map[string]*batch.Pool{}, jobs: map[string]*order{}, free: map[string][]string{}}
+	return &workshop{g: g, pools: map[string]*batch.Pool{}, jobs: map[string]*order{}, free: map[string][]string{}, wakes: map[string]*time.Timer{}}
 }
 
 // pool returns the pool of that name; nil when the configuration in force has
@@ -109,6 +112,7 @@
 			Deadline: at + time.Duration(job.GetLeftMillis())*time.Millisecond,
 			Due:      at + time.Duration(job.GetSlackMillis())*time.Millisecond,
 			Priority: int(job.GetPriority()), Bytes: int(job.GetResultBytes()),
+			Zone: job.GetZone(),
 		},
 		pool: job.GetPool(), number: job.GetNumber(), left: len(job.GetPieces()), deliver: deliver,
 	}
@@ -174,6 +178,22 @@
 		}
 		go s.make(name, p, call, items)
 	}
+	if wake, ok := p.Wake(at); ok && s.g.ctx.Err() == nil {
+		s.wakeIn(name, p, max(wake-at, leastWake))
+	}
+}
+
+// wakeIn pumps the pool again after a while. The caller holds the lock.
+func (s *workshop) wakeIn(name string, p *batch.Pool, d time.Duration) {
+	if timer := s.wakes[name]; timer != nil {
+		timer.Reset(d)
+		return
+	}
+	s.wakes[name] = time.AfterFunc(d, func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.pump(name, p)
+	})
 }
 
 // make carries a call out.
