gateway: one owner gathers the pieces of all pools; a lost one is passed over; results are freed where they lie

Change: one owner; 0.65 s of silence pass it over for 4 s; frees go to the address in the handle, 30 ms after they are known.

--- a/core/batch/batch.go
+++ b/core/batch/batch.go
@@ -436,21 +436,16 @@
 // Forget ends the job when all its pieces have ended.
 func (p *Pool) Forget(id string) { delete(p.jobs, id) }
 
-// Free notes that results are given up, and sorts them by the backend server
-// that holds them.
-func (p *Pool) Free(handles []string) map[string][]string {
-	out := map[string][]string{}
+// Free notes that results are given up.
+func (p *Pool) Free(handles []string) {
 	for _, handle := range handles {
 		for _, w := range p.workers {
 			if h, ok := w.held[handle]; ok {
 				w.heldSum -= h.bytes
 				delete(w.held, handle)
-				out[w.Address] = append(out[w.Address], handle)
-				break
 			}
 		}
 	}
-	return out
 }
 
 // Places is how many backend servers there are, and how many are at work.
--- a/core/event/event.go
+++ b/core/event/event.go
@@ -63,7 +63,7 @@
 	RosterMoved     = define(215, zap.InfoLevel, "roster", "What this gateway knows of backend servers changed: which, by whom it was said, and how many may be used.")
 	SourceLost      = define(216, zap.WarnLevel, "source-lost", "A control instance is silent; what only it hears counts for nothing.")
 	SourceBack      = define(217, zap.InfoLevel, "source-connected", "A control instance is heard.")
-	OwnerMoved      = define(218, zap.InfoLevel, "owner", "The pieces of a pool are gathered at another gateway.")
+	OwnerMoved      = define(218, zap.InfoLevel, "owner", "The pieces of stages are gathered at another gateway.")
 	CallSent        = define(219, zap.InfoLevel, "pieces-sent", "A call with pieces was sent to a backend server: how many, how many wait, and why this one.")
 	CallEnded       = define(220, zap.InfoLevel, "pieces-ended", "A call with pieces ended; failed says how many were not made.")
 	LinesDropped    = define(108, zap.WarnLevel, "lines-dropped", "Log lines were left out, since more came than the bound allows or the reader is slow.")
--- a/dialect.go
+++ b/dialect.go
@@ -104,5 +104,7 @@
 	// PieceHeader is for calls that must be answered by the backend server.
 	PieceHeader(server string) http.Header
 	PieceOutcomes(body []byte) ([]PieceOutcome, error)
+	// HandleAddress is where the result of a handle lies.
+	HandleAddress(handle string) string
 	FreeRequest(handles []string) ([]byte, error)
 }
--- a/io/gateway/owners.go
+++ b/io/gateway/owners.go
@@ -18,23 +18,41 @@
 const (
 	// ownerBeat is how often an owner shows that it lives; ownerSilence is
 	// the silence after which another is asked.
-	ownerBeat    = 400 * time.Millisecond
-	ownerSilence = 1300 * time.Millisecond
+	ownerBeat    = 200 * time.Millisecond
+	ownerSilence = 650 * time.Millisecond
+	// ownerAvoid is how long a gateway that was lost as an owner is not asked
+	// again: the control instances take as long to notice.
+	ownerAvoid = 4 * time.Second
 	// ownerRetry is when to come back where nothing better is known.
 	ownerRetry = 500 * time.Millisecond
 	// outboxLength bounds jobs on their way to one owner.
 	outboxLength = 1024
 )
 
-// ownerOf is the gateway that gathers the pieces of a pool: the same at all
-// gateways that know the same ones. The caller holds the gateway's lock.
-func (g *Gateway) ownerOf(pool string) string {
-	best, most := "", uint64(0)
-	for _, address := range g.gateways {
-		if weight := xxhash.Sum64String(pool + "|" + address); best == "" || weight > most {
+// owner is the gateway that gathers the pieces of all pools, so that one place
+// sees how long a request's stages will take: the same at all gateways that know
+// the same ones. Those that were lost a moment ago are passed over.
+func (o *owners) owner() string {
+	o.g.mu.Lock()
+	gateways := o.g.gateways
+	o.g.mu.Unlock()
+	now := o.g.now()
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	self := o.g.config.Settings.Peer.Reachable()
+	best, most := self, uint64(0)
+	for _, address := range gateways {
+		if until, avoided := o.avoid[address]; avoided && now < until && address != self {
+			continue
+		}
+		if weight := xxhash.Sum64String(address); weight > most {
 			best, most = address, weight
 		}
 	}
+	if o.seen != best {
+		event.OwnerMoved.Log(o.g.config.Logger, zap.String("owner", best), zap.String("before", o.seen))
+		o.seen = best
+	}
 	return best
 }
 
@@ -43,7 +61,8 @@
 	g     *Gateway
 	mu    sync.Mutex
 	links map[string]*ownerLink
-	seen  map[string]string // owner by pool, as it was used last
+	seen  string                   // the owner that was asked last
+	avoid map[string]time.Duration // until then, by address
 	next  uint64
 }
 
@@ -55,47 +74,33 @@
 }
 
 func newOwners(g *Gateway) *owners {
-	return &owners{g: g, links: map[string]*ownerLink{}, seen: map[string]string{}}
+	return &owners{g: g, links: map[string]*ownerLink{}, avoid: map[string]time.Duration{}}
 }
 
 // lost is the result of a job whose owner went away.
-const lost = "the owner of the pool went away"
+const lost = "the gateway that gathers pieces went away"
 
-// free gives results up, by way of the owners of the pools that made them.
-func (o *owners) free(pools, handles []string) {
-	asked := map[string]bool{}
-	for _, pool := range pools {
-		o.g.mu.Lock()
-		owner := o.g.ownerOf(pool)
-		o.g.mu.Unlock()
-		if asked[owner] {
-			continue
-		}
-		asked[owner] = true
-		if owner == o.g.config.Settings.Peer.Reachable() {
-			o.g.shop.giveUp(handles)
-			continue
-		}
-		o.mu.Lock()
-		link := o.links[owner]
-		o.mu.Unlock()
-		if link != nil {
-			link.send(&wire.PieceJob{Free: handles})
-		}
+// free gives results up, by way of the owner.
+func (o *owners) free(handles []string) {
+	owner := o.owner()
+	if owner == o.g.config.Settings.Peer.Reachable() {
+		o.g.shop.giveUp(handles)
+		return
 	}
+	o.mu.Lock()
+	link, ok := o.links[owner]
+	if !ok {
+		link = o.connect(owner)
+	}
+	o.mu.Unlock()
+	link.send(&wire.PieceJob{Free: handles})
 }
 
-// submit hands a job to its pool's owner. deliver is called for each part of
+// submit hands a job to the owner. deliver is called for each part of
 // it that ends and must not block.
 func (o *owners) submit(job *wire.PieceJob, deliver func(*wire.PieceResult)) (cancel func()) {
-	o.g.mu.Lock()
-	owner := o.g.ownerOf(job.GetPool())
-	o.g.mu.Unlock()
+	owner := o.owner()
 	o.mu.Lock()
-	if o.seen[job.GetPool()] != owner {
-		event.OwnerMoved.Log(o.g.config.Logger, zap.String("pool", job.GetPool()), zap.String("owner", owner), zap.String("before", o.seen[job.GetPool()]))
-		o.seen[job.GetPool()] = owner
-	}
 	o.next++
 	job.Number = o.next
 	if owner == o.g.config.Settings.Peer.Reachable() {
@@ -151,6 +156,9 @@
 // drop ends a link: what waits on it is told.
 func (o *owners) drop(owner string, link *ownerLink) {
 	o.mu.Lock()
+	if o.g.ctx.Err() == nil {
+		o.avoid[owner] = o.g.now() + ownerAvoid
+	}
 	pending := link.pending
 	link.pending = map[uint64]func(*wire.PieceResult){}
 	delete(o.links, owner)
--- a/io/gateway/stages.go
+++ b/io/gateway/stages.go
@@ -175,8 +175,7 @@
 	return slices.ContainsFunc(s.pipeline.Inputs(), func(handle string) bool { return s.freed[handle] })
 }
 
-// give frees results that are not needed any more, by way of the owner of the
-// pool that made them.
+// give frees results that are not needed any more.
 func (s *stageRun) give(handles []string) {
 	var fresh []string
 	for _, h := range handles {
@@ -186,18 +185,10 @@
 		}
 	}
 	if len(fresh) > 0 {
-		s.x.g.owners.free(s.pools(), fresh)
+		s.x.g.owners.free(fresh)
 	}
 }
 
-func (s *stageRun) pools() []string {
-	var out []string
-	for _, stage := range s.x.route.Stages {
-		out = append(out, stage.Pool)
-	}
-	return out
-}
-
 // free gives up all results once the backend server has fetched them.
 func (s *stageRun) free() { s.give(s.pipeline.Handles()) }
 
--- a/io/gateway/workshop.go
+++ b/io/gateway/workshop.go
@@ -26,7 +26,7 @@
 	callSlack  = 2 * time.Second
 	// freeEvery gathers results that are given up into one call to each
 	// backend server.
-	freeEvery = 100 * time.Millisecond
+	freeEvery = 30 * time.Millisecond
 	// leastWake keeps what is due again and again from taking the processor.
 	leastWake = 5 * time.Millisecond
 	// freeTimeout bounds a call that gives results up.
@@ -260,7 +260,7 @@
 		o, ok := s.jobs[m.Job.ID]
 		if !ok {
 			if m.Handle != "" { // nobody wants it any more
-				s.release(p, []string{m.Handle})
+				s.release([]string{m.Handle})
 			}
 			continue
 		}
@@ -286,15 +286,22 @@
 func (s *workshop) giveUp(handles []string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, p := range s.pools {
-		s.release(p, handles)
+	s.release(handles)
+	for name, p := range s.pools {
+		s.pump(name, p)
 	}
 }
 
 // release gathers results to be freed. The caller holds the lock.
-func (s *workshop) release(p *batch.Pool, handles []string) {
-	for address, list := range p.Free(handles) {
-		s.free[address] = append(s.free[address], list...)
+func (s *workshop) release(handles []string) {
+	for _, p := range s.pools {
+		p.Free(handles)
+	}
+	// An owner before this one may have had them made, so the handle tells
+	// where they lie.
+	for _, handle := range handles {
+		address := s.g.config.Dialect.HandleAddress(handle)
+		s.free[address] = append(s.free[address], handle)
 	}
 	if len(s.free) > 0 && s.timer == nil {
 		s.timer = time.AfterFunc(freeEvery, s.sendFree)
