shed: staged requests that would be late behind the backlog are refused at once

Change: the owner decides on a request's whole chain of stages at its first job; returners are taken; jobs stay whole in a call.

--- a/core/batch/batch.go
+++ b/core/batch/batch.go
@@ -31,7 +31,7 @@
 	sizeMargin = 1.1
 	// fullPause is how long a backend server without room gets no results to
 	// keep.
-	fullPause = 200 * time.Millisecond
+	fullPause = 500 * time.Millisecond
 	// zoneBonus is how much earlier a piece is taken in the zone that wants
 	// its result.
 	zoneBonus = 100 * time.Millisecond
@@ -101,8 +101,7 @@
 	idleFrom time.Duration
 	held     map[string]held // results, by handle
 	heldSum  int64
-	pending  int64         // bytes of results being made
-	full     time.Duration // until then it has no room
+	pending  int64 // bytes of results being made
 }
 
 type held struct {
@@ -145,8 +144,13 @@
 // Waiting is the number of pieces that wait.
 func (p *Pool) Waiting() int { return len(p.queue) }
 
-// capacity is the pieces that the pool makes in a second with full calls.
-func (p *Pool) capacity() float64 {
+// Usual is the length of a call that is half full.
+func (p *Pool) Usual() time.Duration {
+	return time.Duration(float64(p.traits.Call+time.Duration(p.traits.Batch/2)*p.traits.Item) * p.speed)
+}
+
+// Capacity is the pieces that the pool makes in a second with full calls.
+func (p *Pool) Capacity() float64 {
 	full := p.traits.Call + time.Duration(p.traits.Batch)*p.traits.Item
 	return float64(len(p.workers)) * float64(p.traits.Batch) / (full.Seconds() * max(p.speed, 0.1))
 }
@@ -161,7 +165,7 @@
 		}
 	}
 	wait := time.Duration(0)
-	if c := p.capacity(); c > 0 {
+	if c := p.Capacity(); c > 0 {
 		wait = time.Duration(float64(before) / c * float64(time.Second))
 	}
 	free := time.Duration(-1)
@@ -259,8 +263,7 @@
 		}
 	}
 	n := len(p.workers)
-	usual := time.Duration(float64(p.traits.Call+time.Duration(p.traits.Batch/2)*p.traits.Item) * p.speed)
-	return p.sent + usual*time.Duration(busy)/time.Duration(n*n)
+	return p.sent + p.Usual()*time.Duration(busy)/time.Duration(n*n)
 }
 
 // fill takes the pieces for a call to w; nil when none fits.
@@ -277,14 +280,28 @@
 	call := &Call{Server: w.Announcement, Started: at}
 	room := p.room(at, w)
 	var rest []*Piece
-	for _, q := range p.queue {
-		if size := q.Job.size(); len(call.Pieces) < p.traits.Batch && size <= room {
-			call.Pieces = append(call.Pieces, q)
-			room -= size
-			w.pending += size
+	for i := 0; i < len(p.queue); {
+		job := p.queue[i].Job
+		n := 1
+		for i+n < len(p.queue) && p.queue[i+n].Job == job {
+			n++
+		}
+		group := p.queue[i : i+n]
+		i += n
+		// The pieces of a job go together: a part of them would take room for
+		// results that nobody can use before the rest is made.
+		if most := p.traits.Batch; n > most && len(call.Pieces) == 0 {
+			rest = append(rest, group[most:]...)
+			group = group[:most]
+		}
+		size := int64(len(group)) * job.size()
+		if len(call.Pieces)+len(group) > p.traits.Batch || size > room && (size <= p.traits.Room || w.heldSum+w.pending > 0) {
+			rest = append(rest, group...)
 			continue
 		}
-		rest = append(rest, q)
+		call.Pieces = append(call.Pieces, group...)
+		room -= size
+		w.pending += size
 	}
 	if len(call.Pieces) == 0 {
 		return nil
@@ -310,9 +327,6 @@
 	if p.traits.Room <= 0 {
 		return 1 << 62
 	}
-	if at < w.full {
-		return 0
-	}
 	return p.traits.Room - w.heldSum - w.pending
 }
 
@@ -361,8 +375,8 @@
 		if w.ejected > at {
 			next = min(next, w.ejected)
 		}
-		if w.full > at {
-			next = min(next, w.full)
+		if unknown := w.held[unknownResults]; unknown.until > at {
+			next = min(next, unknown.until)
 		}
 	}
 	return next, true
@@ -396,7 +410,7 @@
 			continue
 		}
 		if reason == tanagerroad.PieceRoom && w != nil {
-			w.full = at + fullPause
+			w.fillUp(at, p.traits.Room)
 		} else {
 			q.tries++
 		}
@@ -410,6 +424,21 @@
 	return out
 }
 
+// fillUp counts all room as taken for a while: results lie there that were made
+// for an owner before this one.
+func (w *worker) fillUp(at time.Duration, room int64) {
+	if known := w.held[unknownResults]; known.until > at {
+		return
+	}
+	w.heldSum -= w.held[unknownResults].bytes
+	rest := max(0, room-w.heldSum-w.pending)
+	w.held[unknownResults] = held{rest, at + fullPause}
+	w.heldSum += rest
+}
+
+// unknownResults stands for results that were made for another owner.
+const unknownResults = ""
+
 // settle takes what a call's end says about its backend server.
 func (p *Pool) settle(at time.Duration, w *worker, call *Call, outcomes []tanagerroad.PieceOutcome, full bool) {
 	w.calls = max(0, w.calls-1)
--- a/core/pipeline/pipeline.go
+++ b/core/pipeline/pipeline.go
@@ -106,6 +106,45 @@
 	return out
 }
 
+// Demands is the number of pieces asked of each pool.
+func (p *Pipeline) Demands() map[string]int {
+	out := map[string]int{}
+	for i, s := range p.config.Stages {
+		if n := p.count(i); n > 0 {
+			out[s.Pool] += n
+		}
+	}
+	return out
+}
+
+// Chain lists the pools of the chain of stages that takes longest.
+func (p *Pipeline) Chain() []string {
+	var out []string
+	at := -1
+	for {
+		next := -1
+		for i, s := range p.config.Stages {
+			follows := at < 0 && len(s.After) == 0 || at >= 0 && slices.Contains(s.After, at)
+			if follows && (next < 0 || p.tails[i] > p.tails[next] || p.tails[i] == p.tails[next] && p.count(i) > p.count(next)) {
+				next = i
+			}
+		}
+		if next < 0 || len(out) > len(p.stages) {
+			return out
+		}
+		if p.count(next) > 0 {
+			out = append(out, p.config.Stages[next].Pool)
+		}
+		at = next
+	}
+}
+
+// Due is when all stages must have ended for the request to be in time.
+func (p *Pipeline) Due() time.Duration { return p.config.Aim - engineTime }
+
+// End is when all stages must have ended at the latest.
+func (p *Pipeline) End() time.Duration { return p.config.Deadline - leastTime }
+
 // Ready returns the stages whose inputs are all made, once each.
 func (p *Pipeline) Ready() []Job {
 	var out []Job
--- a/io/gateway/exchange.go
+++ b/io/gateway/exchange.go
@@ -147,6 +147,15 @@
 	return true
 }
 
+// subject is the same when the caller sends the request again: the part of its
+// prompt that no other request has.
+func (x *exchange) subject() string {
+	if n := len(x.call.Parts); n > 0 {
+		return x.call.Parts[n-1].ID
+	}
+	return x.call.PieceKey
+}
+
 // target is the path and query as the caller wrote them.
 func (x *exchange) target() string {
 	if strings.HasPrefix(x.r.RequestURI, "/") {
--- a/io/gateway/stages.go
+++ b/io/gateway/stages.go
@@ -25,6 +25,7 @@
 	freed    map[string]bool
 	gone     bool // a backend server says that an input is gone
 	losses   int
+	admitted bool
 	zone     string // in which the request itself will likely run
 }
 
@@ -78,6 +79,23 @@
 	return true
 }
 
+// admission describes all stages of the request to whoever decides whether it
+// is taken; nil once that was decided.
+func (s *stageRun) admission(now time.Duration) *wire.Admission {
+	if s.admitted {
+		return nil
+	}
+	s.admitted = true
+	a := &wire.Admission{
+		Subject: s.x.subject(), Chain: s.pipeline.Chain(),
+		LeftMillis: (s.pipeline.End() - now).Milliseconds(), SlackMillis: (s.pipeline.Due() - now).Milliseconds(),
+	}
+	for pool, pieces := range s.pipeline.Demands() {
+		a.Demands = append(a.Demands, &wire.Demand{Pool: pool, Pieces: uint32(pieces)})
+	}
+	return a
+}
+
 func (s *stageRun) submit(job pipeline.Job) {
 	x, now := s.x, s.x.g.now()
 	ask := &wire.PieceJob{
@@ -88,6 +106,7 @@
 	if len(job.Inputs) == 0 {
 		ask.Key = x.call.PieceKey
 	}
+	ask.Admission = s.admission(now)
 	for _, n := range job.Pieces {
 		ask.Pieces = append(ask.Pieces, uint32(n))
 	}
@@ -106,6 +125,9 @@
 	if reason := result.GetRefused(); reason != "" {
 		delete(s.jobs, result.GetNumber())
 		s.ended(job, reason)
+		if reason == lost {
+			s.admitted = len(job.Inputs) > 0 // who comes next has promised nothing
+		}
 		if reason == lost && s.losses < ownerTries && x.deadline > x.g.now() {
 			s.losses++
 			s.submit(job.Job)
--- a/io/gateway/workshop.go
+++ b/io/gateway/workshop.go
@@ -10,11 +10,13 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
 	"tanagerroad"
 	"tanagerroad/core/batch"
 	"tanagerroad/core/event"
+	"tanagerroad/core/shed"
 	"tanagerroad/core/wire"
 	"tanagerroad/io/http1"
 )
@@ -45,6 +47,7 @@
 	free  map[string][]string    // results to give up, by address
 	timer *time.Timer            // for freeing
 	wakes map[string]*time.Timer // by pool, for what is due without another event
+	desk  *shed.Desk
 }
 
 // order is a job with who waits for it.
@@ -57,7 +60,7 @@
 }
 
 func newWorkshop(g *Gateway) *workshop {
-	return &workshop{g: g, pools: map[string]*batch.Pool{}, jobs: map[string]*order{}, free: map[string][]string{}, wakes: map[string]*time.Timer{}}
+	return &workshop{g: g, pools: map[string]*batch.Pool{}, jobs: map[string]*order{}, free: map[string][]string{}, wakes: map[string]*time.Timer{}, desk: shed.New()}
 }
 
 // pool returns the pool of that name; nil when the configuration in force has
@@ -105,6 +108,11 @@
 	if _, waiting := p.Wake(at); !waiting {
 		p.Update(at, known)
 	}
+	s.desk.Kept(job.GetRequest(), job.GetPool())
+	if decision := s.admit(at, job); !decision.Admit {
+		deliver(&wire.PieceResult{Number: job.GetNumber(), Refused: "too many wait before it", RetryMillis: decision.Retry.Milliseconds()})
+		return
+	}
 	id := jobID(from, job.GetNumber())
 	o := &order{
 		job: &batch.Job{
@@ -127,6 +135,39 @@
 	s.pump(o.pool, p)
 }
 
+// admit decides on a request whose first job this is. The caller holds the lock.
+func (s *workshop) admit(at time.Duration, job *wire.PieceJob) shed.Decision {
+	a := job.GetAdmission()
+	if a == nil {
+		return shed.Decision{Admit: true}
+	}
+	ask := shed.Ask{
+		Subject: a.GetSubject(), Due: at + time.Duration(a.GetSlackMillis())*time.Millisecond,
+		Deadline: at + time.Duration(a.GetLeftMillis())*time.Millisecond,
+		Chance:   float64(xxhash.Sum64String(job.GetRequest())>>11) / (1 << 53),
+	}
+	for _, pool := range a.GetChain() {
+		if p := s.pool(pool); p != nil {
+			ask.Chain = append(ask.Chain, shed.Stage{Pieces: p.Waiting() + s.desk.Coming(pool), Capacity: p.Capacity(), Call: p.Usual()})
+		}
+	}
+	decision := s.desk.Decide(at, ask)
+	if !decision.Admit || decision.Returning {
+		event.Admitted.Log(s.g.config.Logger, zap.String("request", job.GetRequest()), zap.Bool("admitted", decision.Admit),
+			zap.Bool("returning", decision.Returning), zap.Duration("wait", decision.Wait), zap.Duration("spare", ask.Due-decision.End),
+			zap.Duration("retry-after", decision.Retry))
+	}
+	if !decision.Admit {
+		return decision
+	}
+	for _, demand := range a.GetDemands() {
+		if demand.GetPool() != job.GetPool() {
+			s.desk.Promise(job.GetRequest(), demand.GetPool(), int(demand.GetPieces()), ask.Deadline)
+		}
+	}
+	return decision
+}
+
 // jobID names a job of a gateway's stream.
 func jobID(from string, number uint64) string { return from + "/" + strconv.FormatUint(number, 10) }
 
@@ -151,6 +192,7 @@
 // drop forgets a job. The caller holds the lock.
 func (s *workshop) drop(id string) {
 	if o, ok := s.jobs[id]; ok {
+		s.desk.Ended(o.job.Request)
 		s.pools[o.pool].Cancel(id)
 		delete(s.jobs, id)
 	}
@@ -346,6 +388,7 @@
 func (s *workshop) tend() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.desk.Expire(s.g.now())
 	for name, p := range s.pools {
 		s.pump(name, p)
 	}
