--- a/core/batch/batch.go
+++ b/core/batch/batch.go
@@ -32,6 +32,12 @@
 	// fullPause is how long a backend server without room gets no results to
 	// keep.
 	fullPause = 500 * time.Millisecond
+	// largeResult is the size, in bytes, from which a result is worth waiting
+	// for a backend server in the zone that wants it; deferMost is for how
+	// long, and deferSpare what must be left to spare.
+	largeResult = 100 << 10
+	deferMost   = 250 * time.Millisecond
+	deferSpare  = 150 * time.Millisecond
 	// zoneBonus is how much earlier a piece is taken in the zone that wants
 	// its result.
 	zoneBonus = 100 * time.Millisecond
@@ -296,7 +302,7 @@
 			group = group[:most]
 		}
 		size := int64(len(group)) * job.size()
-		if len(call.Pieces)+len(group) > p.traits.Batch || size > room && (size <= p.traits.Room || w.heldSum+w.pending > 0) {
+		if p.defers(at, job, w) || len(call.Pieces)+len(group) > p.traits.Batch || size > room && (size <= p.traits.Room || w.heldSum+w.pending > 0) {
 			rest = append(rest, group...)
 			continue
 		}
@@ -317,6 +323,21 @@
 	return call
 }
 
+// defers reports whether a job waits for a backend server in the zone that
+// wants its results, rather than being made by w now.
+func (p *Pool) defers(at time.Duration, j *Job, w *worker) bool {
+	if j.Bytes < largeResult || j.Zone == "" || j.Zone == w.Zone || len(p.queue) > p.traits.Batch {
+		return false
+	}
+	for _, other := range p.workers {
+		wait := max(0, other.freeAt-at)
+		if other.Zone == j.Zone && at >= other.ejected && wait <= deferMost && at+wait+p.Usual()+deferSpare <= j.Due {
+			return true
+		}
+	}
+	return false
+}
+
 // Taken lists the inputs that nothing needs any more once the backend server
 // has begun to work on the call.
 func (c *Call) Taken() []string {
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -14,30 +14,30 @@
 
 // Costs of a placement, in the time that they cost a caller.
 const (
-	regionCost     = 16 * time.Millisecond   // there and back between regions
-	zoneCost       = 2 * time.Millisecond    // there and back between zones of a region
-	waitingCost    = 400 * time.Millisecond  // for each request that waits for a slot there
-	runningCost    = 1500 * time.Microsecond // a request beside it slows every token
-	tokenCost      = 20 * time.Microsecond   // a prompt token read anew, which delays all that run there
-	resultZoneCost = 60 * time.Millisecond   // stage results fetched across zones, with their price
-	coldCost       = 50 * time.Millisecond   // a backend server that is still warming up
-	firstGuess     = 30 * time.Millisecond   // latency of one that has not answered yet
-	reportLife     = 1500 * time.Millisecond // a load report says nothing after it
-	ejectFirst     = 500 * time.Millisecond  // pause after a failure, doubled for each further one
-	ejectMost      = 8 * time.Second         // longest pause
-	partLife       = 20 * time.Second        // a prompt part counts as kept for so long after its use
-	latencyWeight  = 0.2                     // of the newest answer in the mean
-	partsMost      = 4096                    // prompt parts remembered of one backend server
+	regionCost    = 30 * time.Millisecond   // there and back between regions, and the price of the bytes
+	zoneCost      = 2 * time.Millisecond    // there and back between zones of a region
+	waitingCost   = 400 * time.Millisecond  // for each request that waits for a slot there
+	runningCost   = 1500 * time.Microsecond // a request beside it slows every token
+	tokenCost     = 20 * time.Microsecond   // a prompt token read anew, which delays all that run there
+	resultCost    = 30 * time.Nanosecond    // a byte of stage results fetched across zones, with its price
+	coldCost      = 50 * time.Millisecond   // a backend server that is still warming up
+	firstGuess    = 30 * time.Millisecond   // latency of one that has not answered yet
+	reportLife    = 1500 * time.Millisecond // a load report says nothing after it
+	ejectFirst    = 500 * time.Millisecond  // pause after a failure, doubled for each further one
+	ejectMost     = 8 * time.Second         // longest pause
+	partLife      = 20 * time.Second        // a prompt part counts as kept for so long after its use
+	latencyWeight = 0.2                     // of the newest answer in the mean
+	partsMost     = 4096                    // prompt parts remembered of one backend server
 )
 
 // Ask is what a request needs.
 type Ask struct {
-	Pool       string
-	From       tanagerroad.Place
-	ResultZone string // where most bytes of its stage results lie; empty: nowhere
-	Parts      []tanagerroad.PromptPart
-	Exclude    []string
-	Chance     uint64 // breaks ties
+	Pool    string
+	From    tanagerroad.Place
+	Results map[string]int // bytes of its stage results, by the zone where they lie
+	Parts   []tanagerroad.PromptPart
+	Exclude []string
+	Chance  uint64 // breaks ties
 }
 
 // Choice is one placement and why it fell so.
@@ -222,8 +222,10 @@
 		total += time.Duration(over) * waitingCost
 	}
 	total += f.distance(ask.From.Zone, s.Zone)
-	if ask.ResultZone != "" && ask.ResultZone != s.Zone {
-		total += resultZoneCost
+	for zone, bytes := range ask.Results {
+		if zone != s.Zone {
+			total += time.Duration(bytes) * resultCost
+		}
 	}
 	if s.Cold > 0 {
 		total += coldCost
--- a/core/pipeline/pipeline.go
+++ b/core/pipeline/pipeline.go
@@ -271,23 +271,18 @@
 	return true
 }
 
-// Zone is where most bytes of the inputs lie; empty when there are none.
-func (p *Pipeline) Zone() string {
-	bytes := map[string]int{}
-	best := ""
+// Results is the bytes of the request's own inputs, by the zone where they lie.
+func (p *Pipeline) Results() map[string]int {
+	out := map[string]int{}
 	for i := range p.stages {
 		if p.followed(i) {
 			continue
 		}
 		for _, r := range p.stages[i].results {
-			if r.handle == "" {
-				continue
-			}
-			bytes[r.zone] += max(1, p.config.Stages[i].Bytes)
-			if best == "" || bytes[r.zone] > bytes[best] || bytes[r.zone] == bytes[best] && r.zone < best {
-				best = r.zone
+			if r.handle != "" {
+				out[r.zone] += p.config.Stages[i].Bytes
 			}
 		}
 	}
-	return best
+	return out
 }
--- a/io/gateway/exchange.go
+++ b/io/gateway/exchange.go
@@ -251,7 +251,7 @@
 		Chance: xxhash.Sum64String(x.call.ID),
 	}
 	if x.stages != nil {
-		ask.ResultZone = x.stages.pipeline.Zone()
+		ask.Results = x.stages.pipeline.Results()
 	}
 	g.mu.Lock()
 	at := g.now()
