--- /dev/null
+++ b/core/attempt/attempt_test.go
@@ -0,0 +1,86 @@
+package attempt_test
+
+import (
+	"encoding/json"
+	"os"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"tanagerroad"
+	"tanagerroad/core/attempt"
+)
+
+// TestCases plays testdata/cases.json.
+func TestCases(t *testing.T) {
+	data, err := os.ReadFile("testdata/cases.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var cases []struct {
+		What      string             `json:"what"`
+		Repeat    tanagerroad.Repeat `json:"repeat"`
+		Resumable bool               `json:"resumable"`
+		Max       int                `json:"max"`
+		Budget    *int               `json:"budget"`
+		LeftMs    int                `json:"left-ms"`
+		Status    int                `json:"status"`
+		Ends      []attempt.End      `json:"ends"`
+		Want      []attempt.Action   `json:"want"`
+	}
+	if err := json.Unmarshal(data, &cases); err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range cases {
+		left := time.Second
+		if c.LeftMs > 0 {
+			left = time.Duration(c.LeftMs) * time.Millisecond
+		}
+		r := attempt.Request{Repeat: c.Repeat, Resumable: c.Resumable, MaxServers: c.Max, Deadline: left}
+		for i, end := range c.Ends {
+			r.Begun()
+			got := r.Next(0, end, max(c.Status, 200), func() bool { return c.Budget == nil || *c.Budget > 0 })
+			if got != c.Want[i] {
+				t.Errorf("%s: after %v: %s, want %s", c.What, c.Ends[:i+1], got, c.Want[i])
+			}
+		}
+	}
+}
+
+// TestPromises: whatever happens, what may run once is sent once after it may
+// have run, and "not run" is said only where nothing may have run.
+func TestPromises(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		r := attempt.Request{
+			Repeat:    rapid.SampledFrom([]tanagerroad.Repeat{tanagerroad.Idempotent, tanagerroad.Once, tanagerroad.Stream}).Draw(t, "repeat"),
+			Resumable: rapid.Bool().Draw(t, "resumable"), MaxServers: rapid.IntRange(1, 4).Draw(t, "max"), Deadline: time.Second,
+		}
+		ran := 0
+		for {
+			r.Begun()
+			end := rapid.SampledFrom([]attempt.End{
+				attempt.Unsent, attempt.Rejected, attempt.Misplaced, attempt.Lost, attempt.Answered, attempt.Broken,
+			}).Draw(t, "end")
+			status := rapid.SampledFrom([]int{200, 404, 500, 504}).Draw(t, "status")
+			if end == attempt.Lost || end == attempt.Answered || end == attempt.Broken {
+				ran++
+			}
+			action := r.Next(0, end, status, func() bool { return rapid.Bool().Draw(t, "budget") })
+			again := action == attempt.Again || action == attempt.Resume
+			once := r.Repeat == tanagerroad.Once || r.Repeat == tanagerroad.Stream && !r.Resumable
+			if again && once && ran > 0 {
+				t.Fatalf("sent again although it may have run, after %s", end)
+			}
+			if again && ran >= r.MaxServers {
+				t.Fatalf("sent to more than %d backend servers", r.MaxServers)
+			}
+			if action == attempt.Refuse && ran > 0 {
+				t.Fatalf("refused as not run although it may have run")
+			}
+			if !again {
+				return
+			}
+		}
+	})
+}
--- /dev/null
+++ b/core/catalog/catalog_test.go
@@ -0,0 +1,79 @@
+package catalog_test
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"tanagerroad"
+	"tanagerroad/core/catalog"
+)
+
+func sample() *tanagerroad.Catalog {
+	route := func(name, host, prefix string) tanagerroad.CatalogRoute {
+		return tanagerroad.CatalogRoute{
+			Name: name, Host: host, Prefix: prefix, Timeout: time.Second, MaxServers: 1,
+			Targets: []tanagerroad.Target{{Pool: "models", Weight: 90}, {Pool: "spare", Weight: 10}},
+		}
+	}
+	return &tanagerroad.Catalog{
+		Version: 3, Routes: []tanagerroad.CatalogRoute{route("short", "a.example", "/x/"), route("long", "a.example", "/x/y/"), route("other", "b.example", "/")},
+		Pools:      []tanagerroad.CatalogPool{{Name: "models"}, {Name: "spare"}},
+		Workspaces: []tanagerroad.CatalogWorkspace{{Name: "w1", Keys: []string{"k1", "k2"}}, {Name: "w2", Keys: []string{"k3"}}},
+	}
+}
+
+func TestLongestPrefixWins(t *testing.T) {
+	x := catalog.New(sample())
+	for _, c := range []struct{ host, path, want string }{
+		{"a.example", "/x/1", "short"}, {"a.example", "/x/y/1", "long"}, {"A.Example:80", "/x/y/", "long"},
+		{"a.example", "/x", ""}, {"a.example", "/", ""}, {"b.example", "/x/1", "other"}, {"c.example", "/x/1", ""},
+	} {
+		got := ""
+		if r := x.Match(c.host, c.path); r != nil {
+			got = r.Name
+		}
+		if got != c.want {
+			t.Errorf("%s%s: %q, want %q", c.host, c.path, got, c.want)
+		}
+	}
+}
+
+func TestKeysFindTheirWorkspace(t *testing.T) {
+	x := catalog.New(sample())
+	if w := x.Workspace("k2"); w == nil || w.Name != "w1" || x.Workspace("k9") != nil || x.Workspace("") != nil {
+		t.Errorf("k2 is held by %v", w)
+	}
+}
+
+func TestFaultsAreFoundTogether(t *testing.T) {
+	if f := catalog.Check("c", sample()); len(f) != 0 {
+		t.Fatalf("a valid configuration: %v", f)
+	}
+	c := sample()
+	c.Routes[0].Timeout = 0
+	c.Routes[1].Prefix = "/x/"
+	c.Routes[1].Targets = []tanagerroad.Target{{Pool: "models", Weight: 0}}
+	c.Routes[2].Targets[0].Pool = "nowhere"
+	c.Routes[2].Stages = []tanagerroad.CatalogStage{{Pool: "lost", After: []int{4}}}
+	c.Workspaces[1].Keys = []string{"k1"}
+	text := catalog.Check("c", c).Error()
+	for _, want := range []string{"routes[0].timeout", "routes[1]: found a.example/x/", "routes[1].weight", "routes[2].pool", "routes[2].stages[0].pool", "routes[2].stages[0].after", "workspaces[1].keys"} {
+		if !strings.Contains(text, want) {
+			t.Errorf("no finding at %s in:\n%s", want, text)
+		}
+	}
+}
+
+func TestWeightsDivideTheChance(t *testing.T) {
+	r := &sample().Routes[0]
+	n := 0
+	for i := range 1000 {
+		if catalog.Target(r, float64(i)/1000) == "models" {
+			n++
+		}
+	}
+	if n != 900 {
+		t.Errorf("%d of 1000 fall on a pool of weight 90 of 100", n)
+	}
+}
--- /dev/null
+++ b/core/roster/roster_test.go
@@ -0,0 +1,100 @@
+package roster_test
+
+import (
+	"encoding/json"
+	"os"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"tanagerroad"
+	"tanagerroad/core/roster"
+)
+
+type step struct {
+	At      int                     `json:"at"` // seconds
+	By      string                  `json:"by"`
+	ID      string                  `json:"id"`
+	Address string                  `json:"address"`
+	Born    int64                   `json:"born"`
+	Seq     uint64                  `json:"seq"`
+	State   tanagerroad.ServerState `json:"state"`
+	Lapse   string                  `json:"lapse"`
+	Expire  string                  `json:"expire"`
+	Usable  *[]string               `json:"usable"`
+}
+
+// TestScripts plays testdata/scripts.json.
+func TestScripts(t *testing.T) {
+	data, err := os.ReadFile("testdata/scripts.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var scripts []struct {
+		What  string `json:"what"`
+		Steps []step `json:"steps"`
+	}
+	if err := json.Unmarshal(data, &scripts); err != nil {
+		t.Fatal(err)
+	}
+	for _, script := range scripts {
+		r := roster.New(roster.DefaultConfig())
+		for i, s := range script.Steps {
+			at := time.Duration(s.At) * time.Second
+			switch {
+			case s.Usable != nil:
+				if got := ids(r); !slices.Equal(got, *s.Usable) {
+					t.Errorf("%s: step %d: usable %v, want %v", script.What, i, got, *s.Usable)
+				}
+			case s.Lapse != "":
+				r.Lapse(s.Lapse, s.ID)
+			case s.Expire != "":
+				r.Expire(at, s.Expire)
+			default:
+				address := s.Address
+				if address == "" {
+					address = s.ID + ":1"
+				}
+				r.Take(at, s.By, tanagerroad.Announcement{ID: s.ID, Address: address, Born: s.Born, Sequence: s.Seq, State: s.State})
+			}
+		}
+	}
+}
+
+func ids(r *roster.Roster) []string {
+	out := []string{}
+	for _, a := range r.Usable() {
+		out = append(out, a.ID)
+	}
+	return out
+}
+
+// TestOrderDoesNotMatter: two rosters that hear the same announcements of one
+// backend server in any order end with the same state.
+func TestOrderDoesNotMatter(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var said []tanagerroad.Announcement
+		for born := int64(1); born <= int64(rapid.IntRange(1, 3).Draw(t, "starts")); born++ {
+			n := rapid.IntRange(1, 4).Draw(t, "words")
+			for seq := 1; seq <= n; seq++ {
+				state := rapid.SampledFrom([]tanagerroad.ServerState{tanagerroad.Serving, tanagerroad.Leaving}).Draw(t, "state")
+				if seq == n && rapid.Bool().Draw(t, "ends") {
+					state = tanagerroad.Down
+				}
+				said = append(said, tanagerroad.Announcement{ID: "a", Address: "a:1", Born: born, Sequence: uint64(seq), State: state})
+			}
+		}
+		first, second := roster.New(roster.DefaultConfig()), roster.New(roster.DefaultConfig())
+		for _, a := range said {
+			first.Take(0, "c", a)
+		}
+		for _, a := range rapid.Permutation(said).Draw(t, "order") {
+			second.Take(0, "c", a)
+		}
+		if !slices.Equal(ids(first), ids(second)) {
+			t.Fatalf("in order %v, in another order %v", ids(first), ids(second))
+		}
+	})
+}
--- a/io/disk/disk.go
+++ b/io/disk/disk.go
@@ -49,7 +49,7 @@
 		return nil, nil, fmt.Errorf("data folder: %w", err)
 	}
 	if err := syscall.Flock(int(lock.Fd()), syscall.LOCK_EX|syscall.LOCK_NB); err != nil {
-		return nil, nil, errors.Join(&Locked{path}, lock.Close())
+		return nil, nil, errors.Join(lockFailure(path, err), lock.Close())
 	}
 	f := &Folder{path: path, open: map[string]*os.File{}}
 	closeAll := func() error {
@@ -64,6 +64,14 @@
 	return f, closeAll, nil
 }
 
+// lockFailure tells a folder in use from one whose file system has no locks.
+func lockFailure(path string, err error) error {
+	if errors.Is(err, syscall.EWOULDBLOCK) {
+		return &Locked{path}
+	}
+	return fmt.Errorf("data folder %s cannot be locked: %w", path, err)
+}
+
 func (f *Folder) file(name string) (*os.File, error) {
 	if file, ok := f.open[name]; ok {
 		return file, nil
