--- a/io/gateway/exchange.go
+++ b/io/gateway/exchange.go
@@ -79,6 +79,9 @@
 	g.flight.Add(1)
 	defer g.flight.Add(-1)
 	x := &exchange{g: g, w: w, r: r, arrived: g.now(), call: g.config.Dialect.Call(r.Header), retry: retryUsual}
+	if ambiguous(r) {
+		w.Header().Set("Connection", "close") // what follows is not read
+	}
 	if g.leaving.Load() {
 		w.Header().Set("Connection", "close")
 		if g.now()-time.Duration(g.leftAt.Load()) > lastWork {
--- a/io/process/process.go
+++ b/io/process/process.go
@@ -20,6 +20,7 @@
 	"tanagerroad/core/settings"
 	"tanagerroad/core/stop"
 	"tanagerroad/core/trace"
+	"tanagerroad/io/gateway"
 	"tanagerroad/io/logline"
 	"tanagerroad/io/operator"
 	"tanagerroad/io/peer"
@@ -85,9 +86,14 @@
 	if err != nil {
 		return nil, fmt.Errorf("%s: %w", name, err)
 	}
+	return p.serve(name, listener, door, handler), nil
+}
+
+// serve serves HTTP on a listener with the door's bounds.
+func (p *Process) serve(name string, listener net.Listener, door settings.Door, handler http.Handler) *http.Server {
 	server := &http.Server{
 		Handler: handler, ReadHeaderTimeout: door.HeaderTimeout.D(), MaxHeaderBytes: int(door.MaxHeader),
-		IdleTimeout: idleTimeout,
+		IdleTimeout: idleTimeout, ConnContext: gateway.ConnContext,
 	}
 	p.Addresses[name] = listener.Addr().String()
 	go func() {
@@ -95,7 +101,7 @@
 			event.BusFailed.Log(p.Logger, zap.Error(err))
 		}
 	}()
-	return server, nil
+	return server
 }
 
 const idleTimeout = 2 * time.Minute
--- a/io/process/roles.go
+++ b/io/process/roles.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math"
+	"net"
 	"net/http"
 	"runtime/debug"
 	"slices"
@@ -309,10 +310,11 @@
 	}
 	p.Addresses["peer"] = peers.Address
 	p.onClose(func() { stopPeers(ended()) })
-	server, err := p.listen("caller", s.Caller, g)
+	listener, err := net.Listen("tcp", s.Caller.Address)
 	if err != nil {
 		return p.fail(err)
 	}
+	server := p.serve("caller", gateway.Listener{Listener: listener}, s.Caller, g)
 	p.onClose(func() { _ = server.Close() })
 	ready, err := p.listen("ready", settings.Door{Address: s.Ready, MaxHeader: maxAnnounceHeader, HeaderTimeout: s.Caller.HeaderTimeout}, g.ReadyHandler())
 	if err != nil {
