roster, batch: a frozen control instance names no gateways; inputs are given up early only where calls begin at once

Ruled out: too short a lapse at the control instances that were heard.

Change: lists of gateways count while their source was heard within 2.5 s; a server's next call gives its inputs up early only if its last one began at once.

--- a/core/batch/batch.go
+++ b/core/batch/batch.go
@@ -44,6 +44,9 @@
 	// priorityStep is how much a job of one priority may wait longer than one
 	// of the next.
 	priorityStep = 150 * time.Millisecond
+	// promptFactor is how much longer than usual a call may take without the
+	// suspicion that it stood behind another owner's.
+	promptFactor = 1.3
 	// triesMost is how often a piece is tried before its job fails.
 	triesMost = 4
 )
@@ -81,6 +84,7 @@
 	Started  time.Duration
 	Expected time.Duration // its length
 	Waiting  int           // pieces left waiting
+	Prompt   bool          // the backend server began on the call before at once
 	expected float64       // work of the call at the pool's usual speed
 }
 
@@ -109,6 +113,7 @@
 	held     map[string]held // results, by handle
 	heldSum  int64
 	pending  int64 // bytes of results being made
+	prompt   bool  // it began on its last call at once
 }
 
 type held struct {
@@ -284,7 +289,7 @@
 		}
 		return cmp.Compare(a.Job.ID, b.Job.ID)
 	})
-	call := &Call{Server: w.Announcement, Started: at}
+	call := &Call{Server: w.Announcement, Started: at, Prompt: w.prompt}
 	room := p.room(at, w)
 	var rest []*Piece
 	for i := 0; i < len(p.queue); {
@@ -339,8 +344,17 @@
 }
 
 // Taken lists the inputs that nothing needs any more once the backend server
-// has begun to work on the call.
+// has begun to work on the call. There are none where the call may stand behind
+// that of another owner.
 func (c *Call) Taken() []string {
+	if !c.Prompt {
+		return nil
+	}
+	return c.Inputs()
+}
+
+// Inputs lists the inputs that nothing but this call needs.
+func (c *Call) Inputs() []string {
 	var out []string
 	var last *Job
 	for _, q := range c.Pieces {
@@ -490,6 +504,7 @@
 		return
 	}
 	took := float64(at-call.Started-hopTime) / max(call.expected, 1)
+	w.prompt = took < promptFactor*w.speed
 	w.speed += speedWeight * (took - w.speed)
 	var sum float64
 	for _, other := range p.workers {
--- a/core/roster/roster_test.go
+++ b/core/roster/roster_test.go
@@ -98,3 +98,15 @@
 		}
 	})
 }
+
+// TestFrozenInstanceNamesNoPeers: a control instance froze together with the
+// gateway beside it, which is gone for all others.
+func TestFrozenInstanceNamesNoPeers(t *testing.T) {
+	lists := []roster.PeerList{
+		{Heard: 10 * time.Second, Gateways: []string{"a", "b"}},
+		{Heard: 6 * time.Second, Gateways: []string{"a", "b", "frozen"}},
+	}
+	if got := roster.Peers(10500*time.Millisecond, "a", lists); !slices.Equal(got, []string{"a", "b"}) {
+		t.Errorf("peers %v, want a and b", got)
+	}
+}
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -226,6 +226,7 @@
 			event.SourceLost.Log(g.config.Logger, zap.String("source", address), zap.Duration("silent", now-s.heard))
 		}
 	}
+	g.gatewaysMoved(now)
 	g.roster.Expire(now, "")
 	if moved {
 		g.rosterMoved(now)
--- a/io/gateway/watch.go
+++ b/io/gateway/watch.go
@@ -8,6 +8,7 @@
 
 	"tanagerroad/core/catalog"
 	"tanagerroad/core/event"
+	"tanagerroad/core/roster"
 	"tanagerroad/core/wire"
 	"tanagerroad/io/control"
 	"tanagerroad/io/peer"
@@ -98,7 +99,7 @@
 	}
 	if len(update.GetGateways()) > 0 {
 		s.gateways = update.GetGateways()
-		g.gatewaysMoved()
+		g.gatewaysMoved(now)
 	}
 	if len(update.GetAnnounced()) == 0 && !update.GetWhole() {
 		return
@@ -129,14 +130,14 @@
 	g.shop.update(now, g.fleet.Pool)
 }
 
-// gatewaysMoved joins what the sources say. The caller holds the lock.
-func (g *Gateway) gatewaysMoved() {
-	all := []string{g.config.Settings.Peer.Reachable()}
+// gatewaysMoved takes the gateways that the sources name. The caller holds the
+// lock.
+func (g *Gateway) gatewaysMoved(now time.Duration) {
+	var lists []roster.PeerList
 	for _, s := range g.sources {
-		all = append(all, s.gateways...)
+		lists = append(lists, roster.PeerList{Heard: s.heard, Gateways: s.gateways})
 	}
-	slices.Sort(all)
-	all = slices.Compact(all)
+	all := roster.Peers(now, g.config.Settings.Peer.Reachable(), lists)
 	if !slices.Equal(all, g.gateways) {
 		g.gateways = all
 		clear(g.budgets) // their shares have changed
--- a/io/gateway/workshop.go
+++ b/io/gateway/workshop.go
@@ -253,6 +253,9 @@
 	if outcomes == nil && taken != nil {
 		taken.Stop()
 	}
+	if inputs := call.Inputs(); outcomes != nil && taken == nil && len(inputs) > 0 {
+		s.giveUp(inputs)
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	at := s.g.now()
