pipeline, batch: stages are made where their inputs lie, when there is time

Ruled out: the large results of the first stage (0.4 GB, made near their home).

Change: a job is drawn to the zone where most bytes of its inputs lie or its results are wanted, and waits up to 250 ms for a server there while it has time.

--- a/core/batch/batch.go
+++ b/core/batch/batch.go
@@ -32,14 +32,13 @@
 	// fullPause is how long a backend server without room gets no results to
 	// keep.
 	fullPause = 500 * time.Millisecond
-	// largeResult is the size, in bytes, from which a result is worth waiting
-	// for a backend server in the zone that wants it; deferMost is for how
-	// long, and deferSpare what must be left to spare.
-	largeResult = 100 << 10
-	deferMost   = 250 * time.Millisecond
-	deferSpare  = 150 * time.Millisecond
-	// zoneBonus is how much earlier a piece is taken in the zone that wants
-	// its result.
+	// largePull is the number of bytes from which a job is worth waiting for a
+	// backend server in its zone; deferMost is for how long, and deferSpare
+	// what must be left to spare.
+	largePull  = 200 << 10
+	deferMost  = 250 * time.Millisecond
+	deferSpare = 150 * time.Millisecond
+	// zoneBonus is how much earlier a job is taken in its zone.
 	zoneBonus = 100 * time.Millisecond
 	// priorityStep is how much a job of one priority may wait longer than one
 	// of the next.
@@ -63,7 +62,8 @@
 	Due      time.Duration // until then it is in time for the request's aim
 	Priority int
 	Bytes    int    // of one result
-	Zone     string // that wants the results; empty: any
+	Zone     string // in which it should be made; empty: any
+	Pull     int    // bytes that cross zones if it is made elsewhere
 	LastUse  bool   // nothing else takes the inputs
 }
 
@@ -223,8 +223,8 @@
 	return a.turn(zone) < b.turn(zone)
 }
 
-// turn is a job's place in the order: less urgent ones, and those whose results
-// are wanted in another zone, are set back a little.
+// turn is a job's place in the order: less urgent ones, and those that should be
+// made in another zone, are set back a little.
 func (j *Job) turn(zone string) time.Duration {
 	turn := j.Due + time.Duration(j.Priority)*priorityStep
 	if j.Zone != "" && zone != "" && j.Zone != zone {
@@ -328,10 +328,10 @@
 	return call
 }
 
-// defers reports whether a job waits for a backend server in the zone that
-// wants its results, rather than being made by w now.
+// defers reports whether a job waits for a backend server in its zone, rather
+// than being made by w now.
 func (p *Pool) defers(at time.Duration, j *Job, w *worker) bool {
-	if j.Bytes < largeResult || j.Zone == "" || j.Zone == w.Zone || len(p.queue) > p.traits.Batch {
+	if j.Pull < largePull || j.Zone == "" || j.Zone == w.Zone || len(p.queue) > p.traits.Batch {
 		return false
 	}
 	for _, other := range p.workers {
--- a/core/pipeline/pipeline.go
+++ b/core/pipeline/pipeline.go
@@ -27,6 +27,7 @@
 	Stages   []tanagerroad.CatalogStage
 	Pieces   []int // of each stage; a stage without pieces is left out
 	Traits   func(pool string) *tanagerroad.PieceTraits
+	Home     string        // zone in which the request itself will likely run; empty: any
 	Aim      time.Duration // when the request is in time
 	Deadline time.Duration
 }
@@ -40,7 +41,9 @@
 	Due      time.Duration
 	Deadline time.Duration
 	Bytes    int
-	LastUse  bool // no other stage takes the inputs
+	LastUse  bool   // no other stage takes the inputs
+	Zone     string // in which the fewest bytes would cross zones; empty: any
+	Pull     int    // bytes that would cross if it is made elsewhere
 }
 
 type result struct {
@@ -165,11 +168,32 @@
 			job.Inputs = append(job.Inputs, p.handles(before)...)
 			job.LastUse = job.LastUse && p.followers(before) == 1
 		}
+		job.Zone, job.Pull = p.pull(i)
 		out = append(out, job)
 	}
 	return out
 }
 
+// pull is the zone that a stage is drawn to, and by how many bytes: each piece
+// fetches all inputs for itself, and the request the results of the last stages.
+func (p *Pipeline) pull(i int) (zone string, bytes int) {
+	draw := map[string]int{}
+	for _, before := range p.config.Stages[i].After {
+		for _, r := range p.stages[before].results {
+			draw[r.zone] += p.config.Stages[before].Bytes * p.count(i)
+		}
+	}
+	if !p.followed(i) && p.config.Home != "" {
+		draw[p.config.Home] += p.config.Stages[i].Bytes * p.count(i)
+	}
+	for z, b := range draw {
+		if b > bytes || b == bytes && z < zone {
+			zone, bytes = z, b
+		}
+	}
+	return zone, bytes
+}
+
 func (p *Pipeline) inputsMade(i int) bool {
 	return !slices.ContainsFunc(p.config.Stages[i].After, func(before int) bool { return p.stages[before].missing > 0 })
 }
--- a/io/gateway/stages.go
+++ b/io/gateway/stages.go
@@ -26,7 +26,6 @@
 	gone     bool // a backend server says that an input is gone
 	losses   int
 	admitted bool
-	zone     string // in which the request itself will likely run
 }
 
 type stageJob struct {
@@ -46,9 +45,9 @@
 		room += n
 	}
 	return &stageRun{
-		x: x, zone: zone, results: make(chan *wire.PieceResult, room*3), jobs: map[uint64]*stageJob{}, freed: map[string]bool{},
+		x: x, results: make(chan *wire.PieceResult, room*3), jobs: map[uint64]*stageJob{}, freed: map[string]bool{},
 		pipeline: pipeline.New(pipeline.Config{
-			Stages: x.route.Stages, Pieces: x.call.Pieces, Aim: x.arrived + x.route.Aim, Deadline: x.deadline,
+			Stages: x.route.Stages, Pieces: x.call.Pieces, Home: zone, Aim: x.arrived + x.route.Aim, Deadline: x.deadline,
 			Traits: func(pool string) *tanagerroad.PieceTraits {
 				if p := x.index.Pool(pool); p != nil {
 					return p.Pieces
@@ -101,7 +100,7 @@
 	ask := &wire.PieceJob{
 		Request: x.call.ID, Pool: job.Pool, Stage: uint32(job.Stage), Inputs: job.Inputs,
 		LeftMillis: (job.Deadline - now).Milliseconds(), SlackMillis: (job.Due - now).Milliseconds(),
-		Priority: int32(x.priority), ResultBytes: uint32(job.Bytes), Zone: s.zone, LastUse: job.LastUse,
+		Priority: int32(x.priority), ResultBytes: uint32(job.Bytes), Zone: job.Zone, PullBytes: uint32(job.Pull), LastUse: job.LastUse,
 	}
 	if len(job.Inputs) == 0 {
 		ask.Key = x.call.PieceKey
