batch: pieces of overdue calls are made elsewhere; late jobs wait three seconds longer, not for ever

Jobs that were late for their aim starved behind fresh ones until their deadline.

Ruled out: room (the idle servers had all of it); large inputs given up early for small results, which made 'gone' of pieces that found no room (now only for inputs that take much room).

--- a/core/batch/batch.go
+++ b/core/batch/batch.go
@@ -40,9 +40,15 @@
 	deferSpare = 150 * time.Millisecond
 	// zoneBonus is how much earlier a job is taken in its zone.
 	zoneBonus = 100 * time.Millisecond
+	// lateSetback is how much longer a job waits that is late for its aim.
+	lateSetback = 3 * time.Second
 	// priorityStep is how much a job of one priority may wait longer than one
 	// of the next.
 	priorityStep = 150 * time.Millisecond
+	// overdueFactor and overdueSlack bound a call's length by what it is expected
+	// to take, before its pieces are made elsewhere too.
+	overdueFactor = 2
+	overdueSlack  = 400 * time.Millisecond
 	// promptFactor is how much longer than usual a call may take without the
 	// suspicion that it stood behind another owner's.
 	promptFactor = 1.3
@@ -75,6 +81,7 @@
 	Job   *Job
 	Piece int
 	tries int
+	done  bool // its result is there
 }
 
 // Call is one call to a backend server.
@@ -86,6 +93,8 @@
 	Waiting  int           // pieces left waiting
 	Prompt   bool          // the backend server began on the call before at once
 	expected float64       // work of the call at the pool's usual speed
+
+	abandoned, ended bool
 }
 
 // Made is the end of one piece.
@@ -95,6 +104,7 @@
 	Handle string // empty: not made, and Reason says why
 	Reason string
 	Zone   string
+	Extra  bool // the piece had been made before
 }
 
 // Reasons beside those of backend servers.
@@ -170,9 +180,9 @@
 // Predict is when a job of so many pieces that is due then would be made: what
 // goes before it, at the pool's full speed, and its own call.
 func (p *Pool) Predict(at time.Duration, pieces int, due time.Duration, priority int) time.Duration {
-	before := 0
+	before, own := 0, (&Job{Due: due, Priority: priority}).turn(at, "")
 	for _, q := range p.queue {
-		if p.before(at, q.Job, &Job{Due: due, Deadline: due, Priority: priority}, "") {
+		if q.Job.turn(at, "") < own {
 			before++
 		}
 	}
@@ -186,8 +196,8 @@
 			free = left
 		}
 	}
-	own := time.Duration(float64(p.traits.Call+time.Duration(min(pieces, p.traits.Batch))*p.traits.Item) * p.speed)
-	return at + max(free, 0) + wait + own
+	call := time.Duration(float64(p.traits.Call+time.Duration(min(pieces, p.traits.Batch))*p.traits.Item) * p.speed)
+	return at + max(free, 0) + wait + call
 }
 
 // Add takes a job in. It reports false, and when there may be room again, for
@@ -211,25 +221,17 @@
 	p.queue = slices.DeleteFunc(p.queue, func(q *Piece) bool { return q.Job.ID == id })
 }
 
-// before orders jobs for a zone: those that can still make their aim go first.
-func (p *Pool) before(at time.Duration, a, b *Job, zone string) bool {
-	lateA, lateB := a.Due < at, b.Due < at
-	if lateA != lateB {
-		return lateB
-	}
-	if lateA && a.Priority != b.Priority {
-		return a.Priority < b.Priority
-	}
-	return a.turn(zone) < b.turn(zone)
-}
-
-// turn is a job's place in the order: less urgent ones, and those that should be
-// made in another zone, are set back a little.
-func (j *Job) turn(zone string) time.Duration {
+// turn is a job's place in the order for a zone: less urgent ones, and those that
+// should be made in another zone, are set back a little; those that are late for
+// their aim by more, but not for ever.
+func (j *Job) turn(at time.Duration, zone string) time.Duration {
 	turn := j.Due + time.Duration(j.Priority)*priorityStep
 	if j.Zone != "" && zone != "" && j.Zone != zone {
 		turn += zoneBonus
 	}
+	if j.Due < at {
+		turn += lateSetback
+	}
 	return turn
 }
 
@@ -281,13 +283,7 @@
 // fill takes the pieces for a call to w; nil when none fits.
 func (p *Pool) fill(at time.Duration, w *worker) *Call {
 	slices.SortStableFunc(p.queue, func(a, b *Piece) int {
-		switch {
-		case p.before(at, a.Job, b.Job, w.Zone):
-			return -1
-		case p.before(at, b.Job, a.Job, w.Zone):
-			return 1
-		}
-		return cmp.Compare(a.Job.ID, b.Job.ID)
+		return cmp.Or(cmp.Compare(a.Job.turn(at, w.Zone), b.Job.turn(at, w.Zone)), cmp.Compare(a.Job.ID, b.Job.ID))
 	})
 	call := &Call{Server: w.Announcement, Started: at, Prompt: w.prompt}
 	room := p.room(at, w)
@@ -432,9 +428,40 @@
 	return next, true
 }
 
+// Patience is how long a call may take before its pieces are made elsewhere.
+func (c *Call) Patience() time.Duration {
+	return max(overdueFactor*c.Expected, c.Expected+overdueSlack)
+}
+
+// Abandon gives a call up that is overdue: its answer may be lost. Its pieces wait
+// again; whichever result comes first counts.
+func (p *Pool) Abandon(at time.Duration, call *Call) bool {
+	if call.ended || call.abandoned {
+		return false
+	}
+	call.abandoned = true
+	if w := p.workers[call.Server.ID]; w != nil && w.Born == call.Server.Born {
+		w.calls = max(0, w.calls-1)
+		w.ejected, w.prompt = at+ejectTime, false
+	}
+	for _, q := range call.Pieces {
+		if p.wanted(q) {
+			p.queue = append(p.queue, q)
+		}
+	}
+	return true
+}
+
+// wanted reports whether a piece is still to be made.
+func (p *Pool) wanted(q *Piece) bool {
+	_, known := p.jobs[q.Job.ID]
+	return known && !q.done
+}
+
 // Done ends a call with the outcomes of its pieces, in their order; nil when
 // the call failed as a whole. Pieces that may be tried again wait again.
 func (p *Pool) Done(at time.Duration, call *Call, outcomes []tanagerroad.PieceOutcome, full bool) []Made {
+	call.ended = true
 	w := p.workers[call.Server.ID]
 	if w != nil && w.Born != call.Server.Born {
 		w = nil
@@ -445,20 +472,17 @@
 	var out []Made
 	for i, q := range call.Pieces {
 		if outcomes != nil && outcomes[i].Handle != "" {
-			out = append(out, Made{Job: q.Job, Piece: q.Piece, Handle: outcomes[i].Handle, Zone: call.Server.Zone})
-			if w != nil && q.Job.Bytes > 0 {
-				w.held[outcomes[i].Handle] = held{q.Job.size(), at + p.traits.Keep}
-				w.heldSum += q.Job.size()
-			}
+			out = append(out, Made{Job: q.Job, Piece: q.Piece, Handle: outcomes[i].Handle, Zone: call.Server.Zone, Extra: q.done})
+			p.made(at, w, q, outcomes[i].Handle)
+			continue
+		}
+		if call.abandoned || !p.wanted(q) {
 			continue
 		}
 		reason := NoServer
 		if outcomes != nil {
 			reason = outcomes[i].Reason
 		}
-		if _, wanted := p.jobs[q.Job.ID]; !wanted {
-			continue
-		}
 		if reason == tanagerroad.PieceRoom && w != nil {
 			w.fillUp(at, p.traits.Room)
 		} else {
@@ -474,6 +498,18 @@
 	return out
 }
 
+// made notes the result of a piece.
+func (p *Pool) made(at time.Duration, w *worker, q *Piece, handle string) {
+	if !q.done {
+		q.done = true
+		p.queue = slices.DeleteFunc(p.queue, func(other *Piece) bool { return other == q }) // after an abandoned call
+	}
+	if w != nil && q.Job.Bytes > 0 {
+		w.held[handle] = held{q.Job.size(), at + p.traits.Keep}
+		w.heldSum += q.Job.size()
+	}
+}
+
 // fillUp counts all room as taken for a while: results lie there that were made
 // for an owner before this one.
 func (w *worker) fillUp(at time.Duration, room int64) {
@@ -491,11 +527,16 @@
 
 // settle takes what a call's end says about its backend server.
 func (p *Pool) settle(at time.Duration, w *worker, call *Call, outcomes []tanagerroad.PieceOutcome, full bool) {
-	w.calls = max(0, w.calls-1)
-	w.idleFrom, w.freeAt = at, at
+	if !call.abandoned {
+		w.calls = max(0, w.calls-1)
+		w.idleFrom, w.freeAt = at, at
+	}
 	for _, q := range call.Pieces {
 		w.pending -= q.Job.size()
 	}
+	if outcomes == nil && call.abandoned {
+		return
+	}
 	if outcomes == nil {
 		w.ejected = at + ejectTime
 		if full {
--- a/core/batch/load_test.go
+++ b/core/batch/load_test.go
@@ -39,9 +39,11 @@
 		To         float64 `json:"to"`
 	} `json:"kinds"`
 	SlowWorker float64 `json:"slow-worker"` // the first one works so much longer
+	MuteEvery  int     `json:"mute-every"`  // the answer to each so many-th call is lost
 	// Bounds on the time to the last piece.
 	P50Ms    float64            `json:"p50-ms"`
 	P95Ms    float64            `json:"p95-ms"`
+	MaxMs    float64            `json:"max-ms"` // no job takes longer
 	Calls    int                `json:"most-calls"`
 	InTime   map[string]float64 `json:"in-time"` // least share made by due, by kind
 	NoFailed bool               `json:"none-failed"`
@@ -123,9 +125,22 @@
 	if id == "w0" && p.load.SlowWorker > 0 {
 		length = time.Duration(float64(length) * p.load.SlowWorker)
 	}
+	p.at(p.now+call.Patience(), func() {
+		if p.pool.Abandon(p.now, call) {
+			p.pump()
+		}
+	})
+	if p.load.MuteEvery > 0 && p.calls%p.load.MuteEvery == 0 {
+		for _, q := range call.Pieces { // the results lapse where they lie
+			p.at(p.now+4*time.Second, func() { p.room[id] -= float64(q.Job.Bytes) })
+		}
+		length, outcomes = 5*time.Second, nil // its caller's own timeout
+	}
 	p.at(p.now+length+10*time.Millisecond, func() {
 		for _, m := range p.pool.Done(p.now, call, outcomes, false) {
-			p.end(m)
+			if !m.Extra {
+				p.end(m)
+			}
 			if m.Handle == "" {
 				continue
 			}
@@ -214,6 +229,9 @@
 			if l.P50Ms > 0 && p50 > ms(l.P50Ms) || l.P95Ms > 0 && p95 > ms(l.P95Ms) {
 				t.Errorf("p50 %s, p95 %s; want at most %v ms and %v ms", p50, p95, l.P50Ms, l.P95Ms)
 			}
+			if longest := p.took[len(p.took)-1]; l.MaxMs > 0 && longest > ms(l.MaxMs) {
+				t.Errorf("the longest took %s; want at most %v ms", longest, l.MaxMs)
+			}
 			if l.Calls > 0 && p.calls > l.Calls {
 				t.Errorf("%d calls; want at most %d", p.calls, l.Calls)
 			}
--- a/core/event/event.go
+++ b/core/event/event.go
@@ -67,6 +67,7 @@
 	CallSent        = define(219, zap.InfoLevel, "pieces-sent", "A call with pieces was sent to a backend server: how many, how many wait, and why this one.")
 	CallEnded       = define(220, zap.InfoLevel, "pieces-ended", "A call with pieces ended; failed says how many were not made.")
 	Admitted        = define(221, zap.InfoLevel, "admission", "A staged request was refused, or taken because it had been refused before: the predicted wait, and the time to spare before its aim.")
+	CallOverdue     = define(222, zap.WarnLevel, "pieces-overdue", "A call takes much longer than expected; its pieces are made elsewhere too.")
 	LinesDropped    = define(108, zap.WarnLevel, "lines-dropped", "Log lines were left out, since more came than the bound allows or the reader is slow.")
 	Reloaded        = define(109, zap.InfoLevel, "reloaded", "The settings file was read again; what changed is said.")
 	ReloadFailed    = define(110, zap.ErrorLevel, "reload-failed", "The settings file could not be read again; the settings before stay in force.")
--- a/core/pipeline/pipeline.go
+++ b/core/pipeline/pipeline.go
@@ -17,6 +17,8 @@
 	waitTime = 100 * time.Millisecond
 	// leastTime is the least that the request itself takes.
 	leastTime = 30 * time.Millisecond
+	// largeResult is the size, in bytes, from which room is short of results.
+	largeResult = 32 << 10
 	// restartsMost bounds how often stages are made again after results were
 	// lost.
 	restartsMost = 2
@@ -41,7 +43,7 @@
 	Due      time.Duration
 	Deadline time.Duration
 	Bytes    int
-	LastUse  bool   // no other stage takes the inputs
+	LastUse  bool   // no other stage takes the inputs, and they take much room
 	Zone     string // in which the fewest bytes would cross zones; empty: any
 	Pull     int    // bytes that would cross if it is made elsewhere
 }
@@ -166,7 +168,7 @@
 		}
 		for _, before := range s.After {
 			job.Inputs = append(job.Inputs, p.handles(before)...)
-			job.LastUse = job.LastUse && p.followers(before) == 1
+			job.LastUse = job.LastUse && p.followers(before) == 1 && p.config.Stages[before].Bytes >= largeResult
 		}
 		job.Zone, job.Pull = p.pull(i)
 		out = append(out, job)
--- a/io/gateway/workshop.go
+++ b/io/gateway/workshop.go
@@ -249,7 +249,9 @@
 	if inputs := call.Taken(); len(inputs) > 0 {
 		taken = time.AfterFunc(fetchTime, func() { s.giveUp(inputs) })
 	}
+	overdue := time.AfterFunc(call.Patience(), func() { s.abandon(name, p, call) })
 	outcomes, full, err := s.call(call, items)
+	overdue.Stop()
 	if outcomes == nil && taken != nil {
 		taken.Stop()
 	}
@@ -275,6 +277,18 @@
 	s.pump(name, p)
 }
 
+// abandon has the pieces of an overdue call made elsewhere.
+func (s *workshop) abandon(name string, p *batch.Pool, call *batch.Call) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !p.Abandon(s.g.now(), call) {
+		return
+	}
+	event.CallOverdue.Log(s.g.config.Logger, zap.String("pool", name), zap.String("server", call.Server.ID),
+		zap.Int("pieces", len(call.Pieces)), zap.Duration("expected", call.Expected), zap.Duration("waited", call.Patience()))
+	s.pump(name, p)
+}
+
 // call sends the items and reads what became of them. full says that the
 // backend server took none.
 func (s *workshop) call(call *batch.Call, items []tanagerroad.PieceItem) (outcomes []tanagerroad.PieceOutcome, full bool, err error) {
@@ -315,7 +329,7 @@
 	replies := map[string]*wire.PieceResult{}
 	for _, m := range made {
 		o, ok := s.jobs[m.Job.ID]
-		if !ok {
+		if !ok || m.Extra {
 			if m.Handle != "" { // nobody wants it any more
 				s.release([]string{m.Handle})
 			}
