--- a/io/gateway/exchange.go
+++ b/io/gateway/exchange.go
@@ -38,6 +38,8 @@
 	bodyKept = 128 << 10
 	// writeSlack is how long past its deadline an answer may still be written.
 	writeSlack = time.Second
+	// eventMost is the largest event of a stream, in bytes.
+	eventMost = 1 << 20
 	// copyBuffer is the unit in which answers are passed on, in bytes.
 	copyBuffer = 8 << 10
 )
@@ -411,6 +413,9 @@
 			x.header(res, 0)
 			return attempt.Answered
 		}
+		if err == nil && len(x.splitter.Rest()) > eventMost {
+			err = errors.New("an event is larger than the limit")
+		}
 		if err != nil {
 			x.reason = "the stream broke off: " + err.Error()
 			return x.brokenEnd()
