--- /dev/null
+++ b/core/fleet/fleet_test.go
@@ -0,0 +1,123 @@
+package fleet_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"tanagerroad"
+	"tanagerroad/core/fleet"
+)
+
+var regions = map[string]string{"z1": "north", "z2": "north", "z3": "south"}
+
+type step struct {
+	AtMs      int            `json:"at-ms"`
+	Pick      *string        `json:"pick"`
+	From      string         `json:"from"`
+	Exclude   []string       `json:"exclude"`
+	Results   map[string]int `json:"results"`
+	Done      string         `json:"done"`
+	Failed    bool           `json:"failed"`
+	Answered  string         `json:"answered"`
+	LatencyMs int            `json:"latency-ms"`
+	Running   int            `json:"running"`
+	Waiting   int            `json:"waiting"`
+	Slots     int            `json:"slots"`
+}
+
+// TestScripts plays testdata/scripts.json.
+func TestScripts(t *testing.T) {
+	data, err := os.ReadFile("testdata/scripts.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var scripts []struct {
+		What    string `json:"what"`
+		Servers []struct {
+			ID     string `json:"id"`
+			Zone   string `json:"zone"`
+			Slots  int    `json:"slots"`
+			ColdMs int    `json:"cold-ms"`
+		} `json:"servers"`
+		Steps []step `json:"steps"`
+	}
+	if err := json.Unmarshal(data, &scripts); err != nil {
+		t.Fatal(err)
+	}
+	for _, script := range scripts {
+		f := fleet.New(regions)
+		var servers []tanagerroad.Announcement
+		for _, s := range script.Servers {
+			servers = append(servers, tanagerroad.Announcement{
+				ID: s.ID, Pool: "p", Address: s.ID + ":1", Zone: s.Zone, Slots: max(s.Slots, 8), Cold: time.Duration(s.ColdMs) * time.Millisecond,
+			})
+			if s.Slots > 0 {
+				servers[len(servers)-1].Slots = s.Slots
+			}
+		}
+		f.Update(servers)
+		for i, s := range script.Steps {
+			at := time.Duration(s.AtMs) * time.Millisecond
+			switch {
+			case s.Done != "":
+				f.Done(at, s.Done, fleet.Outcome{Failed: s.Failed})
+			case s.Answered != "":
+				f.Answered(at, s.Answered, fleet.Outcome{
+					Latency: time.Duration(s.LatencyMs) * time.Millisecond, Running: s.Running, Waiting: s.Waiting, Slots: s.Slots,
+				})
+			default:
+				choice, _ := f.Pick(at, fleet.Ask{Pool: "p", From: tanagerroad.Place{Zone: s.From, Region: regions[s.From]}, Exclude: s.Exclude, Results: s.Results})
+				if choice.ID != *s.Pick {
+					t.Errorf("%s: step %d: %q was chosen, want %q", script.What, i, choice.ID, *s.Pick)
+				}
+			}
+		}
+	}
+}
+
+// TestGatewaysAgreeOnHomes: gateways that know the same backend servers, each with
+// traffic of its own, send prompts with one shared part to one engine; and the
+// loss of an engine moves only the parts that it kept.
+func TestGatewaysAgreeOnHomes(t *testing.T) {
+	var servers []tanagerroad.Announcement
+	for i := range 9 {
+		servers = append(servers, tanagerroad.Announcement{ID: fmt.Sprint("e", i), Pool: "m", Address: fmt.Sprint("e:", i), Zone: "z1", Slots: 64})
+	}
+	gateways := []*fleet.Fleet{fleet.New(regions), fleet.New(regions), fleet.New(regions)}
+	home := func(g *fleet.Fleet, part int) string {
+		choice, ok := g.Pick(0, fleet.Ask{
+			Pool: "m", From: tanagerroad.Place{Zone: "z1", Region: "north"}, Chance: uint64(part * 7),
+			Parts: []tanagerroad.PromptPart{{ID: "all", Tokens: 500}, {ID: fmt.Sprint("s", part), Tokens: 4800}, {ID: fmt.Sprint("own", part), Tokens: 6000}},
+		})
+		if !ok {
+			t.Fatal("nothing was chosen")
+		}
+		g.Done(0, choice.ID, fleet.Outcome{})
+		return choice.ID
+	}
+	for _, g := range gateways {
+		g.Update(servers)
+	}
+	homes := map[int]string{}
+	load := map[string]int{}
+	for part := range 90 {
+		homes[part] = home(gateways[part%3], part)
+		load[homes[part]]++
+		if other := home(gateways[(part+1)%3], part); other != homes[part] {
+			t.Errorf("part %d: one gateway chose %s, another %s", part, homes[part], other)
+		}
+	}
+	if len(load) != 9 {
+		t.Errorf("90 parts lie on %d of 9 engines", len(load))
+	}
+	fresh := fleet.New(regions)
+	fresh.Update(servers[1:])
+	for part, before := range homes {
+		if after := home(fresh, part); before != "e0" && after != before {
+			t.Errorf("part %d moved from %s to %s though its engine is there", part, before, after)
+		}
+	}
+}
--- a/core/replica/guard_test.go
+++ b/core/replica/guard_test.go
@@ -240,3 +240,84 @@
 		t.Error("the heir got no vote because the leaving leader is still heard")
 	}
 }
+
+// open is replica a as the leader of a cluster that takes in new addresses.
+func open(t *testing.T, members []*wire.Member) (*replica.Replica, time.Duration) {
+	t.Helper()
+	r := replica.New(replica.Config{
+		ID: "a", Address: "a0", Election: election, Beat: beat, Seed: 1, Entries: 8, Chunk: 1 << 10, Open: true, Retire: 4 * election,
+	}, 0, replica.Stored{Hard: &wire.HardState{Term: 2}, Snapshot: &wire.SnapshotMark{Members: members}})
+	at := lead(t, r)
+	ack(r, at, "b", 1, 0)
+	r.Take()
+	return r, at
+}
+
+func names(members []*wire.Member) string {
+	var out string
+	for _, m := range members {
+		out += m.GetId()
+		if !m.GetVoter() {
+			out += "?"
+		}
+	}
+	return out
+}
+
+func TestNewAddressIsTakenInOnlyWhereOpen(t *testing.T) {
+	ask := &wire.Message{Kind: "join", From: "d", To: "a", Address: "d0"}
+	r, at := open(t, trio)
+	r.Step(at, ask)
+	if got := names(r.Members()); got != "abcd?" {
+		t.Errorf("members %s, want abcd? with d learning", got)
+	}
+	closed := follower(trio)
+	at = lead(t, closed)
+	ack(closed, at, "b", 1, 0)
+	closed.Step(at, ask)
+	if got := names(closed.Members()); got != "abc" {
+		t.Errorf("members %s, want abc", got)
+	}
+}
+
+// TestSilentVoterIsTakenOut of four, not of three; and one that comes back without
+// knowing it is taken in again.
+func TestSilentVoterIsTakenOut(t *testing.T) {
+	r, at := open(t, trio)
+	index := uint64(1)
+	pass := func(d time.Duration, heard ...string) {
+		for end := at + d; at < end; at += beat {
+			for _, id := range heard {
+				ack(r, at, id, index, 0)
+			}
+			r.Tick(at)
+			for _, m := range r.Take().Send {
+				index = max(index, m.GetIndex()+uint64(len(m.GetEntries())))
+			}
+		}
+	}
+	r.Step(at, &wire.Message{Kind: "join", From: "d", To: "a", Address: "d0"})
+	pass(2*election, "b", "c", "d")
+	if got := names(r.Members()); got != "abcd" {
+		t.Fatalf("members %s, want abcd", got)
+	}
+	pass(10*election, "b", "c")
+	if got := names(r.Members()); got != "abc" {
+		t.Fatalf("members %s, want abc: d was silent for long", got)
+	}
+	r.Step(at, &wire.Message{Kind: "pre-vote", From: "d", To: "a", Term: 4, Address: "d0"})
+	if got := names(r.Members()); got != "abcd?" {
+		t.Errorf("members %s, want abcd? with d learning", got)
+	}
+}
+
+func TestThreeVotersStay(t *testing.T) {
+	r, at := open(t, trio)
+	for step := at; step < at+10*election; step += beat {
+		ack(r, step, "b", 1, 0)
+		r.Tick(step)
+	}
+	if got := names(r.Members()); got != "abc" {
+		t.Errorf("members %s, want abc: c may only be cut off", got)
+	}
+}
--- a/core/replica/linear_test.go
+++ b/core/replica/linear_test.go
@@ -125,7 +125,7 @@
 
 func TestRacingOperatorsAreLinearizable(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
-		w := newWorld(rt, 3)
+		w := newWorld(rt, 3, 0)
 		r := &race{world: w, open: map[*node]map[uint64]int{}}
 		w.told = r.answered
 		for range 100 {
--- a/core/replica/member.go
+++ b/core/replica/member.go
@@ -13,9 +13,12 @@
 // Join asks the control instances at to, whichever of them leads, to take this
 // replica in. A replica with an emptied disk has a new identity and is no
 // member until then. One that hears no leader asks again even if its own log
-// makes it a learner: the entry that did may never have been committed.
+// makes it a learner: the entry that did may never have been committed. So does,
+// where membership is open, a voter that has known no leader for long: it may
+// have been taken out while it was away.
 func (r *Replica) Join(at time.Duration, to []string) {
-	if r.isVoter(r.config.ID) || r.isMember(r.config.ID) && r.hearsLeader(at) {
+	lonely := r.config.Open && at-r.led > r.config.Retire
+	if r.isVoter(r.config.ID) && !lonely || !r.isVoter(r.config.ID) && r.isMember(r.config.ID) && r.hearsLeader(at) {
 		return
 	}
 	for _, id := range to {
@@ -81,13 +84,13 @@
 	}
 }
 
-// leastVoters is the number below which silent voters are kept: taking one out
-// must never leave a single instance to decide.
-const leastVoters = 2
+// leastVoters is the number of voters from which a silent one is taken out.
+const leastVoters = 4
 
 // retire takes out a member that has been silent for long, so that the quorum
-// is not counted over instances that never come back. One that does come back
-// asks to be taken in again.
+// is not counted over instances that never come back; one that does come back
+// asks to be taken in again. Of an odd number of voters none is taken out: that
+// would let fewer of the rest be lost, and the silent one may only be cut off.
 func (r *Replica) retire(at time.Duration) {
 	if !r.config.Open || r.role != Leader || !r.mayChangeMembers() {
 		return
@@ -100,7 +103,7 @@
 	}
 	for i, m := range r.members {
 		p := r.peers[m.GetId()]
-		if p == nil || at-p.heard < r.config.Retire || m.GetVoter() && voters <= leastVoters {
+		if p == nil || at-p.heard < r.config.Retire || m.GetVoter() && (voters < leastVoters || voters%2 == 1) {
 			continue
 		}
 		r.changeMembers(slices.Delete(slices.Clone(r.members), i, i+1))
--- a/core/replica/replica.go
+++ b/core/replica/replica.go
@@ -56,8 +56,8 @@
 	Seed     uint64        // spreads the election timeouts
 	Entries  int           // most entries in one message
 	Chunk    int           // most bytes of entries or snapshot in one message
-	// Open lets identities at new addresses join, and takes out voters that
-	// are silent for Retire, down to two.
+	// Open lets identities at new addresses join, and takes one of an even
+	// number of voters out that is silent for Retire.
 	Open   bool
 	Retire time.Duration
 }
@@ -116,6 +116,7 @@
 	settled []*wire.Member // newest that is committed
 
 	heard    time.Duration // from a leader, or vote given
+	led      time.Duration // when it knew a leader last
 	timeout  time.Duration
 	random   uint64
 	votes    map[string]bool
@@ -132,7 +133,7 @@
 // New continues from what the disk held.
 func New(config Config, at time.Duration, stored Stored) *Replica {
 	r := &Replica{
-		config: config, role: replicaChart.Initial, random: config.Seed | 1, heard: at,
+		config: config, role: replicaChart.Initial, random: config.Seed | 1, heard: at, led: at,
 		mark: &wire.SnapshotMark{},
 	}
 	if stored.Snapshot != nil {
@@ -300,6 +301,9 @@
 
 // Tick lets time pass.
 func (r *Replica) Tick(at time.Duration) {
+	if r.leader != "" {
+		r.led = at
+	}
 	if r.role == Leader {
 		r.leaderTick(at)
 		return
@@ -320,7 +324,7 @@
 	r.votes = map[string]bool{r.config.ID: true}
 	r.resetTimeout(at)
 	for _, m := range r.others() {
-		r.send(m.GetId(), preVote, &wire.Message{Term: r.term + 1, Index: r.lastIndex(), LogTerm: r.lastTerm()})
+		r.send(m.GetId(), preVote, &wire.Message{Term: r.term + 1, Index: r.lastIndex(), LogTerm: r.lastTerm(), Address: r.config.Address})
 	}
 	r.countVotes(at)
 }
--- a/core/replica/replica_test.go
+++ b/core/replica/replica_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"strconv"
 	"testing"
 	"time"
 
@@ -59,12 +60,13 @@
 	known   map[string]uint64 // accepted claim, and the index that granted it
 	settled []*wire.Member    // newest committed membership
 	newest  uint64            // its index
+	retire  time.Duration     // silence after which members are taken out; 0: never
 	told    func(nd *node, index uint64, o *wire.Outcome)
 }
 
-func newWorld(t *rapid.T, n int) *world {
+func newWorld(t *rapid.T, n int, retire time.Duration) *world {
 	w := &world{
-		t: t, byID: map[string]*node{}, cut: map[string]bool{}, log: map[uint64][]byte{}, images: map[uint64][]byte{},
+		t: t, retire: retire, byID: map[string]*node{}, cut: map[string]bool{}, log: map[uint64][]byte{}, images: map[uint64][]byte{},
 		leaders: map[uint64]string{}, known: map[string]uint64{},
 	}
 	for i := range n {
@@ -108,7 +110,7 @@
 	nd.applied = stored.Snapshot.GetIndex()
 	nd.replica = replica.New(replica.Config{
 		ID: nd.id, Address: nd.address, Election: election, Beat: beat, Seed: xxhash.Sum64String(nd.id),
-		Entries: 4, Chunk: 64,
+		Entries: 4, Chunk: 64, Open: w.retire > 0, Retire: w.retire,
 	}, nd.clock, stored)
 	nd.waiting, nd.reads, nd.up, nd.frozen = map[uint64]proposal{}, map[uint64]int{}, true, false
 	w.carryOut(nd)
@@ -449,9 +451,9 @@
 	}
 }
 
-func testSchedules(t *testing.T, n, steps int) {
+func testSchedules(t *testing.T, n, steps int, retire time.Duration) {
 	rapid.Check(t, func(rt *rapid.T) {
-		w := newWorld(rt, n)
+		w := newWorld(rt, n, retire)
 		for range steps {
 			w.step()
 		}
@@ -462,12 +464,21 @@
 
 func TestThreeInstancesLoseNothing(t *testing.T) {
 	t.Parallel()
-	testSchedules(t, 3, 120)
+	testSchedules(t, 3, 120, 0)
 }
 
 func TestFiveInstancesLoseNothing(t *testing.T) {
 	t.Parallel()
-	testSchedules(t, 5, 120)
+	testSchedules(t, 5, 120, 0)
+}
+
+// TestOpenMembershipLosesNothing: silent members of an even number are taken out
+// and come back.
+func TestOpenMembershipLosesNothing(t *testing.T) {
+	t.Parallel()
+	for n, steps := range map[int]int{4: 100, 6: 30} {
+		t.Run(strconv.Itoa(n), func(t *testing.T) { testSchedules(t, n, steps, 4*election) })
+	}
 }
 
 func (w *world) dump() string {
