gateway: a stream goes on only with the weights that it was made with

Cause: the issue asks that versions of weights are heeded; a stream that went on elsewhere named none, so that tokens of two versions could be joined.

Change: the version of the first answer, or of the latest event that names one, is asked of whoever goes on; a refusal by the right backend server does not set it aside. TestStreamGoesOnElsewhere was red without it ("goes on with version 3, want 4").

--- a/core/sse/sse.go
+++ b/core/sse/sse.go
@@ -7,8 +7,11 @@
 
 // Splitter gathers bytes and hands out whole events.
 type Splitter struct {
+	// Field names another line whose latest value is kept; empty: none.
+	Field   string
 	pending []byte
 	last    string
+	value   string
 }
 
 // Feed takes bytes and returns those that end with a whole event; nil when
@@ -21,9 +24,14 @@
 	}
 	whole := bytes.Clone(s.pending[:end])
 	s.pending = append(s.pending[:0], s.pending[end:]...)
-	if id, ok := lastID(whole); ok {
+	if id, ok := lastField(whole, "id"); ok {
 		s.last = id
 	}
+	if s.Field != "" {
+		if value, ok := lastField(whole, s.Field); ok {
+			s.value = value
+		}
+	}
 	return whole
 }
 
@@ -37,6 +45,9 @@
 // LastID is the id of the last whole event that had one.
 func (s *Splitter) LastID() string { return s.last }
 
+// Value is the latest value of the field that is kept.
+func (s *Splitter) Value() string { return s.value }
+
 // lastBoundary is the length of the data up to its last blank line.
 func lastBoundary(data []byte) int {
 	end := 0
@@ -48,12 +59,12 @@
 	return end
 }
 
-func lastID(events []byte) (string, bool) {
-	id, found := "", false
+func lastField(events []byte, name string) (string, bool) {
+	value, found := "", false
 	for line := range bytes.Lines(events) {
-		if value, ok := bytes.CutPrefix(line, []byte("id:")); ok {
-			id, found = string(bytes.TrimSpace(value)), true
+		if rest, ok := bytes.CutPrefix(line, []byte(name+":")); ok {
+			value, found = string(bytes.TrimSpace(rest)), true
 		}
 	}
-	return id, found
+	return value, found
 }
--- a/dialect.go
+++ b/dialect.go
@@ -34,6 +34,7 @@
 	Inputs    []string // results of the last stages
 	Resume    string   // id of the last event passed on; empty: from the start
 	Urgency   int      // 0 first to 9 last; negative: not said
+	Version   string   // of the model's weights that must answer; empty: any
 }
 
 // Reply is what the headers of a backend server's answer say.
@@ -42,6 +43,7 @@
 	Signed  bool   // it is a backend server's own answer
 	NotRun  bool   // it states that the request did not run
 	Server  string // id of the backend server; empty: not said
+	Version string // of the model's weights; empty: not said
 	Running int    // load: requests running, waiting and slots; slots 0: not said
 	Waiting int
 	Slots   int
@@ -98,6 +100,9 @@
 	Forward(header http.Header, f Forwarding) http.Header
 	// Reply reads the headers of a backend server's answer.
 	Reply(status int, header http.Header) Reply
+	// VersionField names the line of an event that says from which version of
+	// the weights on it was made.
+	VersionField() string
 	// PieceRequest writes a call for pieces, FreeRequest one that gives
 	// results up.
 	PieceRequest(items []PieceItem) ([]byte, error)
--- a/io/gateway/exchange.go
+++ b/io/gateway/exchange.go
@@ -70,6 +70,7 @@
 	status    int  // of that answer
 	kept      *keptAnswer
 	splitter  sse.Splitter
+	version   string // of the weights that the stream began with
 	reason    string // of a refusal or failure
 	retry     time.Duration
 }
@@ -141,6 +142,7 @@
 	_ = controller.SetReadDeadline(time.Time{})                                          // the next request has its own
 	_ = controller.SetWriteDeadline(time.Now().Add(x.deadline - x.arrived + writeSlack)) // a caller that does not read
 	x.body = body
+	x.splitter.Field = g.config.Dialect.VersionField()
 	chance := float64(xxhash.Sum64String(x.call.ID)>>11) / (1 << 53)
 	x.pool = catalog.Target(x.route, chance)
 	x.request = attempt.Request{
--- a/io/gateway/try.go
+++ b/io/gateway/try.go
@@ -65,7 +65,10 @@
 		forwarding.Inputs = x.stages.pipeline.Inputs()
 	}
 	if x.committed {
-		forwarding.Resume = x.splitter.LastID()
+		forwarding.Resume, forwarding.Version = x.splitter.LastID(), x.version
+		if changed := x.splitter.Value(); changed != "" {
+			forwarding.Version = changed
+		}
 		x.splitter.Reset()
 	}
 	started := g.now()
@@ -92,7 +95,7 @@
 	if reply.NotRun {
 		x.reason = "the backend server did not run it: status " + strconv.Itoa(res.Status)
 		res.Discard()
-		if res.Status == http.StatusMisdirectedRequest {
+		if res.Status == http.StatusMisdirectedRequest && reply.Server != choice.ID {
 			return attempt.Misplaced, res.Status, outcome
 		}
 		if res.Status == http.StatusConflict && x.stages != nil {
@@ -110,6 +113,9 @@
 	if x.stages != nil {
 		x.stages.free()
 	}
+	if !x.committed {
+		x.version = reply.Version
+	}
 	end := x.pass(res, success)
 	outcome.Failed = end == attempt.Lost || end == attempt.Broken
 	return end, res.Status, outcome
