--- a/io/gateway/exchange.go
+++ b/io/gateway/exchange.go
@@ -143,8 +143,7 @@
 	_ = controller.SetWriteDeadline(time.Now().Add(x.deadline - x.arrived + writeSlack)) // a caller that does not read
 	x.body = body
 	x.splitter.Field = g.config.Dialect.VersionField()
-	chance := float64(xxhash.Sum64String(x.call.ID)>>11) / (1 << 53)
-	x.pool = catalog.Target(x.route, chance)
+	x.pool = catalog.Target(x.route, chance(x.call.ID))
 	x.request = attempt.Request{
 		Repeat: x.route.Repeat, Resumable: x.route.Resumable, MaxServers: x.route.MaxServers, Deadline: x.deadline,
 	}
@@ -152,6 +151,9 @@
 	return true
 }
 
+// chance is a number from 0 to below 1 that follows from a request's id.
+func chance(id string) float64 { return float64(xxhash.Sum64String(id)>>11) / (1 << 53) }
+
 // subject is the same when the caller sends the request again: the part of its
 // prompt that no other request has.
 func (x *exchange) subject() string {
--- a/io/gateway/owners.go
+++ b/io/gateway/owners.go
@@ -88,10 +88,7 @@
 		return
 	}
 	o.mu.Lock()
-	link, ok := o.links[owner]
-	if !ok {
-		link = o.connect(owner)
-	}
+	link := o.link(owner)
 	o.mu.Unlock()
 	link.send(&wire.PieceJob{Free: handles})
 }
@@ -105,13 +102,10 @@
 	job.Number = o.next
 	if owner == o.g.config.Settings.Peer.Reachable() {
 		o.mu.Unlock()
-		o.g.shop.submit(owner, job, o.g.servers, deliver)
+		o.g.shop.submit(owner, job, deliver)
 		return func() { o.g.shop.cancel(owner, job.GetNumber()) }
 	}
-	link, ok := o.links[owner]
-	if !ok {
-		link = o.connect(owner)
-	}
+	link := o.link(owner)
 	link.pending[job.Number] = deliver
 	o.mu.Unlock()
 	link.send(job)
@@ -140,8 +134,11 @@
 	}
 }
 
-// connect opens a stream to an owner. The caller holds the lock.
-func (o *owners) connect(owner string) *ownerLink {
+// link is the stream to an owner, opened if need be. The caller holds the lock.
+func (o *owners) link(owner string) *ownerLink {
+	if link, ok := o.links[owner]; ok {
+		return link
+	}
 	ctx, cancel := context.WithCancel(o.g.ctx)
 	link := &ownerLink{out: make(chan *wire.PieceJob, outboxLength), ctx: ctx, pending: map[uint64]func(*wire.PieceResult){}}
 	o.links[owner] = link
@@ -269,7 +266,7 @@
 		case job.GetCancel():
 			g.shop.cancel(from, job.GetNumber())
 		default:
-			g.shop.submit(from, job, g.servers, deliver)
+			g.shop.submit(from, job, deliver)
 		}
 	}
 }
--- a/io/gateway/workshop.go
+++ b/io/gateway/workshop.go
@@ -10,7 +10,6 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
 	"tanagerroad"
@@ -98,9 +97,9 @@
 
 // submit takes a job. deliver is called for each part of it that ends; it must
 // not block. from names the gateway's stream; with the job's number it cancels.
-func (s *workshop) submit(from string, job *wire.PieceJob, servers func(string) []tanagerroad.Announcement, deliver func(*wire.PieceResult)) {
+func (s *workshop) submit(from string, job *wire.PieceJob, deliver func(*wire.PieceResult)) {
 	at := s.g.now()
-	known := servers(job.GetPool())
+	known := s.g.servers(job.GetPool())
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	p := s.pool(job.GetPool())
@@ -147,7 +146,7 @@
 	ask := shed.Ask{
 		Subject: a.GetSubject(), Due: at + time.Duration(a.GetSlackMillis())*time.Millisecond,
 		Deadline: at + time.Duration(a.GetLeftMillis())*time.Millisecond,
-		Chance:   float64(xxhash.Sum64String(job.GetRequest())>>11) / (1 << 53),
+		Chance:   chance(job.GetRequest()),
 	}
 	for _, pool := range a.GetChain() {
 		if p := s.pool(pool); p != nil {
@@ -217,9 +216,6 @@
 			items[i] = tanagerroad.PieceItem{
 				Request: q.Job.Request, Stage: q.Job.Stage, Piece: q.Piece, Left: q.Job.Deadline - at, Key: q.Job.Key, Inputs: q.Job.Inputs,
 			}
-			if len(items[i].Inputs) > 0 {
-				items[i].Key = ""
-			}
 		}
 		go s.make(name, p, call, items)
 	}
--- a/io/quorum/quorum.go
+++ b/io/quorum/quorum.go
@@ -196,7 +196,7 @@
 		answers := q.transport.hello(ctx, q.Hello(), listed)
 		answers[q.config.Settings.Peer.Reachable()] = q.Hello()
 		formation, members := replica.DecideFormation(q.Hello(), listed, answers)
-		if formation == replica.Form && len(answers) > 0 && !q.config.Settings.Bootstrap && !formedElsewhere(answers) {
+		if formation == replica.Form && !q.config.Settings.Bootstrap && !formedElsewhere(answers) {
 			formation = replica.Wait // an emptied instance begins no history of its own
 		}
 		switch formation {
