--- a/io/demo/cluster.go
+++ b/io/demo/cluster.go
@@ -7,7 +7,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -63,26 +62,6 @@
 	http          *http.Client
 }
 
-// Free returns loopback addresses that nobody listens on.
-func Free(n int) ([]string, error) {
-	var out []string
-	var listeners []net.Listener
-	defer func() {
-		for _, l := range listeners {
-			_ = l.Close()
-		}
-	}()
-	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return nil, fmt.Errorf("free address: %w", err)
-		}
-		listeners = append(listeners, l)
-		out = append(out, l.Addr().String())
-	}
-	return out, nil
-}
-
 // Start starts a cluster and puts its tables. The returned function stops it.
 func Start(ctx context.Context, config Config) (*Cluster, func(), error) {
 	c := &Cluster{env: process.Environment{Logger: config.Logger}, http: &http.Client{Timeout: 10 * time.Second}}
