replica: a pause of its own is nobody's silence; a stop waits until the rest has a quorum

Cause: the known red TestRollingRestartLosesNothing. The harness had kept stderr only, while logs go to stdout; with stdout and a new line for slow syncs one play showed: 04:05:52.488 the leader's sync took 931 ms, then no-quorum: after the stall its tick ran before the answers that waited in its inbox, so it counted its own standstill as the others' silence and stepped down; nobody led until 04:05:54.213. Bookings give up after 1.5 s. Change: a replica takes a pause between its ticks off the silence that it counts (red first: TestOwnPauseIsNobodysSilence). While tracing, two holes of the hand-over were closed, red first: a lost take-over was never asked again (TestLostHandOverIsAskedAgain), and a leaving instance did not know whether the others have a quorum without it (TestLeavingWaitsForAQuorumOfTheRest): the leader says so with each append. Calls then get a bound of their own. Also: disk-slow (415), and a failed system test prints what was logged about leading and disks. Tests that let time jump now pass it beat by beat, as the contract of Tick says; schedules draw the same times.

--- a/cmd/tanagerroad/kill_test.go
+++ b/cmd/tanagerroad/kill_test.go
@@ -301,7 +301,7 @@
 	})
 	if err != nil || !reply.Whole {
 		bad.Add(1)
-		y.t.Errorf("%s %d-%d at entry %d: %v %+v", route, worker, n, entry, err, reply)
+		y.t.Errorf("%s %s %d-%d at entry %d: %v %+v", time.Now().UTC().Format(time.StampMilli), route, worker, n, entry, err, reply)
 		return
 	}
 	ok.Add(1)
--- a/cmd/tanagerroad/system_test.go
+++ b/cmd/tanagerroad/system_test.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -175,7 +176,7 @@
 	if y.logs[name] == nil {
 		y.logs[name] = &bytes.Buffer{}
 	}
-	cmd.Stderr = y.logs[name]
+	cmd.Stdout, cmd.Stderr = y.logs[name], y.logs[name]
 	if err := cmd.Start(); err != nil {
 		y.t.Fatal(err)
 	}
@@ -210,6 +211,17 @@
 	}
 }
 
+// tellWhy prints what the control instances logged about leading and their disks.
+func (y *system) tellWhy() {
+	for name, log := range y.logs {
+		for line := range strings.Lines(log.String()) {
+			if strings.Contains(line, `"msg":"replica-role"`) || strings.Contains(line, `"msg":"disk-`) {
+				y.t.Logf("%s: %s", name, line)
+			}
+		}
+	}
+}
+
 func (y *system) killAll() {
 	y.mu.Lock()
 	defer y.mu.Unlock()
@@ -222,6 +234,9 @@
 			_ = os.WriteFile(path, y.logs[name].Bytes(), 0o600)
 		}
 	}
+	if y.t.Failed() {
+		y.tellWhy()
+	}
 }
 
 func (y *system) await(what string, ok func() bool) time.Duration {
--- a/core/event/event.go
+++ b/core/event/event.go
@@ -91,6 +91,7 @@
 	AnnouncementBad = define(412, zap.WarnLevel, "announcement-unreadable", "An announcement could not be read; it names no backend server to use.")
 	CatalogPut      = define(413, zap.InfoLevel, "catalog-put", "An operator's configuration was accepted, refused or could not be settled.")
 	CatalogRead     = define(414, zap.InfoLevel, "catalog-read", "An operator read the configuration, or was told that this instance cannot be sure of it.")
+	DiskSlow        = define(415, zap.WarnLevel, "disk-slow", "A write and its sync took so long that changes waited for it; the instance goes on.")
 	OperatorDenied  = define(500, zap.WarnLevel, "operator-denied", "A call on the operator's address carried no valid token.")
 )
 
--- a/core/replica/guard_test.go
+++ b/core/replica/guard_test.go
@@ -26,11 +26,19 @@
 	})
 }
 
+// tick lets the time from one moment to another pass, beat by beat.
+func tick(r *replica.Replica, from, to time.Duration) {
+	for ; from < to; from += beat {
+		r.Tick(from)
+	}
+	r.Tick(to)
+}
+
 // lead makes replica a the leader of the next term and returns the time.
 func lead(t *testing.T, r *replica.Replica) time.Duration {
 	t.Helper()
 	at := 10 * election
-	r.Tick(at)
+	tick(r, 0, at)
 	term := r.Term() + 1
 	r.Step(at, &wire.Message{Kind: "pre-vote-reply", From: "b", To: "a", Term: term, Granted: true})
 	r.Step(at, &wire.Message{Kind: "vote-reply", From: "b", To: "a", Term: term, Granted: true})
@@ -127,7 +135,7 @@
 func TestLeaderWithoutQuorumStepsDown(t *testing.T) {
 	r := follower(trio)
 	at := lead(t, r)
-	r.Tick(at + election + beat)
+	tick(r, at, at+election+beat)
 	if r.Role() == replica.Leader {
 		t.Error("a still leads although it heard nobody for an election's time")
 	}
@@ -216,7 +224,7 @@
 	at := lead(t, r)
 	ack(r, at, "c", 1, 0)
 	r.Take()
-	r.HandOver()
+	r.Leave()
 	if got := last(r.Take().Send, "take-over"); got.GetTo() != "c" {
 		t.Errorf("the lead went to %q, want c, which holds most", got.GetTo())
 	}
@@ -241,6 +249,114 @@
 	}
 }
 
+// TestLostHandOverIsAskedAgain: a leaving leader asks at each beat until another
+// leads, and does not ask a voter that has gone silent again and again.
+func TestLostHandOverIsAskedAgain(t *testing.T) {
+	r := follower(trio)
+	at := lead(t, r)
+	ack(r, at, "c", 1, 0)
+	r.Leave()
+	if got := last(r.Take().Send, "take-over"); got.GetTo() != "c" {
+		t.Fatalf("the lead went to %q, want c, which holds most", got.GetTo())
+	}
+	at += beat
+	r.Tick(at)
+	if got := last(r.Take().Send, "take-over"); got == nil {
+		t.Fatal("a lost hand-over was not asked again")
+	}
+	for range 3 {
+		at += beat
+		ack(r, at, "b", 1, 0) // c is silent
+		r.Tick(at)
+	}
+	if got := last(r.Take().Send, "take-over"); got.GetTo() != "b" {
+		t.Errorf("the lead went to %q, want b, which still answers", got.GetTo())
+	}
+}
+
+// TestLeavingWaitsForAQuorumOfTheRest: with a voter that has not answered the new
+// leader yet, the leaving one is still needed.
+func TestLeavingWaitsForAQuorumOfTheRest(t *testing.T) {
+	r := follower(trio)
+	at := lead(t, r)
+	ack(r, at, "b", 1, 0)
+	at += beat
+	r.Tick(at)
+	spare := func(to string) bool {
+		var newest *wire.Message
+		for _, m := range r.Take().Send {
+			if m.GetKind() == "append" && m.GetTo() == to {
+				newest = m
+			}
+		}
+		if newest == nil {
+			t.Fatalf("nothing was sent to %s", to)
+		}
+		return newest.GetSpare()
+	}
+	if spare("b") {
+		t.Error("b may stop although c has not answered this leader")
+	}
+	ack(r, at, "b", 1, 0)
+	ack(r, at, "c", 1, 0)
+	at += beat
+	r.Tick(at)
+	if !spare("b") {
+		t.Error("b may not stop although a and c are a quorum")
+	}
+	for range 6 {
+		at += beat
+		ack(r, at, "b", 1, 0) // c is silent
+		r.Tick(at)
+	}
+	if spare("b") {
+		t.Error("b may stop although c has gone silent")
+	}
+	leaver := follower(trio)
+	if leaver.Spared() {
+		t.Error("a replica is spared that heard no leader")
+	}
+	leaver.Step(0, &wire.Message{Kind: "append", From: "b", To: "a", Term: 2, Spare: true})
+	if !leaver.Spared() {
+		t.Error("the leader's word that it has a quorum was not taken")
+	}
+	leaver.Step(0, &wire.Message{Kind: "vote", From: "c", To: "a", Term: 3, Granted: true})
+	if leaver.Spared() {
+		t.Error("the word of a leader that was unseated still counts")
+	}
+}
+
+// TestOwnPauseIsNobodysSilence: a replica that stood still, for its disk or the
+// system, heard nobody meanwhile because it did not listen.
+func TestOwnPauseIsNobodysSilence(t *testing.T) {
+	const pause = 3 * election
+	leader := follower(trio)
+	at := lead(t, leader)
+	ack(leader, at, "b", 1, 0)
+	leader.Tick(at)
+	at += pause
+	leader.Tick(at)
+	if leader.Role() != replica.Leader {
+		t.Error("the leader stepped down for a pause of its own")
+	}
+	tick(leader, at, at+election+2*beat)
+	if leader.Role() == replica.Leader {
+		t.Error("a leader that hears nobody after its pause still leads")
+	}
+	other := follower(trio)
+	other.Step(0, &wire.Message{Kind: "append", From: "b", To: "a", Term: 2})
+	other.Tick(0)
+	other.Take()
+	other.Tick(pause)
+	if m := last(other.Take().Send, "pre-vote"); m != nil {
+		t.Error("a follower sought a new leader for a pause of its own")
+	}
+	tick(other, pause, pause+3*election)
+	if m := last(other.Take().Send, "pre-vote"); m == nil {
+		t.Error("a follower that hears no leader after its pause seeks none")
+	}
+}
+
 // open is replica a as the leader of a cluster that takes in new addresses.
 func open(t *testing.T, members []*wire.Member) (*replica.Replica, time.Duration) {
 	t.Helper()
--- a/core/replica/log.go
+++ b/core/replica/log.go
@@ -9,6 +9,9 @@
 	"tanagerroad/core/wire"
 )
 
+// answerBeats is for how many beats an answer counts: one may be lost.
+const answerBeats = 3
+
 // append adds an entry to the leader's own log.
 func (r *Replica) append(e *wire.Entry) uint64 {
 	e.Term, e.Index = r.term, r.lastIndex()+1
@@ -47,32 +50,62 @@
 // force once an Output's Apply holds the entry with this index and term; a
 // different term at the index means that it was lost.
 func (r *Replica) Propose(command []byte) (index, term uint64, ok bool) {
-	if r.role != Leader || r.leaving {
+	if r.role != Leader || r.heir != "" {
 		return 0, 0, false
 	}
 	index = r.append(&wire.Entry{Command: command})
 	return index, r.term, true
 }
 
-// HandOver asks the voter that holds most of the log to lead instead, and takes
-// no more proposals. It reports whether there was anything to hand over.
-func (r *Replica) HandOver() bool {
-	if r.role != Leader {
-		return false
+// Leave says that this replica's process stops. A leader asks the voter that
+// holds most of the log to lead instead, again at each beat, and takes no more
+// proposals.
+func (r *Replica) Leave() {
+	r.leaving = true
+	r.handOver()
+}
+
+// Spared reports whether the rest has a quorum without this replica, as its
+// leader said last.
+func (r *Replica) Spared() bool { return r.spared }
+
+func (r *Replica) handOver() {
+	if r.role != Leader || !r.leaving {
+		return
 	}
-	best := ""
+	heir := ""
 	for _, m := range r.others() {
-		if m.GetVoter() && (best == "" || r.peers[m.GetId()].match > r.peers[best].match) {
-			best = m.GetId()
+		if m.GetVoter() && (heir == "" || r.betterHeir(m.GetId(), heir)) {
+			heir = m.GetId()
 		}
 	}
-	if best == "" {
-		return false
+	if heir == "" {
+		return
 	}
-	r.leaving = true
-	r.sendAppend(best) // what it may lack goes before
-	r.send(best, takeOver, &wire.Message{})
-	return true
+	r.heir = heir
+	r.sendAppend(heir) // what it may lack goes before
+	r.send(heir, takeOver, &wire.Message{})
+}
+
+// betterHeir prefers voters that answer, then those that hold more of the log.
+func (r *Replica) betterHeir(a, b string) bool {
+	if x, y := r.answers(a), r.answers(b); x != y {
+		return x
+	}
+	return r.peers[a].match > r.peers[b].match
+}
+
+// answers reports whether a member has answered this leader lately.
+func (r *Replica) answers(id string) bool {
+	p := r.peers[id]
+	return p != nil && p.match > 0 && r.beatAt-p.heard < answerBeats*r.config.Beat
+}
+
+// spares reports whether there is a quorum without a member.
+func (r *Replica) spares(id string) bool {
+	return r.settledOwnTerm() && r.quorum(func(other string) bool {
+		return other != id && (other == r.config.ID || r.answers(other))
+	})
 }
 
 // Flush sends what Propose added. Calling it once after many proposals makes
@@ -148,6 +181,7 @@
 	}
 	r.promote()
 	r.retire(at)
+	r.handOver()
 }
 
 // sendAppend sends a member what comes next for it, or the snapshot when the
@@ -163,7 +197,7 @@
 	batch := r.batch(p.next)
 	p.next += uint64(len(batch))
 	r.send(to, appendEntries, &wire.Message{
-		Index: prev, LogTerm: prevTerm, Commit: r.commit, Entries: batch, Round: r.round,
+		Index: prev, LogTerm: prevTerm, Commit: r.commit, Entries: batch, Round: r.round, Spare: r.spares(to),
 	})
 }
 
@@ -191,6 +225,7 @@
 
 func (r *Replica) onAppend(at time.Duration, m *wire.Message) {
 	r.follow(at, m.GetTerm(), m.GetFrom())
+	r.spared = m.GetSpare()
 	if m.GetIndex() < r.commit {
 		// All up to the commit is settled here already.
 		r.reply(m, true, r.commit)
--- a/core/replica/replica.go
+++ b/core/replica/replica.go
@@ -115,6 +115,7 @@
 	members []*wire.Member // in force, from the log or the snapshot
 	settled []*wire.Member // newest that is committed
 
+	ticked   time.Duration // latest tick
 	heard    time.Duration // from a leader, or vote given
 	led      time.Duration // when it knew a leader last
 	timeout  time.Duration
@@ -125,7 +126,9 @@
 	round    uint64
 	reads    []read
 	incoming []byte // snapshot being received
-	leaving  bool   // it handed its lead over and takes no proposals
+	leaving  bool   // its process stops
+	heir     string // voter asked to lead instead; no proposals are taken meanwhile
+	spared   bool   // the leader followed has a quorum without this replica
 
 	out Output
 }
@@ -133,7 +136,7 @@
 // New continues from what the disk held.
 func New(config Config, at time.Duration, stored Stored) *Replica {
 	r := &Replica{
-		config: config, role: replicaChart.Initial, random: config.Seed | 1, heard: at, led: at,
+		config: config, role: replicaChart.Initial, random: config.Seed | 1, ticked: at, heard: at, led: at,
 		mark: &wire.SnapshotMark{},
 	}
 	if stored.Snapshot != nil {
@@ -299,8 +302,23 @@
 	return slices.DeleteFunc(slices.Clone(r.members), func(m *wire.Member) bool { return m.GetId() == r.config.ID })
 }
 
-// Tick lets time pass.
+// forgive takes a pause of this replica's own, for its disk or the system, off
+// the silence of the others: it was not listening.
+func (r *Replica) forgive(at time.Duration) {
+	pause := at - r.ticked - r.config.Beat
+	r.ticked = at
+	if pause <= 0 {
+		return
+	}
+	r.heard += pause
+	for _, p := range r.peers {
+		p.heard += pause
+	}
+}
+
+// Tick lets time pass. It is called more often than the leader beats.
 func (r *Replica) Tick(at time.Duration) {
+	r.forgive(at)
 	if r.leader != "" {
 		r.led = at
 	}
@@ -358,7 +376,7 @@
 
 func (r *Replica) lead(at time.Duration) {
 	r.become("win")
-	r.leader, r.leaving = r.config.ID, false
+	r.leader, r.heir, r.spared = r.config.ID, "", false
 	r.peers = map[string]*progress{}
 	r.reads = nil
 	for _, m := range r.others() {
@@ -376,6 +394,9 @@
 		r.term, r.vote = term, ""
 		r.saveHard()
 	}
+	if leader != r.leader {
+		r.spared = false
+	}
 	if r.role == Leader {
 		r.failReads()
 	}
--- a/core/replica/replica_test.go
+++ b/core/replica/replica_test.go
@@ -36,6 +36,7 @@
 	clock    time.Duration
 	up       bool
 	frozen   bool
+	leaving  bool
 	waiting  map[uint64]proposal // by index
 	reads    map[uint64]int      // accepted commands when the read was asked
 }
@@ -62,6 +63,7 @@
 	newest  uint64            // its index
 	retire  time.Duration     // silence after which members are taken out; 0: never
 	told    func(nd *node, index uint64, o *wire.Outcome)
+	shown   func(nd *node, token uint64) // a confirmed read is served
 }
 
 func newWorld(t *rapid.T, n int, retire time.Duration) *world {
@@ -112,7 +114,7 @@
 		ID: nd.id, Address: nd.address, Election: election, Beat: beat, Seed: xxhash.Sum64String(nd.id),
 		Entries: 4, Chunk: 64, Open: w.retire > 0, Retire: w.retire,
 	}, nd.clock, stored)
-	nd.waiting, nd.reads, nd.up, nd.frozen = map[uint64]proposal{}, map[uint64]int{}, true, false
+	nd.waiting, nd.reads, nd.up, nd.frozen, nd.leaving = map[uint64]proposal{}, map[uint64]int{}, true, false, false
 	w.carryOut(nd)
 }
 
@@ -144,6 +146,9 @@
 		if accepted := nd.reads[token]; accepted > nd.countKnown(w) {
 			w.t.Fatalf("%s served a read that misses %d accepted claims", nd.id, accepted-nd.countKnown(w))
 		}
+		if w.shown != nil {
+			w.shown(nd, token)
+		}
 	}
 	w.checkLeader(nd)
 }
@@ -240,6 +245,10 @@
 	if !nd.up || nd.frozen {
 		return
 	}
+	for ; d > beat; d -= beat {
+		nd.clock += beat
+		nd.replica.Tick(nd.clock)
+	}
 	nd.clock += d
 	nd.replica.Tick(nd.clock)
 	var others []string
@@ -371,7 +380,8 @@
 		w.read(nd)
 	case kind < 80:
 		if nd.up && !nd.frozen {
-			nd.replica.HandOver()
+			nd.replica.Leave()
+			nd.leaving = true
 			w.carryOut(nd)
 		}
 	case kind < 82:
@@ -411,6 +421,9 @@
 	w.cut = map[string]bool{}
 	for _, nd := range w.nodes {
 		nd.frozen = false
+		if nd.leaving && nd.up {
+			w.crash(nd) // whoever said that it leaves ends at last
+		}
 		if !nd.up {
 			w.start(nd)
 		}
--- a/io/process/roles.go
+++ b/io/process/roles.go
@@ -208,11 +208,13 @@
 	}
 	p.drain = func(ctx context.Context) int {
 		// Changes that wait are settled; watches never end by themselves.
-		short, cancel := context.WithTimeout(ctx, controlDrain)
+		spared, cancel := context.WithTimeout(ctx, controlLeave)
 		defer cancel()
-		member.Leave(short)
+		member.Leave(spared)
 		service.Leave()
-		stopPeers(short)
+		calls, cancel := context.WithTimeout(ctx, controlDrain)
+		defer cancel()
+		stopPeers(calls)
 		return 0
 	}
 	client := control.NewClient(b.links, s.Instances, p.Logger)
@@ -352,8 +354,11 @@
 // collected more often; the rest is for stacks, code and buffers in the system.
 const memoryPart = 0.7
 
-// controlDrain is how long a control instance waits for calls to end.
-const controlDrain = 2 * time.Second
+// Times of a control instance's stop.
+const (
+	controlLeave = 2 * time.Second // for the others to have a quorum without it; longer than a connection's longest pause
+	controlDrain = 2 * time.Second // for calls to end
+)
 
 // NewStandIn starts a process of fake backend servers.
 func NewStandIn(env Environment, s settings.StandIn) (*Process, []*standin.Server, error) {
--- a/io/quorum/quorum.go
+++ b/io/quorum/quorum.go
@@ -37,6 +37,8 @@
 	// retireAfter is longer than a restart takes, and shorter than the pause
 	// in which a second instance may be lost.
 	retireAfter = 5 * time.Second
+	// slowSync is a write that callers feel.
+	slowSync = 100 * time.Millisecond
 )
 
 // Config is what a quorum member needs.
@@ -56,6 +58,7 @@
 	Term       uint64
 	Commit     uint64
 	Leader     string // address
+	Spared     bool   // the leader has a quorum without this instance
 	Revision   *wire.Revision
 	Quarantine *wire.Quarantine
 	Members    []*wire.Member
@@ -100,7 +103,7 @@
 	inbox     chan *wire.Message
 	proposals chan proposal
 	readings  chan reading
-	leaving   chan struct{} // closed when the lead is to be handed over
+	leaving   chan struct{} // closed when the process stops
 	leaveOnce sync.Once
 
 	waiters      map[uint64]waiter
@@ -268,7 +271,7 @@
 		case <-ctx.Done():
 		case <-leaving:
 			leaving = nil
-			q.replica.HandOver()
+			q.replica.Leave()
 		case m := <-q.inbox:
 			q.replica.Step(q.config.Clock.Now(), m)
 		case p := <-q.proposals:
@@ -376,7 +379,11 @@
 		return nil
 	}
 	q.Counters.Syncs.Add(1)
+	started := q.config.Clock.Now()
 	n, err := q.store.Save(out.Save)
+	if took := q.config.Clock.Now() - started; took >= slowSync {
+		event.DiskSlow.Log(q.config.Logger, zap.Duration("took", took), zap.Int("bytes", n), zap.Int("records", len(out.Save)))
+	}
 	q.journalBytes += int64(n)
 	return err
 }
@@ -466,6 +473,7 @@
 	if q.replica != nil {
 		v.Role, v.Term, v.Commit = q.replica.Role(), q.replica.Term(), q.replica.Commit()
 		v.Leader, v.Members = q.replica.LeaderAddress(), q.replica.SettledMembers()
+		v.Spared = q.replica.Spared()
 		for _, m := range v.Members {
 			v.Instances = append(v.Instances, m.GetAddress())
 		}
@@ -491,10 +499,10 @@
 func (q *Quorum) View() View { return *q.view.Load() }
 
 // Leave hands the lead over, if this instance has it, and returns once another
-// leads or the context ends.
+// leads that has a quorum without this instance, or the context ends.
 func (q *Quorum) Leave(ctx context.Context) {
 	q.leaveOnce.Do(func() { close(q.leaving) })
-	for view := q.View(); view.Role == replica.Leader && len(view.Members) > 1 && ctx.Err() == nil; view = q.View() {
+	for view := q.View(); len(view.Members) > 1 && !view.Spared && ctx.Err() == nil; view = q.View() {
 		select {
 		case <-ctx.Done():
 		case <-time.After(tickEvery):
