--- a/core/replica/member.go
+++ b/core/replica/member.go
@@ -13,11 +13,12 @@
 // Join asks the control instances at to, whichever of them leads, to take this
 // replica in. A replica with an emptied disk has a new identity and is no
 // member until then. One that hears no leader asks again even if its own log
-// makes it a learner: the entry that did may never have been committed. So does,
-// where membership is open, a voter that has known no leader for long: it may
-// have been taken out while it was away.
+// makes it a learner: the entry that did may never have been committed. So does a
+// voter that has known no leader for long, where membership is open: it may have
+// been taken out while it was away; and anywhere before it knew a settled entry:
+// the others may have formed with an identity that it had before.
 func (r *Replica) Join(at time.Duration, to []string) {
-	lonely := r.config.Open && at-r.led > r.config.Retire
+	lonely := (r.config.Open || r.commit == 0) && at-r.led > r.config.Retire
 	if r.isVoter(r.config.ID) && !lonely || !r.isVoter(r.config.ID) && r.isMember(r.config.ID) && r.hearsLeader(at) {
 		return
 	}
--- a/core/replica/replica.go
+++ b/core/replica/replica.go
@@ -382,9 +382,14 @@
 	for _, m := range r.others() {
 		r.peers[m.GetId()] = &progress{next: r.lastIndex() + 1, heard: at}
 	}
-	// An empty entry of its own term lets the leader settle what earlier
-	// terms left.
-	r.append(&wire.Entry{})
+	// An entry of its own term lets the leader settle what earlier terms
+	// left. The first of all holds the first membership: one who lost its disk
+	// while the others formed is known to them by different identities.
+	first := &wire.Entry{}
+	if r.lastIndex() == 0 {
+		first.Members = r.members
+	}
+	r.append(first)
 	r.beat(at)
 }
 
--- a/core/replica/replica_test.go
+++ b/core/replica/replica_test.go
@@ -64,6 +64,7 @@
 	retire  time.Duration     // silence after which members are taken out; 0: never
 	told    func(nd *node, index uint64, o *wire.Outcome)
 	shown   func(nd *node, token uint64) // a confirmed read is served
+	emptied func(nd *node)               // a node starts that holds no history; nil: it joins
 }
 
 func newWorld(t *rapid.T, n int, retire time.Duration) *world {
@@ -118,6 +119,18 @@
 	w.carryOut(nd)
 }
 
+// restart starts a node that is down.
+func (w *world) restart(nd *node) {
+	w.identify(nd)
+	_, empty, err := nd.store.Load()
+	w.must(err)
+	if empty && w.emptied != nil {
+		w.emptied(nd)
+		return
+	}
+	w.start(nd)
+}
+
 // crash ends a node; what was not synced is lost.
 func (w *world) crash(nd *node) {
 	nd.up = false
@@ -328,7 +341,7 @@
 	}
 	nd.up = false
 	nd.disk = newFakeDisk()
-	w.start(nd)
+	w.restart(nd)
 }
 
 // calm lets a beat pass everywhere and all that is under way arrive.
@@ -398,7 +411,7 @@
 	case kind < 91:
 		for _, each := range w.nodes {
 			if !each.up {
-				w.start(each)
+				w.restart(each)
 			}
 			each.frozen = false
 		}
@@ -425,7 +438,7 @@
 			w.crash(nd) // whoever said that it leaves ends at last
 		}
 		if !nd.up {
-			w.start(nd)
+			w.restart(nd)
 		}
 		nd.disk.budget = -1
 	}
