--- a/core/batch/batch.go
+++ b/core/batch/batch.go
@@ -38,8 +38,10 @@
 	largePull  = 200 << 10
 	deferMost  = 250 * time.Millisecond
 	deferSpare = 150 * time.Millisecond
-	// zoneBonus is how much earlier a job is taken in its zone.
-	zoneBonus = 100 * time.Millisecond
+	// zoneBonus is how much earlier a job is taken in its zone, and largeBonus
+	// one that pulls much.
+	zoneBonus  = 100 * time.Millisecond
+	largeBonus = 600 * time.Millisecond
 	// lateSetback is how much longer a job waits that is late for its aim.
 	lateSetback = 3 * time.Second
 	// priorityStep is how much a job of one priority may wait longer than one
@@ -210,6 +212,9 @@
 	turn := j.Due + time.Duration(j.Priority)*priorityStep
 	if j.Zone != "" && zone != "" && j.Zone != zone {
 		turn += zoneBonus
+		if j.Pull >= largePull {
+			turn += largeBonus - zoneBonus
+		}
 	}
 	if j.Due < at {
 		turn += lateSetback
