owner: who gathers is decided in a package of its own; inputs are kept while two may gather

Change: core/owner says who is asked, forgets a loss when the gateway has started again, and says whether another can be gathering: after a change of who should, a start or a standstill within 4 s, or while a heavier one is avoided. Then inputs are kept until the call has ended. The overlap itself remains (up to 4 s after a kill).

--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -34,6 +34,10 @@
 // tendEvery is the time between rounds of housekeeping.
 const tendEvery = 500 * time.Millisecond
 
+// standstill is a pause between those rounds in which this gateway did nothing,
+// as when its machine freezes.
+const standstill = tendEvery + ownerSilence
+
 // Config is what a gateway needs.
 type Config struct {
 	Settings settings.Gateway
@@ -107,12 +111,17 @@
 		defer close(tended)
 		ticker := time.NewTicker(tendEvery)
 		defer ticker.Stop()
+		tended := g.now()
 		for {
 			select {
 			case <-ctx.Done():
 				return
 			case <-ticker.C:
+				if now := g.now(); now-tended > standstill {
+					g.owners.disturbed(now) // others may have lost this gateway
+				}
 				g.tend()
+				tended = g.now()
 			}
 		}
 	}()
--- a/io/gateway/owners.go
+++ b/io/gateway/owners.go
@@ -5,13 +5,13 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/oklog/ulid/v2"
 	"go.uber.org/zap"
 	"google.golang.org/grpc"
 
 	"tanagerroad"
 	"tanagerroad/core/event"
+	"tanagerroad/core/owner"
 	"tanagerroad/core/wire"
 )
 
@@ -20,9 +20,6 @@
 	// the silence after which another is asked.
 	ownerBeat    = 200 * time.Millisecond
 	ownerSilence = 650 * time.Millisecond
-	// ownerAvoid is how long a gateway that was lost as an owner is not asked
-	// again: the control instances take as long to notice.
-	ownerAvoid = 4 * time.Second
 	// ownerRetry is when to come back where nothing better is known.
 	ownerRetry = 500 * time.Millisecond
 	// outboxLength bounds jobs on their way to one owner.
@@ -30,25 +27,12 @@
 )
 
 // owner is the gateway that gathers the pieces of all pools, so that one place
-// sees how long a request's stages will take: the same at all gateways that know
-// the same ones. Those that were lost a moment ago are passed over.
+// sees how long a request's stages will take.
 func (o *owners) owner() string {
-	o.g.mu.Lock()
-	gateways := o.g.gateways
-	o.g.mu.Unlock()
 	now := o.g.now()
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	self := o.g.config.Settings.Peer.Reachable()
-	best, most := self, uint64(0)
-	for _, address := range gateways {
-		if until, avoided := o.avoid[address]; avoided && now < until && address != self {
-			continue
-		}
-		if weight := xxhash.Sum64String(address); weight > most {
-			best, most = address, weight
-		}
-	}
+	best := o.view.Choose(now)
 	if o.seen != best {
 		event.OwnerMoved.Log(o.g.config.Logger, zap.String("owner", best), zap.String("before", o.seen))
 		o.seen = best
@@ -56,13 +40,34 @@
 	return best
 }
 
+// know replaces the gateways that are there.
+func (o *owners) know(at time.Duration, gateways []string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.view.Know(at, gateways)
+}
+
+// disturbed notes that another gateway may begin to gather.
+func (o *owners) disturbed(at time.Duration) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.view.Disturbed(at)
+}
+
+// alone reports whether no other gateway can be gathering.
+func (o *owners) alone(at time.Duration) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.view.Alone(at)
+}
+
 // owners sends jobs to the gateways that gather them.
 type owners struct {
 	g     *Gateway
 	mu    sync.Mutex
 	links map[string]*ownerLink
-	seen  string                   // the owner that was asked last
-	avoid map[string]time.Duration // until then, by address
+	view  *owner.Owner
+	seen  string // the owner that was asked last
 	next  uint64
 }
 
@@ -74,7 +79,7 @@
 }
 
 func newOwners(g *Gateway) *owners {
-	return &owners{g: g, links: map[string]*ownerLink{}, avoid: map[string]time.Duration{}}
+	return &owners{g: g, links: map[string]*ownerLink{}, view: owner.New(g.now(), g.config.Settings.Peer.Reachable())}
 }
 
 // lost is the result of a job whose owner went away.
@@ -82,13 +87,13 @@
 
 // free gives results up, by way of the owner.
 func (o *owners) free(handles []string) {
-	owner := o.owner()
-	if owner == o.g.config.Settings.Peer.Reachable() {
+	asked := o.owner()
+	if asked == o.g.config.Settings.Peer.Reachable() {
 		o.g.shop.giveUp(handles)
 		return
 	}
 	o.mu.Lock()
-	link := o.link(owner)
+	link := o.link(asked)
 	o.mu.Unlock()
 	link.send(&wire.PieceJob{Free: handles})
 }
@@ -96,16 +101,16 @@
 // submit hands a job to the owner. deliver is called for each part of
 // it that ends and must not block.
 func (o *owners) submit(job *wire.PieceJob, deliver func(*wire.PieceResult)) (cancel func()) {
-	owner := o.owner()
+	asked := o.owner()
 	o.mu.Lock()
 	o.next++
 	job.Number = o.next
-	if owner == o.g.config.Settings.Peer.Reachable() {
+	if asked == o.g.config.Settings.Peer.Reachable() {
 		o.mu.Unlock()
-		o.g.shop.submit(owner, job, deliver)
-		return func() { o.g.shop.cancel(owner, job.GetNumber()) }
+		o.g.shop.submit(asked, job, deliver)
+		return func() { o.g.shop.cancel(asked, job.GetNumber()) }
 	}
-	link := o.link(owner)
+	link := o.link(asked)
 	link.pending[job.Number] = deliver
 	o.mu.Unlock()
 	link.send(job)
@@ -135,44 +140,44 @@
 }
 
 // link is the stream to an owner, opened if need be. The caller holds the lock.
-func (o *owners) link(owner string) *ownerLink {
-	if link, ok := o.links[owner]; ok {
+func (o *owners) link(address string) *ownerLink {
+	if link, ok := o.links[address]; ok {
 		return link
 	}
 	ctx, cancel := context.WithCancel(o.g.ctx)
 	link := &ownerLink{out: make(chan *wire.PieceJob, outboxLength), ctx: ctx, pending: map[uint64]func(*wire.PieceResult){}}
-	o.links[owner] = link
+	o.links[address] = link
 	go func() {
-		o.run(ctx, cancel, owner, link)
+		o.run(ctx, cancel, address, link)
 		cancel()
-		o.drop(owner, link)
+		o.drop(address, link)
 	}()
 	return link
 }
 
 // drop ends a link: what waits on it is told.
-func (o *owners) drop(owner string, link *ownerLink) {
+func (o *owners) drop(address string, link *ownerLink) {
 	o.mu.Lock()
 	if o.g.ctx.Err() == nil {
-		o.avoid[owner] = o.g.now() + ownerAvoid
+		o.view.Lost(o.g.now(), address)
 	}
 	pending := link.pending
 	link.pending = map[uint64]func(*wire.PieceResult){}
-	delete(o.links, owner)
+	delete(o.links, address)
 	o.mu.Unlock()
 	for number, deliver := range pending {
 		deliver(&wire.PieceResult{Number: number, Refused: lost})
 	}
 }
 
-func (o *owners) run(ctx context.Context, cancel func(), owner string, link *ownerLink) {
-	conn, err := o.g.config.Links.To(owner)
+func (o *owners) run(ctx context.Context, cancel func(), address string, link *ownerLink) {
+	conn, err := o.g.config.Links.To(address)
 	if err != nil {
 		return
 	}
 	silence := time.AfterFunc(ownerSilence, func() {
-		event.LinkSilent.Log(o.g.config.Logger, zap.String("peer", owner))
-		o.g.config.Links.Renew(owner, conn)
+		event.LinkSilent.Log(o.g.config.Logger, zap.String("peer", address))
+		o.g.config.Links.Renew(address, conn)
 		cancel()
 	})
 	defer silence.Stop()
--- a/io/gateway/watch.go
+++ b/io/gateway/watch.go
@@ -140,6 +140,7 @@
 	all := roster.Peers(now, g.config.Settings.Peer.Reachable(), lists)
 	if !slices.Equal(all, g.gateways) {
 		g.gateways = all
+		g.owners.know(now, all)
 		clear(g.budgets) // their shares have changed
 	}
 }
--- a/io/gateway/workshop.go
+++ b/io/gateway/workshop.go
@@ -240,9 +240,10 @@
 // make carries a call out.
 func (s *workshop) make(name string, p *batch.Pool, call *batch.Call, items []tanagerroad.PieceItem) {
 	// The call went to a backend server with nothing else to do, so that it
-	// fetches the inputs at once; they need not take room until it ends.
+	// fetches the inputs at once; they need not take room until it ends. While
+	// another gateway may be gathering it may stand behind that one's call.
 	var taken *time.Timer
-	if inputs := call.Taken(); len(inputs) > 0 {
+	if inputs := call.Taken(); len(inputs) > 0 && s.g.owners.alone(call.Started) {
 		taken = time.AfterFunc(fetchTime, func() { s.giveUp(inputs) })
 	}
 	overdue := time.AfterFunc(call.Patience(), func() { s.abandon(name, p, call) })
