gateway: the inputs of a request are given up once they must be fetched

Change: an engine fetches its inputs before it works on the request, so they are given up 100 ms after the sending; a next attempt makes them anew as before.

--- a/io/gateway/stages.go
+++ b/io/gateway/stages.go
@@ -215,6 +215,13 @@
 	}
 }
 
+// given notes results that were given up elsewhere.
+func (s *stageRun) given(handles []string) {
+	for _, h := range handles {
+		s.freed[h] = true
+	}
+}
+
 // free gives up all results once the backend server has fetched them.
 func (s *stageRun) free() { s.give(s.pipeline.Handles()) }
 
--- a/io/gateway/try.go
+++ b/io/gateway/try.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"slices"
 	"strconv"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
@@ -72,11 +73,13 @@
 		x.splitter.Reset()
 	}
 	started := g.now()
+	early := x.freeFetched(forwarding.Inputs)
 	res, err := g.client.Do(x.ctx, http1.Request{
 		Address: choice.Address, Method: x.r.Method, Target: x.target(), Host: x.r.Host,
 		Header: g.config.Dialect.Forward(x.r.Header, forwarding), Body: x.body,
 		Mine: func(h http.Header) bool { return x.call.ID == "" || g.config.Dialect.Reply(0, h).ID == x.call.ID },
 	})
+	early()
 	if err != nil {
 		x.reason = err.Error()
 		failed := fleet.Outcome{Failed: x.ctx.Err() == nil}
@@ -121,6 +124,22 @@
 	return end, res.Status, outcome
 }
 
+// freeFetched gives the inputs of an attempt up once the backend server has
+// fetched them, which it does before it works on the request: the room is short
+// at those that made them, and the first answer may be long in coming. The
+// returned function ends the wait.
+func (x *exchange) freeFetched(inputs []string) func() {
+	if len(inputs) == 0 {
+		return func() {}
+	}
+	timer := time.AfterFunc(fetchTime, func() { x.g.owners.free(inputs) })
+	return func() {
+		if !timer.Stop() {
+			x.stages.given(inputs)
+		}
+	}
+}
+
 // brokenEnd is how an attempt without a usable rest of its answer ended.
 func (x *exchange) brokenEnd() attempt.End {
 	if x.committed {
