--- a/cmd/tanagerroad/system_test.go
+++ b/cmd/tanagerroad/system_test.go
@@ -18,6 +18,7 @@
 	"tanagerroad/core/settings"
 	"tanagerroad/io/demo"
 	"tanagerroad/io/operator"
+	"tanagerroad/io/relay"
 )
 
 // system is a set of real processes, each with its settings file.
@@ -33,7 +34,8 @@
 	entries  []string // callers' addresses
 	entryOps []string
 	standIns []string
-	asked    int // control instance that answered last
+	relays   map[string]*relay.Relay // by process, where connections to it can be harmed
+	asked    int                     // control instance that answered last
 }
 
 const (
@@ -81,7 +83,27 @@
 // which adapt may change.
 func startSystem(t testing.TB, adapt ...func(*settings.StandInServer)) *system {
 	t.Helper()
-	y := newSystem(t)
+	return newSystem(t).startAll(adapt...)
+}
+
+// relayTo puts a relay before a process's peer address and returns the relay's.
+func (y *system) relayTo(name, target string) string {
+	y.t.Helper()
+	if y.relays == nil {
+		return ""
+	}
+	r, end, err := relay.New("127.0.0.1:0", target)
+	if err != nil {
+		y.t.Fatal(err)
+	}
+	y.t.Cleanup(end)
+	y.relays[name] = r
+	return r.Address
+}
+
+func (y *system) startAll(adapt ...func(*settings.StandInServer)) *system {
+	t := y.t
+	t.Helper()
 	free, err := demo.Free(22)
 	if err != nil {
 		t.Fatal(err)
@@ -91,8 +113,19 @@
 		free = free[1:]
 		return a
 	}
+	var all []settings.Control
 	for i := range 3 {
 		s := y.controlSettings(i)
+		if address := y.relayTo(s.Process, s.Peer.Address); address != "" {
+			s.Peer.Advertise = address
+		}
+		all = append(all, s)
+	}
+	for i := range all {
+		y.peers[i] = all[i].Peer.Reachable()
+	}
+	for _, s := range all {
+		s.Instances = y.peers
 		y.write(s.Process, s)
 	}
 	hosts := settings.DefaultStandIn()
@@ -103,6 +136,7 @@
 		s.Role, s.Common = "sidecar", common(fmt.Sprintf("sidecar-%d", i), i)
 		s.Peer.Address, s.Backend.Address, s.Control = next(), next(), y.peers
 		s.Stop.Grace = settingsDuration(200 * time.Millisecond)
+		s.Peer.Advertise = y.relayTo(s.Process, s.Peer.Address)
 		y.write(s.Process, s)
 		server := settings.StandInServer{Announce: s.Backend.Address, Address: next(), Pool: pool, Kind: "service", Capacity: 8, Time: settingsDuration(3 * time.Millisecond)}
 		if pool == "models" {
--- a/io/demo/demo_test.go
+++ b/io/demo/demo_test.go
@@ -17,6 +17,7 @@
 	"tanagerroad/io/demo"
 	"tanagerroad/io/load"
 	"tanagerroad/io/operator"
+	"tanagerroad/io/relay"
 	"tanagerroad/io/standin"
 )
 
@@ -74,16 +75,16 @@
 }
 
 // relayed puts a relay before every sidecar that a pool's filter names.
-func relayed(t *testing.T, relays *[]*relay) func(*demo.Config) {
+func relayed(t *testing.T, relays *[]*relay.Relay) func(*demo.Config) {
 	return func(c *demo.Config) {
 		c.Sidecar = func(s *settings.Sidecar) {
-			r, closeRelay, err := newRelay("127.0.0.1:0", s.Peer.Address)
+			r, closeRelay, err := relay.New("127.0.0.1:0", s.Peer.Address)
 			if err != nil {
 				t.Fatal(err)
 			}
 			t.Cleanup(closeRelay)
 			*relays = append(*relays, r)
-			s.Peer.Advertise = r.address
+			s.Peer.Advertise = r.Address
 		}
 	}
 }
@@ -95,7 +96,7 @@
 	if testing.Short() {
 		t.Skip("waits for silence")
 	}
-	var relays []*relay
+	var relays []*relay.Relay
 	c, ctx := cluster(t, func(config *demo.Config) {
 		relayed(t, &relays)(config)
 		for i := range config.Backends {
@@ -124,7 +125,7 @@
 	time.Sleep(150 * time.Millisecond)
 	frozen := 0
 	for _, r := range relays {
-		frozen += r.freeze()
+		frozen += r.Freeze()
 	}
 	if frozen == 0 {
 		t.Fatal("no connection was there to be frozen")
@@ -147,14 +148,14 @@
 	if testing.Short() {
 		t.Skip("waits for silence")
 	}
-	var relays []*relay
+	var relays []*relay.Relay
 	c, ctx := cluster(t, func(config *demo.Config) {
 		config.Control = func(s *settings.Control) {
 			behind, err := demo.Free(1)
 			if err != nil {
 				t.Fatal(err)
 			}
-			r, closeRelay, err := newRelay(s.Peer.Address, behind[0])
+			r, closeRelay, err := relay.New(s.Peer.Address, behind[0])
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -166,7 +167,7 @@
 	call(t, ctx, c, 0, load.Request{Route: "book", ID: "before", Body: []byte("x")})
 	frozen := 0
 	for _, r := range relays {
-		frozen += r.freeze()
+		frozen += r.Freeze()
 	}
 	if frozen == 0 {
 		t.Fatal("no connection was there to be frozen")
