peer: a stop does not wait two minutes for a connection on which nothing came

A dump of its goroutines showed grpc.Server.Stop waiting for connections still in their handshake, whose time is 120 s by default; a connection whose bytes are lost, or of anyone who opens a port and says nothing, is one. Ruled out: the wait for a quorum and the calls in flight (2 s each, over by then). Change: the handshake has as long as the far end takes before it gives up, 1 s. Conclusion: on the platform a control instance would have been killed in its stop.

--- a/cmd/tanagerroad/soak_test.go
+++ b/cmd/tanagerroad/soak_test.go
@@ -163,5 +163,5 @@
 	for n := range 6 {
 		s.one(0, 3*n, &ok, &bad)
 	}
-	t.Logf("seed %d: %d faults, %d changes", *soakSeed, len(s.log), s.revision)
+	t.Logf("seed %d: %d changes under %q", *soakSeed, s.revision, s.log)
 }
--- a/io/peer/link.go
+++ b/io/peer/link.go
@@ -107,6 +107,8 @@
 		return nil, nil, fmt.Errorf("peer listener: %w", err)
 	}
 	server := grpc.NewServer(
+		// A stop waits for connections on which nothing came yet.
+		grpc.ConnectionTimeout(connectTimeout),
 		grpc.MaxConcurrentStreams(uint32(config.MaxStreams)),
 		grpc.MaxRecvMsgSize(int(config.MaxMessage)),
 		grpc.StatsHandler(meter.handler(Inbound)),
