--- a/core/shed/shed.go
+++ b/core/shed/shed.go
@@ -18,6 +18,9 @@
 	// lateWait is the wait up to which a request is taken that will be late
 	// whatever is done: there is capacity that nobody else wants.
 	lateWait = 300 * time.Millisecond
+	// yieldStep is how much more time to spare a less urgent route must have,
+	// for each rank, so that it yields first.
+	yieldStep = 150 * time.Millisecond
 	// retryPart is the most of the time left that a caller is told to wait.
 	retryPart = 0.3
 	// retryLeast is the least that a caller is told to wait.
@@ -42,6 +45,7 @@
 	Due      time.Duration // when the stages must end for the request to be in time
 	Deadline time.Duration // when they must end at the latest
 	Chain    []Stage
+	Rank     int     // of the route; 0 yields last
 	Chance   float64 // from 0 to below 1; spreads those who come back
 }
 
@@ -85,11 +89,12 @@
 		}
 		out.End += s.Call
 	}
+	yield := time.Duration(ask.Rank) * yieldStep
 	when, ok := d.refused[ask.Subject]
 	out.Returning = ok && ask.Subject != "" && at-when < memory
 	switch {
 	case out.End > ask.Deadline:
-	case out.End <= ask.Due, out.Wait <= lateWait, out.Returning:
+	case out.End+yield <= ask.Due, out.Wait+yield <= lateWait, out.Returning:
 		out.Admit = true
 	}
 	if out.Admit {
--- a/core/shed/shed_test.go
+++ b/core/shed/shed_test.go
@@ -18,6 +18,7 @@
 	var cases []struct {
 		What      string `json:"what"`
 		Returning bool   `json:"returning"`
+		Rank      int    `json:"rank"`
 		Chain     []struct {
 			Pieces   int     `json:"pieces"`
 			Capacity float64 `json:"capacity"`
@@ -38,6 +39,7 @@
 		}
 		ask := shed.Ask{
 			Subject: "s", Due: now + time.Duration(c.DueMs)*time.Millisecond, Deadline: now + time.Duration(c.DeadlineMs)*time.Millisecond,
+			Rank: c.Rank,
 		}
 		for _, s := range c.Chain {
 			ask.Chain = append(ask.Chain, shed.Stage{Pieces: s.Pieces, Capacity: s.Capacity, Call: time.Duration(s.CallMs) * time.Millisecond})
