--- a/core/replica/replica_test.go
+++ b/core/replica/replica_test.go
@@ -334,12 +334,16 @@
 	return true
 }
 
-// wipe loses a node's disk.
+// wipe loses a node's disk; where membership is open, it may come back at another
+// address.
 func (w *world) wipe(nd *node) {
 	if !w.mayLose() {
 		return
 	}
 	nd.up = false
+	if w.retire > 0 && rapid.Bool().Draw(w.t, "elsewhere") {
+		nd.address = fmt.Sprintf("%s-%d", nd.address, w.minted)
+	}
 	nd.disk = newFakeDisk()
 	w.restart(nd)
 }
