control: a question that is not answered in time has its connection replaced

All eight had it in force 1.2 s after the last fault; control-0's status left its own watchers out, since the connection to its own address had gone silent 20 s before and only changes replaced such a connection, not questions to all instances nor confirmed reads. Ruled out: a lagging process (revision-in-force of all eight), the merge of the statuses (latest heard wins). Change: reads and questions to all replace it as changes do. Conclusion: an operator sees again after one question.

--- a/io/control/client.go
+++ b/io/control/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"sync"
 	"time"
@@ -128,26 +129,28 @@
 	ctx, cancel := context.WithTimeout(ctx, tryTimeout)
 	defer cancel()
 	outcome, err := wire.NewControlClient(conn).Propose(ctx, command)
-	if err != nil && ctx.Err() != nil {
-		// No answer in time: the connection may be dead without knowing it.
-		event.LinkSilent.Log(c.logger, zap.String("peer", address))
-		c.links.Renew(address, conn)
+	if err != nil {
+		c.unanswered(ctx, address, conn)
 	}
 	return outcome, err
 }
 
+// unanswered replaces a connection on which no answer came in time: it may be dead
+// without knowing it.
+func (c *Client) unanswered(ctx context.Context, address string, conn *grpc.ClientConn) {
+	if !errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return
+	}
+	event.LinkSilent.Log(c.logger, zap.String("peer", address))
+	c.links.Renew(address, conn)
+}
+
 // Read asks the leader for what a quorum confirms.
 func (c *Client) Read(ctx context.Context, request *wire.ReadRequest) (*wire.ReadReply, error) {
 	last := &wire.ReadReply{Kind: registry.NoQuorum}
 	for ctx.Err() == nil {
 		for _, address := range c.order() {
-			conn, err := c.links.To(address)
-			if err != nil {
-				return nil, err
-			}
-			tryCtx, cancel := context.WithTimeout(ctx, tryTimeout)
-			reply, err := wire.NewControlClient(conn).Read(tryCtx, request)
-			cancel()
+			reply, err := c.readAt(ctx, address, request)
 			if err != nil {
 				c.forget(address)
 				continue
@@ -166,6 +169,20 @@
 	return last, nil
 }
 
+func (c *Client) readAt(ctx context.Context, address string, request *wire.ReadRequest) (*wire.ReadReply, error) {
+	conn, err := c.links.To(address)
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, tryTimeout)
+	defer cancel()
+	reply, err := wire.NewControlClient(conn).Read(ctx, request)
+	if err != nil {
+		c.unanswered(ctx, address, conn)
+	}
+	return reply, err
+}
+
 // askAll asks every instance at once and returns the answers by address; who
 // does not answer in time is left out.
 func askAll[T any](ctx context.Context, c *Client, ask func(context.Context, wire.ControlClient) (T, error)) map[string]T {
@@ -185,6 +202,7 @@
 			}
 			answer, err := ask(ctx, wire.NewControlClient(conn))
 			if err != nil {
+				c.unanswered(ctx, address, conn)
 				return
 			}
 			mu.Lock()
