cmd: the soak waits until a process that it started listens

It had been started a moment before; SIGTERM found a program that had not come to its first line. The program takes its signals before it opens any door (io/command serve), so nothing can have been in flight. Ruled out: a handler that is installed late (signal.Notify stands before the start). Change: the soak's start waits until the process listens; the check on stops stays.

--- a/cmd/tanagerroad/soak_test.go
+++ b/cmd/tanagerroad/soak_test.go
@@ -1,10 +1,13 @@
 package main
 
 import (
+	"cmp"
 	"context"
+	"encoding/json"
 	"flag"
 	"fmt"
 	"math/rand/v2"
+	"net"
 	"os"
 	"path/filepath"
 	"sync"
@@ -40,11 +43,11 @@
 var faults = []fault{
 	{"stop", func(s *soak, p string) func() {
 		s.stop(p)
-		return func() { s.start(p) }
+		return func() { s.back(p) }
 	}},
 	{"kill", func(s *soak, p string) func() {
 		s.kill(p)
-		return func() { s.start(p) }
+		return func() { s.back(p) }
 	}},
 	{"freeze", func(s *soak, p string) func() {
 		s.signal(p, syscall.SIGSTOP)
@@ -72,13 +75,34 @@
 	}},
 }
 
+// back starts a process and waits until it listens: before that a stop only finds
+// a program that has not begun.
+func (s *soak) back(p string) {
+	s.start(p)
+	data, err := os.ReadFile(filepath.Join(s.folder, p+".json"))
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	var where struct{ Peer, Caller struct{ Address string } }
+	if err := json.Unmarshal(data, &where); err != nil {
+		s.t.Fatal(err)
+	}
+	s.await(p+" to listen", func() bool {
+		conn, err := net.Dial("tcp", cmp.Or(where.Peer.Address, where.Caller.Address))
+		if err != nil {
+			return false
+		}
+		return conn.Close() == nil
+	})
+}
+
 // wipe loses a control instance's disk. It may be done while all vote.
 func (s *soak) wipe(p string) func() {
 	s.kill(p)
 	if err := os.RemoveAll(filepath.Join(s.folder, p)); err != nil {
 		s.t.Fatal(err)
 	}
-	return func() { s.start(p) }
+	return func() { s.back(p) }
 }
 
 // harm makes one fault at a process and returns what ends it.
