attempt: a stream that has begun and cannot go on is cut

A runner crashed in mid-stream; the attempts to go on were rejected until none was left, which the decision answered with 'fail', so that the gateway wrote its 502 text behind the events and ended the body as complete. Ruled out: the splitter (no part of an event was passed on). Change: once an answer has begun, what cannot be tried again is cut.

--- a/core/attempt/attempt.go
+++ b/core/attempt/attempt.go
@@ -46,6 +46,7 @@
 	MaxServers int           // it may be sent to
 	Deadline   time.Duration // of its final answer
 	ran        int           // attempts that may have run
+	begun      bool          // the caller has a part of the answer
 	tries      int
 }
 
@@ -81,7 +82,10 @@
 		if another() {
 			return Again
 		}
-		if r.ran > 0 {
+		switch {
+		case r.begun:
+			return Abort
+		case r.ran > 0:
 			return Fail
 		}
 		return Refuse
@@ -93,6 +97,7 @@
 		return Fail
 	case Broken:
 		r.ran++
+		r.begun = true
 		if r.repeatable() && r.ran < r.MaxServers && another() {
 			return Resume
 		}
--- a/core/attempt/attempt_test.go
+++ b/core/attempt/attempt_test.go
@@ -56,7 +56,7 @@
 			Repeat:    rapid.SampledFrom([]tanagerroad.Repeat{tanagerroad.Idempotent, tanagerroad.Once, tanagerroad.Stream}).Draw(t, "repeat"),
 			Resumable: rapid.Bool().Draw(t, "resumable"), MaxServers: rapid.IntRange(1, 4).Draw(t, "max"), Deadline: time.Second,
 		}
-		ran := 0
+		ran, begun := 0, false
 		for {
 			r.Begun()
 			end := rapid.SampledFrom([]attempt.End{
@@ -75,6 +75,10 @@
 			if again && ran >= r.MaxServers {
 				t.Fatalf("sent to more than %d backend servers", r.MaxServers)
 			}
+			begun = begun || end == attempt.Broken
+			if begun && (action == attempt.Refuse || action == attempt.Fail) {
+				t.Fatalf("%s although the answer has begun", action)
+			}
 			if action == attempt.Refuse && ran > 0 {
 				t.Fatalf("refused as not run although it may have run")
 			}
