--- a/io/control/client.go
+++ b/io/control/client.go
@@ -22,7 +22,7 @@
 // Times of the client.
 const (
 	watchSilence = 3 * time.Second // of a watch, before another instance is tried
-	tryTimeout   = time.Second     // for one try of a change
+	tryTimeout   = time.Second     // for one question to one instance
 	retryPause   = 50 * time.Millisecond
 	watchPause   = 200 * time.Millisecond
 )
@@ -85,7 +85,9 @@
 	for ctx.Err() == nil {
 		sawAnswer := false
 		for _, address := range c.order() {
-			outcome, err := c.try(ctx, address, command)
+			outcome, err := call(ctx, c, address, func(ctx context.Context, instance wire.ControlClient) (*wire.Outcome, error) {
+				return instance.Propose(ctx, command)
+			})
 			switch {
 			case err != nil:
 				unsure = err
@@ -121,28 +123,22 @@
 	}
 }
 
-func (c *Client) try(ctx context.Context, address string, command *wire.Command) (*wire.Outcome, error) {
+// call asks one instance. A connection on which no answer came in time is
+// replaced: it may be dead without knowing it.
+func call[T any](ctx context.Context, c *Client, address string, ask func(context.Context, wire.ControlClient) (T, error)) (T, error) {
 	conn, err := c.links.To(address)
 	if err != nil {
-		return nil, err
+		var none T
+		return none, err
 	}
 	ctx, cancel := context.WithTimeout(ctx, tryTimeout)
 	defer cancel()
-	outcome, err := wire.NewControlClient(conn).Propose(ctx, command)
-	if err != nil {
-		c.unanswered(ctx, address, conn)
-	}
-	return outcome, err
-}
-
-// unanswered replaces a connection on which no answer came in time: it may be dead
-// without knowing it.
-func (c *Client) unanswered(ctx context.Context, address string, conn *grpc.ClientConn) {
-	if !errors.Is(ctx.Err(), context.DeadlineExceeded) {
-		return
+	answer, err := ask(ctx, wire.NewControlClient(conn))
+	if err != nil && errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		event.LinkSilent.Log(c.logger, zap.String("peer", address))
+		c.links.Renew(address, conn)
 	}
-	event.LinkSilent.Log(c.logger, zap.String("peer", address))
-	c.links.Renew(address, conn)
+	return answer, err
 }
 
 // Read asks the leader for what a quorum confirms.
@@ -150,7 +146,9 @@
 	last := &wire.ReadReply{Kind: registry.NoQuorum}
 	for ctx.Err() == nil {
 		for _, address := range c.order() {
-			reply, err := c.readAt(ctx, address, request)
+			reply, err := call(ctx, c, address, func(ctx context.Context, instance wire.ControlClient) (*wire.ReadReply, error) {
+				return instance.Read(ctx, request)
+			})
 			if err != nil {
 				c.forget(address)
 				continue
@@ -169,25 +167,9 @@
 	return last, nil
 }
 
-func (c *Client) readAt(ctx context.Context, address string, request *wire.ReadRequest) (*wire.ReadReply, error) {
-	conn, err := c.links.To(address)
-	if err != nil {
-		return nil, err
-	}
-	ctx, cancel := context.WithTimeout(ctx, tryTimeout)
-	defer cancel()
-	reply, err := wire.NewControlClient(conn).Read(ctx, request)
-	if err != nil {
-		c.unanswered(ctx, address, conn)
-	}
-	return reply, err
-}
-
 // askAll asks every instance at once and returns the answers by address; who
 // does not answer in time is left out.
 func askAll[T any](ctx context.Context, c *Client, ask func(context.Context, wire.ControlClient) (T, error)) map[string]T {
-	ctx, cancel := context.WithTimeout(ctx, tryTimeout)
-	defer cancel()
 	var mu sync.Mutex
 	var group sync.WaitGroup
 	answers := map[string]T{}
@@ -196,13 +178,8 @@
 	c.mu.Unlock()
 	for _, address := range addresses {
 		group.Go(func() {
-			conn, err := c.links.To(address)
-			if err != nil {
-				return
-			}
-			answer, err := ask(ctx, wire.NewControlClient(conn))
+			answer, err := call(ctx, c, address, ask)
 			if err != nil {
-				c.unanswered(ctx, address, conn)
 				return
 			}
 			mu.Lock()
