--- a/cmd/tanagerroad/kill_test.go
+++ b/cmd/tanagerroad/kill_test.go
@@ -173,6 +173,25 @@
 	}
 }
 
+// bookers lets so many callers book without pause. The returned function ends that
+// and judges what they were told.
+func (y *system) bookers(workers int) (judge func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	y.t.Cleanup(cancel)
+	var wrong atomic.Int64
+	results := make([][]sent, workers)
+	var group sync.WaitGroup
+	for i := range workers {
+		group.Go(func() { y.book(ctx, i, &results[i], &wrong) })
+	}
+	return func() {
+		y.t.Helper()
+		cancel()
+		group.Wait()
+		y.judge(results, wrong.Load())
+	}
+}
+
 // TestBookingsRunAtMostOnce books without pause while each role in turn is
 // killed and frozen. By the stand-ins' own count no booking runs twice, an
 // acknowledged one ran, and one that was refused as not run did not.
@@ -181,15 +200,7 @@
 		t.Skip("starts a dozen processes")
 	}
 	y := startSystem(t)
-	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
-	var wrong atomic.Int64
-	const workers = 6
-	results := make([][]sent, workers)
-	var group sync.WaitGroup
-	for i := range workers {
-		group.Go(func() { y.book(ctx, i, &results[i], &wrong) })
-	}
+	judge := y.bookers(6)
 	for _, name := range []string{"sidecar-0", "entry-0", y.leader(), "sidecar-1", "entry-1"} {
 		time.Sleep(300 * time.Millisecond)
 		y.kill(name)
@@ -203,9 +214,7 @@
 		y.signal(name, syscall.SIGCONT)
 		time.Sleep(500 * time.Millisecond)
 	}
-	cancel()
-	group.Wait()
-	y.judge(results, wrong.Load())
+	judge()
 }
 
 func (y *system) judge(results [][]sent, wrong int64) {
--- a/cmd/tanagerroad/soak_test.go
+++ b/cmd/tanagerroad/soak_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"context"
 	"encoding/json"
 	"flag"
 	"fmt"
@@ -10,7 +9,6 @@
 	"net"
 	"os"
 	"path/filepath"
-	"sync"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -165,23 +163,13 @@
 			t.Logf("seed %d: %q", *soakSeed, s.log)
 		}
 	})
-	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
-	var wrong atomic.Int64
-	const workers = 4
-	results := make([][]sent, workers)
-	var group sync.WaitGroup
-	for i := range workers {
-		group.Go(func() { s.book(ctx, i, &results[i], &wrong) })
-	}
+	judge := s.bookers(4)
 	for end := time.Now().Add(*soakTime); time.Now().Before(end); {
 		s.round()
 	}
 	s.awaitVoters(3)
 	s.wantInForce(s.revision, 8)
-	cancel()
-	group.Wait()
-	s.judge(results, wrong.Load())
+	judge()
 	s.checkLog(s.revision)
 	var ok, bad atomic.Int64
 	for n := range 6 {
--- a/io/gateway/workshop.go
+++ b/io/gateway/workshop.go
@@ -28,8 +28,8 @@
 	// freeEvery gathers results that are given up into one call to each
 	// backend server.
 	freeEvery = 30 * time.Millisecond
-	// fetchTime is what a backend server takes to fetch the inputs of a call,
-	// over two regions.
+	// fetchTime is what a backend server takes to fetch the inputs of a call
+	// or a request, over two regions.
 	fetchTime = 100 * time.Millisecond
 	// leastWake keeps what is due again and again from taking the processor.
 	leastWake = 5 * time.Millisecond
