io/gateway, io/http1: logs say how an answer was framed and where it ended

Cause: the log lines of a short stream and of a whole one did not differ, so hypotheses 1 and 2 of docs/incidents/short-streams.md could not be told apart. Change: answered (203) and attempt-ended-at-gateway (212) carry framing, bytes, last-event and partial (bytes after the last whole event) of the body that the attempt received; counters answers.framing.* and streams.partial-end. Delimited of an http1.Response became its Framing. No decision is changed. Seen: go test -short ./core/... ./io/... ./platform/... green.

--- a/io/gateway/exchange.go
+++ b/io/gateway/exchange.go
@@ -50,6 +50,24 @@
 	body []byte
 }
 
+// received describes the body of a backend server's answer, for the log.
+type received struct {
+	framing   http1.Framing // empty: no answer that could be forwarded
+	bytes     int64
+	lastEvent string // id of the last complete event of a stream
+	partial   int    // bytes of a stream after its last complete event
+}
+
+// fields returns the log fields, none if there was no answer.
+func (r received) fields() []zap.Field {
+	if r.framing == "" {
+		return nil
+	}
+	return []zap.Field{
+		zap.String("framing", string(r.framing)), zap.Int64("bytes", r.bytes), zap.String("last-event", r.lastEvent), zap.Int("partial", r.partial),
+	}
+}
+
 // exchange is one caller's request, from its arrival to its final answer.
 type exchange struct {
 	g          *Gateway
@@ -73,6 +91,7 @@
 	buffered   *bufferedAnswer // nil if none
 	splitter   sse.Splitter
 	version    string        // of the model weights that the stream started with
+	received   received      // in the latest attempt
 	reason     string        // of the latest refusal or failure
 	retryAfter time.Duration // for the Retry-After header
 }
@@ -220,8 +239,8 @@
 		}
 		action := x.retryState.Next(x.g.now(), end, status, x.takeRetry)
 		if end != attempt.Answered {
-			event.AttemptEndedAtGateway.Log(x.g.config.Logger, zap.String("request", x.headers.AttemptID), zap.String("end", string(end)),
-				zap.Int("status", status), zap.Int("tries", x.retryState.Attempts()), zap.String("next", string(action)), zap.String("reason", x.reason))
+			event.AttemptEndedAtGateway.Log(x.g.config.Logger, append(x.received.fields(), zap.String("request", x.headers.AttemptID), zap.String("end", string(end)),
+				zap.Int("status", status), zap.Int("tries", x.retryState.Attempts()), zap.String("next", string(action)), zap.String("reason", x.reason))...)
 		}
 		if x.buffered != nil && action != attempt.Retry {
 			x.writeHeader(x.buffered.res, int64(len(x.buffered.body)))
@@ -325,7 +344,7 @@
 	if x.index != nil {
 		version = x.index.Version
 	}
-	event.Answered.Log(x.g.config.Logger, zap.String("request", x.headers.AttemptID), zap.String("route", route), zap.String("workspace", x.workspace),
-		zap.Int("status", status), zap.String("outcome", outcome), zap.String("reason", x.reason), zap.Duration("took", took),
-		zap.Int("tries", x.retryState.Attempts()), zap.Uint64("catalog", version))
+	event.Answered.Log(x.g.config.Logger, append(x.received.fields(), zap.String("request", x.headers.AttemptID), zap.String("route", route),
+		zap.String("workspace", x.workspace), zap.Int("status", status), zap.String("outcome", outcome), zap.String("reason", x.reason),
+		zap.Duration("took", took), zap.Int("tries", x.retryState.Attempts()), zap.Uint64("catalog", version))...)
 }
--- a/io/gateway/meters.go
+++ b/io/gateway/meters.go
@@ -27,6 +27,15 @@
 	m.observe("answers.time-ms", took)
 }
 
+// recordReceived records how a backend server's answer was framed, and whether it is
+// a stream that ended inside an event.
+func (m meters) recordReceived(r received) {
+	m.count("answers.framing." + string(r.framing))
+	if r.partial > 0 {
+		m.count("streams.partial-end")
+	}
+}
+
 // observe adds a duration, in milliseconds, to the named histogram.
 func (m meters) observe(name string, d time.Duration) {
 	h := m.registry.GetOrRegister(name, func() metrics.Histogram {
--- a/io/gateway/try.go
+++ b/io/gateway/try.go
@@ -24,6 +24,7 @@
 func (x *exchange) attempt() (attempt.End, int) {
 	g := x.g
 	x.retryState.Begin()
+	x.received = received{}
 	request := fleet.Request{
 		Pool: x.pool, From: g.config.Settings.Place(), Exclude: x.exclude, PromptParts: x.headers.PromptParts,
 		TieBreak: xxhash.Sum64String(x.headers.AttemptID),
@@ -122,7 +123,10 @@
 	if !x.committed {
 		x.version = reply.Version
 	}
+	x.received.framing = res.Framing
 	end := x.forward(res, success)
+	x.received.bytes, x.received.lastEvent = res.BytesRead(), x.splitter.LastID()
+	g.meters.recordReceived(x.received)
 	outcome.Failed = end == attempt.Lost || end == attempt.Broken
 	return end, res.StatusCode, outcome
 }
@@ -199,6 +203,7 @@
 		n, err := res.Read(buffer)
 		out := x.splitter.Feed(buffer[:n])
 		ended := errors.Is(err, io.EOF)
+		x.received.partial = len(x.splitter.Rest())
 		if ended {
 			out = append(out, x.splitter.Rest()...)
 			x.splitter.Reset()
--- a/io/http1/client.go
+++ b/io/http1/client.go
@@ -109,6 +109,27 @@
 	}
 }
 
+// Framing is how the end of a response body is marked.
+type Framing string
+
+// Framings.
+const (
+	FramedByLength Framing = "length"      // Content-Length
+	FramedByChunks Framing = "chunks"      // chunked transfer encoding
+	FramedByClose  Framing = "until-close" // the body ends when its connection closes
+)
+
+// framingOf returns the framing of a response body.
+func framingOf(resp *http.Response) Framing {
+	switch {
+	case resp.ContentLength >= 0:
+		return FramedByLength
+	case len(resp.TransferEncoding) > 0:
+		return FramedByChunks
+	}
+	return FramedByClose
+}
+
 // Response is a response whose header has been read and whose body has not.
 // The caller must close it. Closing it before the end of the body closes the
 // connection, which tells the backend server to stop working on the request.
@@ -116,18 +137,17 @@
 	StatusCode    int
 	Header        http.Header
 	ContentLength int64 // of the body in bytes; -1: unknown
-	// Delimited reports whether the body has a length or is chunked; any other
-	// body ends when its connection closes.
-	Delimited    bool
-	body         io.ReadCloser
-	client       *Client
-	conn         *connection
-	address      string
-	keepAlive    bool        // the response header allows reuse of the connection, and no stray response arrived
-	stop         func() bool // detaches the connection from the context; false: the context has ended already
-	bodyWritten  chan error  // result of writing the body of a long request; nil: written before the response
-	closeOnce    sync.Once
-	bodyComplete bool // Read has returned io.EOF
+	Framing       Framing
+	body          io.ReadCloser
+	bytesRead     int64
+	client        *Client
+	conn          *connection
+	address       string
+	keepAlive     bool        // the response header allows reuse of the connection, and no stray response arrived
+	stop          func() bool // detaches the connection from the context; false: the context has ended already
+	bodyWritten   chan error  // result of writing the body of a long request; nil: written before the response
+	closeOnce     sync.Once
+	bodyComplete  bool // Read has returned io.EOF
 }
 
 // Do sends the request and returns when the header of its response has been read. The
@@ -169,8 +189,8 @@
 	}
 	res := &Response{
 		StatusCode: resp.StatusCode, Header: resp.Header, ContentLength: resp.ContentLength, body: resp.Body,
-		Delimited: resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0,
-		client:    c, conn: conn, address: r.Address, stop: stop, bodyWritten: written, keepAlive: !resp.Close && strays == 0,
+		Framing: framingOf(resp),
+		client:  c, conn: conn, address: r.Address, stop: stop, bodyWritten: written, keepAlive: !resp.Close && strays == 0,
 	}
 	conn.idleTimeout = keepAliveTimeout(resp.Header.Get("Keep-Alive"))
 	return res, nil
@@ -332,12 +352,16 @@
 // that is cut off ends with another error.
 func (r *Response) Read(p []byte) (int, error) {
 	n, err := r.body.Read(p)
+	r.bytesRead += int64(n)
 	if errors.Is(err, io.EOF) {
 		r.bodyComplete = true
 	}
 	return n, err
 }
 
+// BytesRead returns the number of bytes of the body that Read has returned.
+func (r *Response) BytesRead() int64 { return r.bytesRead }
+
 // Close ends the call. The connection is kept for reuse if the request was written
 // and the response read completely, and closed otherwise.
 func (r *Response) Close() {
@@ -353,7 +377,7 @@
 
 // connReusable reports whether the connection can carry another request.
 func (r *Response) connReusable() bool {
-	if !r.keepAlive || !r.bodyComplete || !r.Delimited {
+	if !r.keepAlive || !r.bodyComplete || r.Framing == FramedByClose {
 		return false
 	}
 	if r.bodyWritten != nil {
