--- a/io/http1/client_test.go
+++ b/io/http1/client_test.go
@@ -198,23 +198,37 @@
 	}
 }
 
-// TestTruncatedBodyIsAnError: a body that is cut off by a reset of the connection is
-// not taken for a complete one, however it is delimited.
+// TestTruncatedBodyIsAnError: a body that is cut off by a reset of the connection, or
+// by its close before the announced end, is not taken for a complete one. Without a
+// length and chunks, the close of the connection is the end of the body.
 func TestTruncatedBodyIsAnError(t *testing.T) {
-	for name, head := range map[string]string{
-		"length": "Content-Length: 10\r\n\r\nhalf", "chunks": "Transfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n", "neither": "\r\nhalf",
+	for name, c := range map[string]struct {
+		head  string
+		reset bool
+		whole bool
+	}{
+		"length, reset":  {"Content-Length: 10\r\n\r\nhalf", true, false},
+		"chunks, reset":  {"Transfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n", true, false},
+		"neither, reset": {"\r\nhalf", true, false},
+		"length, close":  {"Content-Length: 10\r\n\r\nhalf", false, false},
+		"chunks, close":  {"Transfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n", false, false},
+		"chunk, close":   {"Transfer-Encoding: chunked\r\n\r\n9\r\nhalf", false, false},
+		"no end, close":  {"Transfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n0\r\n", false, false},
+		"neither, close": {"\r\nhalf", false, true},
 	} {
 		address := startBackend(t, func(conn net.Conn, r *bufio.Reader) {
 			if _, err := readRequest(r); err != nil {
 				return
 			}
-			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nId: 1\r\n"+head)
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nId: 1\r\n"+c.head)
 			time.Sleep(20 * time.Millisecond)
-			_ = conn.(*net.TCPConn).SetLinger(0) // makes Close reset the connection
+			if c.reset {
+				_ = conn.(*net.TCPConn).SetLinger(0) // makes Close reset the connection
+			}
 		})
-		c, closeClient := http1.New()
-		if body, err := get(t, c, request(address, "1")); err == nil {
-			t.Errorf("%s: truncated body %q was returned without an error", name, body)
+		client, closeClient := http1.New()
+		if body, err := get(t, client, request(address, "1")); (err == nil) != c.whole {
+			t.Errorf("%s: got body %q (error %v), want an error: %t", name, body, err, !c.whole)
 		}
 		closeClient()
 	}
