core/sse: an event may end with any of the line ends, mixed or not

What callers saw: events whose line and blank line ended differently (LF then CRLF, or CR) were held back until a later boundary or the end of the stream. Cause: a boundary was searched as two LF or two CRLF in a row; a line that ended with CR was none. The ids were read by LF alone. Change: the splitter goes line by line and looks at each byte once.

--- a/core/sse/sse.go
+++ b/core/sse/sse.go
@@ -1,40 +1,92 @@
 // Package sse splits a text/event-stream (server-sent events) into complete
 // events, so that a stream that breaks off in the middle of an event can be
-// resumed on another backend server after the last complete one.
+// resumed on another backend server after the last complete one. Lines end with
+// LF, CR or CRLF, also within one stream.
 package sse
 
-import "bytes"
+import (
+	"bytes"
+	"strings"
+)
 
 // Splitter buffers the bytes of a stream and returns them in complete events.
 type Splitter struct {
 	// Field is the name of another event field whose latest value is available
 	// from Value; "" for none.
 	Field   string
-	pending []byte
+	pending []byte // bytes after the last complete event
+	line    int    // start of the current line in pending
+	scanned int    // bytes of pending that were searched for line ends
+	afterCR bool   // the last line ended with CR; an LF that follows belongs to its end
+	event   event  // fields of the incomplete event
 	lastID  string
 	value   string
 }
 
+// event holds the fields of an event that is not complete yet.
+type event struct {
+	id, value       string
+	hasID, hasValue bool
+}
+
 // Feed appends data and returns all buffered bytes up to the end of the last
 // complete event, or nil when no event is complete. The result is valid until the
 // next call.
 func (s *Splitter) Feed(data []byte) []byte {
 	s.pending = append(s.pending, data...)
-	end := lastBoundary(s.pending)
-	if end == 0 {
+	boundary := 0
+	for ; s.scanned < len(s.pending); s.scanned++ {
+		b := s.pending[s.scanned]
+		if b == '\n' && s.afterCR {
+			s.afterCR = false
+			if boundary == s.scanned {
+				boundary++
+			}
+			s.line = s.scanned + 1
+			continue
+		}
+		s.afterCR = b == '\r'
+		if b != '\n' && b != '\r' {
+			continue
+		}
+		if s.line == s.scanned { // a blank line ends the event
+			boundary = s.scanned + 1
+			s.completeEvent()
+		} else {
+			s.addLine(string(s.pending[s.line:s.scanned]))
+		}
+		s.line = s.scanned + 1
+	}
+	if boundary == 0 {
 		return nil
 	}
-	complete := bytes.Clone(s.pending[:end])
-	s.pending = append(s.pending[:0], s.pending[end:]...)
-	if id, ok := lastField(complete, "id"); ok {
-		s.lastID = id
+	complete := bytes.Clone(s.pending[:boundary])
+	s.pending = append(s.pending[:0], s.pending[boundary:]...)
+	s.line, s.scanned = s.line-boundary, s.scanned-boundary
+	return complete
+}
+
+// addLine adds a line to the incomplete event.
+func (s *Splitter) addLine(line string) {
+	name, value, _ := strings.Cut(line, ":")
+	value = strings.TrimSpace(value)
+	if name == "id" {
+		s.event.id, s.event.hasID = value, true
 	}
-	if s.Field != "" {
-		if value, ok := lastField(complete, s.Field); ok {
-			s.value = value
-		}
+	if name == s.Field && name != "" {
+		s.event.value, s.event.hasValue = value, true
 	}
-	return complete
+}
+
+// completeEvent applies the fields of the event that has ended.
+func (s *Splitter) completeEvent() {
+	if s.event.hasID {
+		s.lastID = s.event.id
+	}
+	if s.event.hasValue {
+		s.value = s.event.value
+	}
+	s.event = event{}
 }
 
 // Rest returns the buffered bytes after the last complete event.
@@ -42,34 +94,12 @@
 
 // Reset discards the buffered bytes of an incomplete event, for a stream that is
 // resumed on another backend server.
-func (s *Splitter) Reset() { s.pending = s.pending[:0] }
+func (s *Splitter) Reset() {
+	s.pending, s.line, s.scanned, s.afterCR, s.event = s.pending[:0], 0, 0, false, event{}
+}
 
 // LastID returns the id of the last complete event that had one.
 func (s *Splitter) LastID() string { return s.lastID }
 
 // Value returns the latest value of the field named by Field.
 func (s *Splitter) Value() string { return s.value }
-
-// lastBoundary returns the length of data up to and including its last blank
-// line, or 0 if it has none.
-func lastBoundary(data []byte) int {
-	end := 0
-	for _, blank := range [][]byte{[]byte("\n\n"), []byte("\r\n\r\n")} {
-		if i := bytes.LastIndex(data, blank); i >= 0 {
-			end = max(end, i+len(blank))
-		}
-	}
-	return end
-}
-
-// lastField returns the value of the last field of that name, and whether there
-// is one.
-func lastField(events []byte, name string) (string, bool) {
-	value, found := "", false
-	for line := range bytes.Lines(events) {
-		if rest, ok := bytes.CutPrefix(line, []byte(name+":")); ok {
-			value, found = string(bytes.TrimSpace(rest)), true
-		}
-	}
-	return value, found
-}
