io/gateway: a retried stream starts without the bytes of the run before

What callers saw: two runs joined in one event ("data: aid: 1"), where a stream broke off inside its first event and was run again elsewhere. Cause: the bytes of a broken event were dropped only when a stream was resumed, that is after a first whole event; a retry before it appended to them. Change: they are dropped before each run. Test: TestTwoRunsAreJoined, red before ("id: 1\ndata: aid: 1\ndata: b").

--- a/core/sse/sse.go
+++ b/core/sse/sse.go
@@ -92,8 +92,8 @@
 // Rest returns the buffered bytes after the last complete event.
 func (s *Splitter) Rest() []byte { return s.pending }
 
-// Reset discards the buffered bytes of an incomplete event, for a stream that is
-// resumed on another backend server.
+// Reset discards the buffered bytes of an incomplete event, for another run of the
+// stream.
 func (s *Splitter) Reset() {
 	s.pending, s.line, s.scanned, s.afterCR, s.event = s.pending[:0], 0, 0, false, event{}
 }
--- a/io/gateway/try.go
+++ b/io/gateway/try.go
@@ -72,8 +72,8 @@
 		if changed := x.splitter.Value(); changed != "" {
 			options.Version = changed
 		}
-		x.splitter.Reset()
 	}
+	x.splitter.Reset()
 	started := g.now()
 	stopTimer := x.releaseAfterFetch(options.Inputs)
 	res, err := g.client.Do(x.ctx, http1.Request{
