core/sse, io/gateway: a stream that ends inside an event has broken off

Cause: an answer with neither length nor chunks ends with its connection, and a crash that closes it without a reset reads as that end. The gateway took the end of the body for the end of the stream, whatever stood behind the last whole event, and passed that rest on. It asked the transport only, not the stream itself. Class: the end of input taken for the end of the message.

Change: core/sse decides, by CheckEnd, whether a stream may end where it does. Not inside an event or a line; not without the event that its previous run broke off; not with its connection before its first event. Where it may not, the attempt ends as lost or broken as after a reset, and core/attempt goes on as before: the stream is resumed elsewhere, or cut. Why this works: only whole events reach the caller, and the answer is ended in good form only where the stream may end.

--- a/core/sse/sse.go
+++ b/core/sse/sse.go
@@ -6,9 +6,17 @@
 
 import (
 	"bytes"
+	"errors"
 	"strings"
 )
 
+// Errors of CheckEnd.
+var (
+	ErrInsideEvent = errors.New("the stream ended inside an event")
+	ErrEventLost   = errors.New("the stream ended without the event that its previous run broke off")
+	ErrNoEvent     = errors.New("the stream ended with its connection before its first event")
+)
+
 // Splitter buffers the bytes of a stream and returns them in complete events.
 type Splitter struct {
 	// Field is the name of another event field whose latest value is available
@@ -18,13 +26,16 @@
 	line    int    // start of the current line in pending
 	scanned int    // bytes of pending that were searched for line ends
 	afterCR bool   // the last line ended with CR; an LF that follows belongs to its end
-	event   event  // fields of the incomplete event
+	event   event  // the incomplete event
+	events  int    // complete events of this run
+	owed    bool   // the previous run broke off an event that this one has not completed
 	lastID  string
 	value   string
 }
 
-// event holds the fields of an event that is not complete yet.
+// event is an event that is not complete yet.
 type event struct {
+	begun           bool // it has a line that is not a comment
 	id, value       string
 	hasID, hasValue bool
 }
@@ -68,6 +79,10 @@
 
 // addLine adds a line to the incomplete event.
 func (s *Splitter) addLine(line string) {
+	if strings.HasPrefix(line, ":") { // a comment
+		return
+	}
+	s.event.begun = true
 	name, value, _ := strings.Cut(line, ":")
 	value = strings.TrimSpace(value)
 	if name == "id" {
@@ -78,8 +93,12 @@
 	}
 }
 
-// completeEvent applies the fields of the event that has ended.
+// completeEvent applies the fields of the event that has ended, if there is one.
 func (s *Splitter) completeEvent() {
+	if s.event.begun {
+		s.events++
+		s.owed = false
+	}
 	if s.event.hasID {
 		s.lastID = s.event.id
 	}
@@ -92,9 +111,35 @@
 // Rest returns the buffered bytes after the last complete event.
 func (s *Splitter) Rest() []byte { return s.pending }
 
+// Partial returns the number of buffered bytes if the stream is inside an event or a
+// line, and 0 if it may end here.
+func (s *Splitter) Partial() int {
+	if !s.event.begun && s.line == len(s.pending) {
+		return 0
+	}
+	return len(s.pending)
+}
+
+// CheckEnd returns an error if the stream broke off here rather than ended. delimited
+// reports whether the transport marks the end with a length or a last chunk. If it does
+// not, a stream that breaks off between two events cannot be told from a complete one.
+func (s *Splitter) CheckEnd(delimited bool) error {
+	switch {
+	case s.Partial() > 0:
+		return ErrInsideEvent
+	case s.owed:
+		return ErrEventLost
+	case s.events == 0 && !delimited:
+		return ErrNoEvent
+	}
+	return nil
+}
+
 // Reset discards the buffered bytes of an incomplete event, for another run of the
 // stream.
 func (s *Splitter) Reset() {
+	s.owed = s.owed || s.Partial() > 0
+	s.events = 0
 	s.pending, s.line, s.scanned, s.afterCR, s.event = s.pending[:0], 0, 0, false, event{}
 }
 
--- a/core/sse/sse_test.go
+++ b/core/sse/sse_test.go
@@ -1,7 +1,11 @@
 package sse_test
 
 import (
+	"encoding/json"
+	"errors"
 	"fmt"
+	"os"
+	"slices"
 	"strings"
 	"testing"
 
@@ -68,3 +72,65 @@
 	}
 	return last
 }
+
+// TestEnds checks where a stream may end, in the cases of testdata/ends.json.
+func TestEnds(t *testing.T) {
+	data, err := os.ReadFile("testdata/ends.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var cases []struct {
+		What string
+		Runs []struct {
+			Reads     []string
+			Delimited bool
+			Want      string // error of CheckEnd
+		}
+	}
+	if err := json.Unmarshal(data, &cases); err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range cases {
+		var s sse.Splitter
+		for i, run := range c.Runs {
+			s.Reset()
+			for _, read := range run.Reads {
+				s.Feed([]byte(read))
+			}
+			got := ""
+			if err := s.CheckEnd(run.Delimited); err != nil {
+				got = err.Error()
+			}
+			if got != run.Want {
+				t.Errorf("%s: run %d: got %q, want %q", c.What, i+1, got, run.Want)
+			}
+		}
+	}
+}
+
+// TestCutInsideEventIsNoticed cuts streams at any byte: one that is cut inside an event
+// never counts as complete, however its end is marked, and one that is cut after an
+// event does.
+func TestCutInsideEventIsNoticed(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var text strings.Builder
+		var ends []int
+		for i := range rapid.IntRange(1, 5).Draw(t, "events") {
+			newline := rapid.SampledFrom([]string{"\n", "\r", "\r\n"}).Draw(t, "newline")
+			fmt.Fprintf(&text, "id: %d%sdata: %s%s%s", i, newline, rapid.StringMatching(`[a-z:]{0,9}`).Draw(t, "data"), newline, newline)
+			ends = append(ends, text.Len())
+			if newline == "\r\n" {
+				ends = append(ends, text.Len()-1)
+			}
+		}
+		cut := rapid.IntRange(1, text.Len()).Draw(t, "cut")
+		var s sse.Splitter
+		for _, b := range []byte(text.String()[:cut]) {
+			s.Feed([]byte{b})
+		}
+		err := s.CheckEnd(rapid.Bool().Draw(t, "delimited"))
+		if whole := slices.Contains(ends, cut); whole != (err == nil) || !whole && !errors.Is(err, sse.ErrInsideEvent) {
+			t.Fatalf("cut after byte %d of %q: got %v, want an error: %t", cut, text.String(), err, !whole)
+		}
+	})
+}
--- a/io/gateway/try.go
+++ b/io/gateway/try.go
@@ -202,11 +202,12 @@
 	for {
 		n, err := res.Read(buffer)
 		out := x.splitter.Feed(buffer[:n])
+		x.received.partial = x.splitter.Partial()
 		ended := errors.Is(err, io.EOF)
-		x.received.partial = len(x.splitter.Rest())
 		if ended {
-			out = append(out, x.splitter.Rest()...)
-			x.splitter.Reset()
+			if err = x.splitter.CheckEnd(res.Framing != http1.FramedByClose); err == nil {
+				out = append(out, x.splitter.Rest()...)
+			}
 		}
 		if len(out) > 0 {
 			x.writeHeader(res, -1)
@@ -215,7 +216,7 @@
 			}
 			_ = controller.Flush() // if it fails, so does the next write
 		}
-		if ended {
+		if ended && err == nil {
 			x.writeHeader(res, 0)
 			return attempt.Answered
 		}
