io/gateway: an HTTP/1.0 answer that is cut ends with a reset

What callers saw: a caller that speaks HTTP/1.0 gets a stream, or a large answer, that ends with its connection. Where the gateway cut it, the connection closed as after a whole answer (with SIGKILL of the gateway too). Cause: the same class as the short streams, on our side of the gateway: a cut was told by a missing last chunk, which HTTP/1.0 does not have. Change: while such an answer is under way its connection is set to reset when it closes; the setting is taken back once the answer is whole. The kernel keeps to it when the process dies. Test: TestCutAnswerLooksCompleteToHTTP10, red before ("error <nil>, want an error"); a whole stream still ends without one.

--- a/io/gateway/exchange.go
+++ b/io/gateway/exchange.go
@@ -250,6 +250,9 @@
 		}
 		switch action {
 		case attempt.Deliver:
+			if x.endsWithConnection() {
+				setResetOnClose(x.r, false)
+			}
 			x.logAnswered(status)
 			return
 		case attempt.Refuse:
@@ -309,6 +312,10 @@
 	}
 }
 
+// endsWithConnection reports whether an answer of unknown length ends with the caller's
+// connection, since HTTP/1.0 has no chunks.
+func (x *exchange) endsWithConnection() bool { return !x.r.ProtoAtLeast(1, 1) }
+
 // abort closes the connection, so that the caller does not take a partial answer
 // for a complete one.
 func (x *exchange) abort() {
--- a/io/gateway/listener.go
+++ b/io/gateway/listener.go
@@ -45,6 +45,22 @@
 	return n, err
 }
 
+// setResetOnClose sets whether the request's connection is reset when it closes, also
+// when this process is killed.
+func setResetOnClose(r *http.Request, reset bool) {
+	conn, ok := r.Context().Value(connKey{}).(*sniffedConn)
+	if !ok {
+		return
+	}
+	if tcp, ok := conn.Conn.(*net.TCPConn); ok {
+		seconds := -1 // the default: close in the background, without a reset
+		if reset {
+			seconds = 0
+		}
+		_ = tcp.SetLinger(seconds) // fails only on a closed connection
+	}
+}
+
 type connKey struct{}
 
 // ConnContext makes the connection available to the handlers of its requests, for
--- a/io/gateway/try.go
+++ b/io/gateway/try.go
@@ -252,6 +252,8 @@
 	}
 	if length >= 0 {
 		h.Set("Content-Length", strconv.FormatInt(length, 10))
+	} else if x.endsWithConnection() {
+		setResetOnClose(x.r, true) // until the answer is whole
 	}
 	x.w.WriteHeader(res.StatusCode)
 }
