io/backend: a service's result that ends with its connection needs its digest

What callers saw (our own interface): a service that crashed while it sent a result without length or chunks gave a part of the result as a complete answer, or as the input of the next stage. Cause: the same class as the short streams: net/http reads the close of such a connection as the end of the body. Result-Digest is optional, and where it was sent a cut result counted as failed for good although it may be run again. Change: such a result counts as complete only if it matches its digest, else as a call whose contact was lost: repeated where that is allowed, unknown where it may run once, and the backend server is probed as after any broken call.

--- a/io/backend/client.go
+++ b/io/backend/client.go
@@ -27,6 +27,7 @@
 
 	"tanagerroad"
 	"tanagerroad/core/table"
+	"tanagerroad/io/http1"
 )
 
 // Headers of the protocol between sidecar and backend server.
@@ -193,13 +194,23 @@
 	if int64(len(body)) > c.maxBody {
 		return outcome{kind: failed, reason: fmt.Sprintf("the result is larger than %d bytes", c.maxBody)}
 	}
-	if want := response.Header.Get(HeaderDigest); want != "" && want != hexDigest(xxhash.Sum64(body)) {
-		return outcome{kind: failed, reason: "the result does not match its digest"}
+	digest := response.Header.Get(HeaderDigest)
+	if digest != hexDigest(xxhash.Sum64(body)) {
+		if http1.FramingOf(response) == http1.FramedByClose {
+			return c.connectionFailure(ctx, errCutShort)
+		}
+		if digest != "" {
+			return outcome{kind: failed, reason: "the result does not match its digest"}
+		}
 	}
 	deliver(body)
 	return outcome{kind: completed}
 }
 
+// errCutShort is the error of a result that ends with its connection and has no digest
+// that it matches.
+var errCutShort = errors.New("the connection closed, and no length, chunk or digest shows that the result is whole")
+
 // hexDigest formats a digest as in HeaderDigest and StreamEnd.
 func hexDigest(d uint64) string { return strconv.FormatUint(d, 16) }
 
--- a/io/http1/client.go
+++ b/io/http1/client.go
@@ -119,8 +119,8 @@
 	FramedByClose  Framing = "until-close" // the body ends when its connection closes
 )
 
-// framingOf returns the framing of a response body.
-func framingOf(resp *http.Response) Framing {
+// FramingOf returns the framing of a response body.
+func FramingOf(resp *http.Response) Framing {
 	switch {
 	case resp.ContentLength >= 0:
 		return FramedByLength
@@ -189,7 +189,7 @@
 	}
 	res := &Response{
 		StatusCode: resp.StatusCode, Header: resp.Header, ContentLength: resp.ContentLength, body: resp.Body,
-		Framing: framingOf(resp),
+		Framing: FramingOf(resp),
 		client:  c, conn: conn, address: r.Address, stop: stop, bodyWritten: written, keepAlive: !resp.Close && strays == 0,
 	}
 	conn.idleTimeout = keepAliveTimeout(resp.Header.Get("Keep-Alive"))
