core/sse, io/gateway: a stream is resumed only after an event with an id

What callers saw: a stream that was resumed although its last event had no id began anew, or after an older event, in the middle of the answer: events came twice. Cause: resuming names the last id that was seen, not the position; without one the other backend server starts from the beginning. Change: where the last whole event has no id, a broken stream is cut.

--- a/core/sse/sse.go
+++ b/core/sse/sse.go
@@ -31,6 +31,8 @@
 	owed    bool   // the previous run broke off an event that this one has not completed
 	lastID  string
 	value   string
+
+	hasPosition bool // the last complete event has an id
 }
 
 // event is an event that is not complete yet.
@@ -98,6 +100,7 @@
 	if s.event.begun {
 		s.events++
 		s.owed = false
+		s.hasPosition = s.event.id != ""
 	}
 	if s.event.hasID {
 		s.lastID = s.event.id
@@ -146,5 +149,9 @@
 // LastID returns the id of the last complete event that had one.
 func (s *Splitter) LastID() string { return s.lastID }
 
+// CanResume reports whether another run can continue after the last complete event,
+// which takes an id of its own.
+func (s *Splitter) CanResume() bool { return s.hasPosition }
+
 // Value returns the latest value of the field named by Field.
 func (s *Splitter) Value() string { return s.value }
--- a/io/gateway/try.go
+++ b/io/gateway/try.go
@@ -148,12 +148,14 @@
 }
 
 // incompleteEnd returns how an attempt ended whose answer is missing, unusable or
-// incomplete: Broken if part of an answer has already been forwarded, else Lost.
+// incomplete: Broken if part of an answer has already been forwarded, else Lost. A
+// stream whose position is not known is not resumed.
 func (x *exchange) incompleteEnd() attempt.End {
-	if x.committed {
-		return attempt.Broken
+	if !x.committed {
+		return attempt.Lost
 	}
-	return attempt.Lost
+	x.retryState.Resumable = x.retryState.Resumable && x.splitter.CanResume()
+	return attempt.Broken
 }
 
 // forward forwards the answer to the caller.
