core/attempt: a large answer that is cut is not continued with a second one

What callers saw: an idempotent answer of more than 128 KiB that broke off was followed by the whole answer of a second run, in one well-framed response (MIXED): 200 KiB of the first and 300 KiB of the second arrived without an error. Cause: core/attempt treated every answer that had begun as a stream, which another backend server can go on with; a plain answer has no position to go on from. Change: only a stream is resumed; another answer that has begun is cut.

--- a/core/attempt/attempt.go
+++ b/core/attempt/attempt.go
@@ -98,7 +98,8 @@
 	case Lost, Broken:
 		r.executions++
 		r.streaming = r.streaming || end == Broken
-		retry := r.repeatable() && r.executions < r.MaxServers && canRetry()
+		canContinue := !r.streaming || r.Repeat == tanagerroad.Stream // only a stream has a position to resume at
+		retry := canContinue && r.repeatable() && r.executions < r.MaxServers && canRetry()
 		switch {
 		case retry && r.streaming:
 			return Resume
--- a/core/attempt/attempt_test.go
+++ b/core/attempt/attempt_test.go
@@ -53,8 +53,8 @@
 
 // TestRetryInvariants checks for any series of attempts: a request that may run
 // only once is not sent again after it may have run, "not run" is answered only
-// when nothing may have run, no more backend servers are used than allowed, and
-// an answer that has begun is not replaced by another one.
+// when nothing may have run, no more backend servers are used than allowed, an
+// answer that has begun is not replaced by another one, and only a stream is resumed.
 func TestRetryInvariants(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		r := attempt.Request{
@@ -80,6 +80,9 @@
 			if again && ran >= r.MaxServers {
 				t.Fatalf("sent again after it may have run on %d backend servers, the most allowed", r.MaxServers)
 			}
+			if action == attempt.Resume && r.Repeat != tanagerroad.Stream {
+				t.Fatalf("resumed an answer that is no stream")
+			}
 			begun = begun || end == attempt.Broken
 			if begun && (action == attempt.Refuse || action == attempt.Fail) {
 				t.Fatalf("action %s although the answer has begun", action)
