--- a/core/replica/guard_test.go
+++ b/core/replica/guard_test.go
@@ -204,6 +204,27 @@
 	}
 }
 
+// TestSnapshotsAreJoined guards against a snapshot that is put together from chunks of
+// two: a chunk of an older one arrives late, at the offset that is expected next.
+func TestSnapshotsAreJoined(t *testing.T) {
+	r := newFollower(threeVoters)
+	chunk := func(index, offset uint64, text string, last bool) {
+		r.Step(0, &wire.Message{Kind: "snapshot", From: "b", To: "a", Term: 2, SnapshotIndex: index, SnapshotTerm: 2, Members: threeVoters, Offset: offset, Chunk: []byte(text), Last: last})
+	}
+	chunk(9, 0, "new1", false)
+	chunk(5, 4, "old2", false)
+	chunk(9, 8, "new3", true)
+	if image := r.TakeOutput().Restore; image != nil {
+		t.Fatalf("installed %q, which no chunks of one snapshot make up", image)
+	}
+	for i, text := range []string{"new1", "new2", "new3"} {
+		chunk(9, uint64(4*i), text, i == 2)
+	}
+	if image := r.TakeOutput().Restore; string(image) != "new1new2new3" {
+		t.Errorf("installed %q, want new1new2new3", image)
+	}
+}
+
 func TestDecideFormation(t *testing.T) {
 	self := &wire.HelloReply{Id: "a", Address: "a0", Empty: true}
 	listed := []string{"a0", "b0", "c0"}
--- a/core/replica/log.go
+++ b/core/replica/log.go
@@ -342,35 +342,33 @@
 
 // onSnapshot collects the chunks of a snapshot and installs it after the last
 // one. A chunk at an unexpected offset is dropped and the expected offset is sent
-// back.
+// back. A chunk of another snapshot begins that one anew.
 func (r *Replica) onSnapshot(at time.Duration, m *wire.Message) {
 	r.becomeFollower(at, m.GetTerm(), m.GetFrom())
 	if m.GetSnapshotIndex() <= r.commit {
 		r.reply(m, true, r.commit)
 		return
 	}
-	if m.GetOffset() == 0 {
-		r.incomingImage = nil
+	if m.GetOffset() == 0 || r.incoming.GetIndex() != m.GetSnapshotIndex() || r.incoming.GetTerm() != m.GetSnapshotTerm() {
+		r.incoming = &wire.SnapshotMark{Index: m.GetSnapshotIndex(), Term: m.GetSnapshotTerm(), Members: m.GetMembers()}
 	}
-	if m.GetOffset() != uint64(len(r.incomingImage)) {
+	if m.GetOffset() != uint64(len(r.incoming.GetImage())) {
 		r.replySnapshot(m)
 		return
 	}
-	r.incomingImage = append(r.incomingImage, m.GetChunk()...)
+	r.incoming.Image = append(r.incoming.Image, m.GetChunk()...)
 	if !m.GetLast() {
 		r.replySnapshot(m)
 		return
 	}
-	r.install(&wire.SnapshotMark{
-		Index: m.GetSnapshotIndex(), Term: m.GetSnapshotTerm(), Members: m.GetMembers(), Image: r.incomingImage,
-	})
-	r.incomingImage = nil
+	r.install(r.incoming)
+	r.incoming = nil
 	r.reply(m, true, r.commit)
 }
 
 func (r *Replica) replySnapshot(m *wire.Message) {
 	r.send(m.GetFrom(), msgSnapshotReply, &wire.Message{
-		Offset: uint64(len(r.incomingImage)), SnapshotIndex: m.GetSnapshotIndex(), Round: m.GetRound(),
+		Offset: uint64(len(r.incoming.GetImage())), SnapshotIndex: m.GetSnapshotIndex(), Round: m.GetRound(),
 	})
 }
 
--- a/core/replica/replica.go
+++ b/core/replica/replica.go
@@ -127,12 +127,12 @@
 	votes           map[string]bool      // votes or pre-votes granted to this replica, by identity
 	peers           map[string]*progress // the other members, by identity; kept by a leader
 	lastHeartbeat   time.Duration
-	round           uint64        // number of the latest read; appends carry it and replies return it
-	reads           []pendingRead // oldest first
-	incomingImage   []byte        // snapshot being received
-	leaving         bool          // the process is shutting down
-	transferee      string        // voter asked to take over; until it leads, proposals are refused
-	safeToStop      bool          // the current leader has a quorum without this replica
+	round           uint64             // number of the latest read; appends carry it and replies return it
+	reads           []pendingRead      // oldest first
+	incoming        *wire.SnapshotMark // snapshot being received, with the image so far
+	leaving         bool               // the process is shutting down
+	transferee      string             // voter asked to take over; until it leads, proposals are refused
+	safeToStop      bool               // the current leader has a quorum without this replica
 
 	out Output
 }
