--- a/core/sse/sse.go
+++ b/core/sse/sse.go
@@ -20,18 +20,18 @@
 type Splitter struct {
 	// Field is the name of another event field whose latest value is available
 	// from Value; "" for none.
-	Field   string
-	pending []byte // bytes after the last complete event
-	line    int    // start of the current line in pending
-	scanned int    // bytes of pending that were searched for line ends
-	afterCR bool   // the last line ended with CR; an LF that follows belongs to its end
-	event   event  // the incomplete event
-	events  int    // complete events of this run
-	owed    bool   // the previous run broke off an event that this one has not completed
-	lastID  string
-	value   string
+	Field string
 
-	hasPosition bool // the last complete event has an id
+	pending   []byte // bytes after the last complete event
+	lineStart int    // start of the current line in pending
+	scanned   int    // bytes of pending that were searched for line ends
+	afterCR   bool   // the last line ended with CR; an LF that follows belongs to its end
+	event     event  // the incomplete event
+	events    int    // complete events of this run
+	eventOwed bool   // the previous run broke off an event that this one has not completed
+	canResume bool   // the last complete event has an id
+	lastID    string
+	value     string
 }
 
 // event is an event that is not complete yet.
@@ -49,32 +49,29 @@
 	boundary := 0
 	for ; s.scanned < len(s.pending); s.scanned++ {
 		b := s.pending[s.scanned]
-		if b == '\n' && s.afterCR {
-			s.afterCR = false
+		inCRLF := b == '\n' && s.afterCR
+		s.afterCR = b == '\r'
+		switch {
+		case inCRLF: // its line has ended already
 			if boundary == s.scanned {
 				boundary++
 			}
-			s.line = s.scanned + 1
+		case b != '\n' && b != '\r':
 			continue
-		}
-		s.afterCR = b == '\r'
-		if b != '\n' && b != '\r' {
-			continue
-		}
-		if s.line == s.scanned { // a blank line ends the event
+		case s.lineStart == s.scanned: // a blank line ends the event
 			boundary = s.scanned + 1
 			s.completeEvent()
-		} else {
-			s.addLine(s.pending[s.line:s.scanned])
+		default:
+			s.addLine(s.pending[s.lineStart:s.scanned])
 		}
-		s.line = s.scanned + 1
+		s.lineStart = s.scanned + 1
 	}
 	if boundary == 0 {
 		return nil
 	}
 	complete := bytes.Clone(s.pending[:boundary])
 	s.pending = append(s.pending[:0], s.pending[boundary:]...)
-	s.line, s.scanned = s.line-boundary, s.scanned-boundary
+	s.lineStart, s.scanned = s.lineStart-boundary, s.scanned-boundary
 	return complete
 }
 
@@ -97,8 +94,8 @@
 func (s *Splitter) completeEvent() {
 	if s.event.begun {
 		s.events++
-		s.owed = false
-		s.hasPosition = s.event.id != ""
+		s.eventOwed = false
+		s.canResume = s.event.id != ""
 	}
 	if s.event.hasID {
 		s.lastID = s.event.id
@@ -115,20 +112,20 @@
 // Partial returns the number of buffered bytes if the stream is inside an event or a
 // line, and 0 if it may end here.
 func (s *Splitter) Partial() int {
-	if !s.event.begun && s.line == len(s.pending) {
+	if !s.event.begun && s.lineStart == len(s.pending) {
 		return 0
 	}
 	return len(s.pending)
 }
 
-// CheckEnd returns an error if the stream broke off here rather than ended. delimited
-// reports whether the transport marks the end with a length or a last chunk. If it does
-// not, a stream that breaks off between two events cannot be told from a complete one.
+// CheckEnd returns an error if the stream, whose input has ended, broke off. delimited
+// reports whether the transport marks the end, with a length or a last chunk. If it does
+// not, a stream that broke off between two events cannot be told from a complete one.
 func (s *Splitter) CheckEnd(delimited bool) error {
 	switch {
 	case s.Partial() > 0:
 		return ErrInsideEvent
-	case s.owed:
+	case s.eventOwed:
 		return ErrEventLost
 	case s.events == 0 && !delimited:
 		return ErrNoEvent
@@ -139,9 +136,9 @@
 // Reset discards the buffered bytes of an incomplete event, for another run of the
 // stream.
 func (s *Splitter) Reset() {
-	s.owed = s.owed || s.Partial() > 0
+	s.eventOwed = s.eventOwed || s.Partial() > 0
 	s.events = 0
-	s.pending, s.line, s.scanned, s.afterCR, s.event = s.pending[:0], 0, 0, false, event{}
+	s.pending, s.lineStart, s.scanned, s.afterCR, s.event = s.pending[:0], 0, 0, false, event{}
 }
 
 // LastID returns the id of the last complete event that had one.
@@ -149,7 +146,7 @@
 
 // CanResume reports whether another run can continue after the last complete event,
 // which takes an id of its own.
-func (s *Splitter) CanResume() bool { return s.hasPosition }
+func (s *Splitter) CanResume() bool { return s.canResume }
 
 // Value returns the latest value of the field named by Field.
 func (s *Splitter) Value() string { return s.value }
--- a/io/gateway/exchange.go
+++ b/io/gateway/exchange.go
@@ -55,7 +55,7 @@
 	framing   http1.Framing // empty: no answer that could be forwarded
 	bytes     int64
 	lastEvent string // id of the last complete event of a stream
-	partial   int    // bytes of a stream after its last complete event
+	partial   int    // bytes of a stream that is inside an event, after its last complete one
 }
 
 // fields returns the log fields, none if there was no answer.
--- a/io/http1/client.go
+++ b/io/http1/client.go
@@ -349,7 +349,8 @@
 }
 
 // Read reads the body. It returns io.EOF only at the end of a complete body; a body
-// that is cut off ends with another error.
+// that is cut off ends with another error. A body that is FramedByClose also ends with
+// io.EOF if the backend server closes the connection early, unless it resets it.
 func (r *Response) Read(p []byte) (int, error) {
 	n, err := r.body.Read(p)
 	r.bytesRead += int64(n)
