core/sse: an event is not divided from the last LF of its CRLF

Cause: since core/sse takes CR alone as a line end, an event was passed on at its CR. Change: once a stream has shown a CRLF, a CR at the end of what was read waits for the next byte, or for the end. Streams with CR alone are passed on at once as before.

--- a/core/sse/sse.go
+++ b/core/sse/sse.go
@@ -26,6 +26,7 @@
 	lineStart int    // start of the current line in pending
 	scanned   int    // bytes of pending that were searched for line ends
 	afterCR   bool   // the last line ended with CR; an LF that follows belongs to its end
+	seenCRLF  bool   // a line of the stream ended with CRLF
 	event     event  // the incomplete event
 	events    int    // complete events of this run
 	eventOwed bool   // the previous run broke off an event that this one has not completed
@@ -46,13 +47,31 @@
 // next call.
 func (s *Splitter) Feed(data []byte) []byte {
 	s.pending = append(s.pending, data...)
+	boundary := s.scan(false)
+	if boundary == 0 {
+		return nil
+	}
+	complete := bytes.Clone(s.pending[:boundary])
+	s.pending = append(s.pending[:0], s.pending[boundary:]...)
+	s.lineStart, s.scanned = s.lineStart-boundary, s.scanned-boundary
+	return complete
+}
+
+// scan handles the buffered lines and returns the end of the last complete event, or 0
+// if there is none. Unless the input has ended, it leaves a CR at the end of the buffer
+// if an LF is likely to follow, so that an event is not divided from its last byte.
+func (s *Splitter) scan(ended bool) int {
 	boundary := 0
 	for ; s.scanned < len(s.pending); s.scanned++ {
 		b := s.pending[s.scanned]
+		if b == '\r' && s.seenCRLF && !ended && s.scanned == len(s.pending)-1 {
+			break
+		}
 		inCRLF := b == '\n' && s.afterCR
 		s.afterCR = b == '\r'
 		switch {
 		case inCRLF: // its line has ended already
+			s.seenCRLF = true
 			if boundary == s.scanned {
 				boundary++
 			}
@@ -66,13 +85,7 @@
 		}
 		s.lineStart = s.scanned + 1
 	}
-	if boundary == 0 {
-		return nil
-	}
-	complete := bytes.Clone(s.pending[:boundary])
-	s.pending = append(s.pending[:0], s.pending[boundary:]...)
-	s.lineStart, s.scanned = s.lineStart-boundary, s.scanned-boundary
-	return complete
+	return boundary
 }
 
 // addLine adds a line to the incomplete event.
@@ -122,6 +135,7 @@
 // reports whether the transport marks the end, with a length or a last chunk. If it does
 // not, a stream that broke off between two events cannot be told from a complete one.
 func (s *Splitter) CheckEnd(delimited bool) error {
+	s.scan(true)
 	switch {
 	case s.Partial() > 0:
 		return ErrInsideEvent
--- a/io/gateway/try.go
+++ b/io/gateway/try.go
@@ -204,13 +204,13 @@
 	for {
 		n, err := res.Read(buffer)
 		out := x.splitter.Feed(buffer[:n])
-		x.received.partial = x.splitter.Partial()
 		ended := errors.Is(err, io.EOF)
 		if ended {
 			if err = x.splitter.CheckEnd(res.Framing != http1.FramedByClose); err == nil {
 				out = append(out, x.splitter.Rest()...)
 			}
 		}
+		x.received.partial = x.splitter.Partial()
 		if len(out) > 0 {
 			x.writeHeader(res, -1)
 			if _, err := x.w.Write(out); err != nil {
