core/roster, io/gateway: a backend server that says in an answer that it leaves

Cause: the header was passed over; only announcements counted. Change: the adapter decodes it once. The roster keeps it with the start of the server that said so: it outlives announcements that are older, late or still say ready, a lapse and a return, and ends only with a later start; another id at the address is not concerned. Requests, resumed streams, retries and pieces go by the roster and so heed it. An answer that names another server than the one asked (a reused address) marks nothing.

--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -36,6 +36,20 @@
 	sources      map[string]bool // sources that currently receive its announcements
 	lastReceived time.Duration   // time of the latest announcement that was not outdated
 	changedSeq   uint64          // sequence number of the latest change
+	departure    *Departure      // nil: no answer said that it leaves
+}
+
+// Departure says that a backend server stated in an answer that it leaves.
+type Departure struct {
+	ID, Pool    string
+	StartMillis int64         // the start that leaves
+	At          time.Duration // time of the first such answer
+}
+
+// leaves reports whether the current start of the backend server has stated that it
+// leaves.
+func (r *record) leaves() bool {
+	return r.departure != nil && r.departure.StartMillis == r.announcement.StartMillis
 }
 
 // Roster holds the latest announcement of each backend server. Create one with
@@ -118,6 +132,31 @@
 	rec.changedSeq = r.sequence
 }
 
+// RecordDeparture records that a backend server stated in an answer that it leaves. That
+// holds for its start, whatever it announces later. RecordDeparture reports whether it is
+// new; an answer of another start than the current one changes nothing.
+func (r *Roster) RecordDeparture(at time.Duration, id string, startMillis int64) bool {
+	rec, ok := r.records[id]
+	if !ok || rec.announcement.StartMillis != startMillis || rec.leaves() {
+		return false
+	}
+	rec.departure = &Departure{ID: id, Pool: rec.announcement.Pool, StartMillis: startMillis, At: at}
+	return true
+}
+
+// Departures returns the backend servers of a pool that would be usable if they had not
+// stated in an answer that they leave, sorted by id.
+func (r *Roster) Departures(pool string) []Departure {
+	var out []Departure
+	for _, rec := range r.records {
+		if rec.leaves() && rec.announcement.Pool == pool && rec.announcement.State == tanagerroad.Serving && len(rec.sources) > 0 {
+			out = append(out, *rec.departure)
+		}
+	}
+	slices.SortFunc(out, func(a, b Departure) int { return cmp.Compare(a.ID, b.ID) })
+	return out
+}
+
 // Lapse records that a source no longer receives announcements of a backend
 // server.
 func (r *Roster) Lapse(source, id string) {
@@ -178,8 +217,8 @@
 func (r *Roster) Sequence() uint64 { return r.sequence }
 
 // Usable returns the backend servers that may receive new work, sorted by id: at
-// least one source receives their announcements, they are serving, and no backend
-// server that started later has the same address.
+// least one source receives their announcements, they are serving, no answer said
+// that they leave, and no backend server that started later has the same address.
 func (r *Roster) Usable() []tanagerroad.Announcement {
 	latest := map[string]*record{}
 	for _, rec := range r.records {
@@ -189,7 +228,7 @@
 	}
 	var out []tanagerroad.Announcement
 	for _, rec := range r.records {
-		if rec.announcement.State != tanagerroad.Serving || len(rec.sources) == 0 {
+		if rec.announcement.State != tanagerroad.Serving || len(rec.sources) == 0 || rec.leaves() {
 			continue
 		}
 		if other := latest[rec.announcement.Address]; other.announcement.StartMillis > rec.announcement.StartMillis {
--- a/core/roster/roster_test.go
+++ b/core/roster/roster_test.go
@@ -26,6 +26,7 @@
 	State       tanagerroad.ServerState `json:"state"`
 	Lapse       string                  `json:"lapse"`
 	Expire      string                  `json:"expire"`
+	Departing   string                  `json:"said-leaving"` // id of a backend server that said in an answer that it leaves
 	Usable      *[]string               `json:"usable"`
 }
 
@@ -52,6 +53,8 @@
 				if got := ids(r); !slices.Equal(got, *s.Usable) {
 					t.Errorf("%s: step %d: usable %v, want %v", script.What, i, got, *s.Usable)
 				}
+			case s.Departing != "":
+				r.RecordDeparture(at, s.Departing, s.StartMillis)
 			case s.Lapse != "":
 				r.Lapse(s.Lapse, s.ID)
 			case s.Expire != "":
--- a/dialect.go
+++ b/dialect.go
@@ -44,6 +44,7 @@
 	Signed    bool   // the answer carries a backend server's signature
 	NotRun    bool   // the backend server did not run the request
 	Server    string // id of the backend server; empty: not specified
+	Leaving   bool   // the backend server is leaving
 	Version   string // version of the model's weights; empty: not specified
 	Running   int    // requests executing on the backend server
 	Waiting   int    // requests queued on the backend server
--- a/io/gateway/batcher.go
+++ b/io/gateway/batcher.go
@@ -313,12 +313,13 @@
 		return nil, false, err
 	}
 	defer res.Close()
+	reply := b.g.config.Dialect.DecodeResponseHeaders(res.StatusCode, res.Header)
+	b.g.heed(call.Server, reply)
 	answer, err := io.ReadAll(io.LimitReader(res, maxCallAnswer))
 	if err != nil {
 		return nil, false, err
 	}
 	if res.StatusCode != http.StatusOK {
-		reply := b.g.config.Dialect.DecodeResponseHeaders(res.StatusCode, res.Header)
 		return nil, reply.NotRun && res.StatusCode == http.StatusServiceUnavailable, fmt.Errorf("backend server answered with status %d", res.StatusCode)
 	}
 	outcomes, err = b.g.config.Dialect.DecodePieceOutcomes(answer)
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -240,6 +240,21 @@
 	return budget
 }
 
+// heed records what a backend server said about itself in an answer.
+func (g *Gateway) heed(server tanagerroad.Announcement, reply tanagerroad.ResponseHeaders) {
+	if !reply.Leaving || reply.Server != "" && reply.Server != server.ID {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.now()
+	if g.roster.RecordDeparture(now, server.ID, server.StartMillis) {
+		g.applyRoster(now)
+		g.meters.count("servers.departing")
+		event.ServerDeparting.Log(g.config.Logger, zap.String("server", server.ID), zap.String("pool", server.Pool), zap.Int64("start", server.StartMillis))
+	}
+}
+
 // housekeep drops the gateways and announcements reported by control instances that
 // have become silent, and removes expired state. It runs every housekeepingInterval.
 func (g *Gateway) housekeep() {
--- a/io/gateway/try.go
+++ b/io/gateway/try.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"slices"
@@ -15,6 +16,7 @@
 	"tanagerroad/core/attempt"
 	"tanagerroad/core/event"
 	"tanagerroad/core/fleet"
+	"tanagerroad/core/roster"
 	"tanagerroad/io/http1"
 )
 
@@ -36,18 +38,19 @@
 	now := g.now()
 	choice, ok := g.fleet.Pick(now, request)
 	version := g.fleet.Version()
+	departures := g.roster.Departures(x.pool)
 	g.mu.Unlock()
 	if !ok {
 		x.reason = "no backend server can be used"
 		event.NotRouted.Log(g.config.Logger, zap.String("request", x.headers.AttemptID), zap.String("pool", x.pool),
-			zap.Strings("excluded", x.exclude), zap.Uint64("roster", version))
+			zap.Strings("excluded", x.exclude), zap.Uint64("roster", version), avoidedField(now, departures))
 		return attempt.Unsent, 0
 	}
 	x.exclude = append(x.exclude, choice.ID)
 	event.Routed.Log(g.config.Logger, zap.String("request", x.headers.AttemptID), zap.String("route", x.route.Name), zap.String("pool", x.pool),
 		zap.String("server", choice.ID), zap.Duration("cost", choice.Cost), zap.Int("in-flight", choice.InFlight),
 		zap.Int("reported", choice.ReportedLoad), zap.Duration("report-age", choice.ReportAge), zap.Int("kept", choice.CachedTokens),
-		zap.Int("candidates", choice.Candidates), zap.Uint64("roster", version), zap.Duration("left", x.deadline-now))
+		zap.Int("candidates", choice.Candidates), zap.Uint64("roster", version), zap.Duration("left", x.deadline-now), avoidedField(now, departures))
 	end, status, outcome := x.send(choice)
 	g.mu.Lock()
 	g.fleet.RecordEnd(g.now(), choice.ID, outcome)
@@ -58,6 +61,19 @@
 	return end, status
 }
 
+// avoidedField returns the log field with the backend servers that were passed over
+// because of what they had said in an answer, and how long ago that was.
+func avoidedField(now time.Duration, departures []roster.Departure) zap.Field {
+	if len(departures) == 0 {
+		return zap.Skip()
+	}
+	avoided := make([]string, len(departures))
+	for i, d := range departures {
+		avoided[i] = fmt.Sprintf("%s departing, said %v ago", d.ID, now-d.At)
+	}
+	return zap.Strings("avoided", avoided)
+}
+
 // send makes one attempt at the chosen backend server.
 func (x *exchange) send(choice fleet.Choice) (attempt.End, int, fleet.Outcome) {
 	g := x.g
@@ -95,6 +111,7 @@
 	}
 	defer res.Close()
 	reply := g.config.Dialect.DecodeResponseHeaders(res.StatusCode, res.Header)
+	g.heed(choice.Announcement, reply)
 	outcome := fleet.Outcome{Latency: g.now() - started, Running: reply.Running, Queued: reply.Waiting, Slots: reply.Slots}
 	g.mu.Lock()
 	g.fleet.RecordAnswer(g.now(), choice.ID, outcome)
