core/fleet, core/batch, io/gateway: Retry-After of a backend server is heeded

Cause: the header was passed over. Change: the adapter decodes it once, as a time, or as a value that is none and is logged. From that answer on this gateway sends the backend server nothing until the time ends, a minute at most: requests and resumed streams (core/fleet, no last resort either), calls for pieces (core/batch), calls that free results (sent later). io/http1 asks once more when a connection is ready, so that a request that had chosen the server before the answer came is not written. A later start of the server has asked for nothing. Where all of a pool ask for time, a request waits if its deadline allows (core/attempt NextPaused), else it is refused at once with the earliest time; both are spread over 300 ms by the request's id. Log: server-paused (224), avoided with its age in routed; counter servers.paused.

--- a/core/attempt/attempt.go
+++ b/core/attempt/attempt.go
@@ -26,6 +26,7 @@
 	Lost      End = "lost"      // the request was written, but no usable answer arrived
 	Answered  End = "answered"  // an answer with an HTTP status
 	Broken    End = "broken"    // a stream broke off after its first event
+	Paused    End = "paused"    // not begun: all backend servers want no requests for a time
 )
 
 // Action is what to do after an attempt.
@@ -34,6 +35,7 @@
 // Actions.
 const (
 	Retry   Action = "again"   // retry on another backend server
+	Wait    Action = "wait"    // try again when the first backend server accepts requests
 	Resume  Action = "resume"  // resume the stream on another backend server, after the last event
 	Deliver Action = "deliver" // deliver the answer as it is
 	Refuse  Action = "refuse"  // answer that the request did not run and may be retried later
@@ -74,6 +76,20 @@
 	return r.Repeat == tanagerroad.Idempotent || r.Repeat == tanagerroad.Stream && r.Resumable
 }
 
+// NextPaused returns what to do about a request, or a stream to be resumed, while all
+// backend servers want no requests until the given time.
+func (r *Request) NextPaused(until time.Duration) Action {
+	switch {
+	case r.Deadline-until > minRemaining:
+		return Wait
+	case r.streaming:
+		return Abort
+	case r.executions > 0:
+		return Fail
+	}
+	return Refuse
+}
+
 // Next returns what to do after an attempt that ended with end. status is the
 // HTTP status of an Answered attempt. budget takes one retry from the retry
 // budget and reports whether there was one; it is called only when a retry is
--- a/core/attempt/attempt_test.go
+++ b/core/attempt/attempt_test.go
@@ -51,6 +51,32 @@
 	}
 }
 
+// TestPaused checks what happens while all backend servers want no requests.
+func TestPaused(t *testing.T) {
+	for _, c := range []struct {
+		what  string
+		until time.Duration
+		ends  []attempt.End
+		want  attempt.Action
+	}{
+		{"time is left", 900 * time.Millisecond, nil, attempt.Wait},
+		{"a broken stream, and time is left", 900 * time.Millisecond, []attempt.End{attempt.Broken}, attempt.Wait},
+		{"no time is left", 990 * time.Millisecond, nil, attempt.Refuse},
+		{"it was rejected, and no time is left", 2 * time.Second, []attempt.End{attempt.Rejected}, attempt.Refuse},
+		{"it may have run, and no time is left", 2 * time.Second, []attempt.End{attempt.Lost}, attempt.Fail},
+		{"its stream has begun, and no time is left", 2 * time.Second, []attempt.End{attempt.Broken}, attempt.Abort},
+	} {
+		r := attempt.Request{Repeat: tanagerroad.Stream, Resumable: true, MaxServers: 3, Deadline: time.Second}
+		for _, end := range c.ends {
+			r.Begin()
+			r.Next(0, end, 0, func() bool { return true })
+		}
+		if got := r.NextPaused(c.until); got != c.want {
+			t.Errorf("%s: action %s, want %s", c.what, got, c.want)
+		}
+	}
+}
+
 // TestRetryInvariants checks for any series of attempts: a request that may run
 // only once is not sent again after it may have run, "not run" is answered only
 // when nothing may have run, no more backend servers are used than allowed, an
--- a/core/batch/batch.go
+++ b/core/batch/batch.go
@@ -153,6 +153,13 @@
 	p.workers = next
 }
 
+// Pause keeps calls from a backend server until the given time.
+func (p *Pool) Pause(server tanagerroad.Announcement, until time.Duration) {
+	if w := p.workers[server.ID]; w != nil && w.StartMillis == server.StartMillis {
+		w.pausedUntil = max(w.pausedUntil, until)
+	}
+}
+
 // QueueLen returns the number of queued pieces.
 func (p *Pool) QueueLen() int { return len(p.queue) }
 
@@ -184,7 +191,7 @@
 	}
 	nextFree := time.Duration(-1)
 	for _, w := range p.workers {
-		if busy := max(0, w.freeAt-at); nextFree < 0 || busy < nextFree {
+		if busy := max(0, w.freeAt-at, w.pausedUntil-at); nextFree < 0 || busy < nextFree {
 			nextFree = busy
 		}
 	}
@@ -331,7 +338,7 @@
 	}
 	for _, other := range p.workers {
 		wait := max(0, other.freeAt-at)
-		if other.Zone == j.Zone && at >= other.ejectedUntil && wait <= maxDefer && at+wait+p.UsualCallTime()+deferSlack <= j.Due {
+		if other.Zone == j.Zone && at >= other.usableFrom() && wait <= maxDefer && at+wait+p.UsualCallTime()+deferSlack <= j.Due {
 			return true
 		}
 	}
@@ -375,8 +382,8 @@
 		next = min(next, q.Job.Deadline)
 	}
 	for _, w := range p.workers {
-		if w.ejectedUntil > at {
-			next = min(next, w.ejectedUntil)
+		if w.usableFrom() > at {
+			next = min(next, w.usableFrom())
 		}
 		if unknown := w.results[unknownResults]; unknown.until > at {
 			next = min(next, unknown.until)
--- a/core/batch/worker.go
+++ b/core/batch/worker.go
@@ -14,6 +14,7 @@
 	freeAt       time.Duration // predicted end of its latest call
 	slowdown     float64       // moving average of the call duration relative to the pool's traits
 	ejectedUntil time.Duration
+	pausedUntil  time.Duration // it wants no calls before
 	idleSince    time.Duration
 	results      map[string]storedResult // by handle
 	resultBytes  int64                   // total size of results
@@ -45,12 +46,15 @@
 	return p.traits.ResultSpace - w.resultBytes - w.pendingBytes
 }
 
-// idleWorkers lists the backend servers that have a free slot and are not
-// ejected, in order of preference.
+// usableFrom returns when the backend server may get calls again.
+func (w *worker) usableFrom() time.Duration { return max(w.ejectedUntil, w.pausedUntil) }
+
+// idleWorkers lists the backend servers that have a free slot and are neither
+// ejected nor paused, in order of preference.
 func (p *Pool) idleWorkers(at time.Duration) []*worker {
 	var out []*worker
 	for _, w := range p.workers {
-		if w.calls < p.traits.Slots && at >= w.ejectedUntil {
+		if w.calls < p.traits.Slots && at >= w.usableFrom() {
 			out = append(out, w)
 		}
 	}
--- a/core/event/event.go
+++ b/core/event/event.go
@@ -71,6 +71,7 @@
 	Admission              = define(221, zap.InfoLevel, "admission", "Admission control refused a staged request, or admitted it because it had been refused before: the predicted wait, and the time to spare before its latency objective.")
 	PiecesOverdue          = define(222, zap.WarnLevel, "pieces-overdue", "A batch of pieces takes much longer than expected; its pieces are also executed on another backend server.")
 	ServerDeparting        = define(223, zap.InfoLevel, "server-departing", "A backend server said in an answer that it leaves; its current start gets no more requests, whatever it announces.")
+	ServerPaused           = define(224, zap.InfoLevel, "server-paused", "A backend server that rejected a request wants none from this gateway for a time: asked is that time, until-end what is kept of it; invalid is a value that is no time and is ignored.")
 	LinesDropped           = define(108, zap.WarnLevel, "lines-dropped", "Log lines were dropped because the rate limit was exceeded or the reader is slow.")
 	Reloaded               = define(109, zap.InfoLevel, "reloaded", "The settings file was reloaded; bytes is its size.")
 	ReloadFailed           = define(110, zap.ErrorLevel, "reload-failed", "The settings file could not be reloaded; the previous settings stay in force.")
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -4,6 +4,7 @@
 package fleet
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -31,6 +32,10 @@
 	maxPromptParts     = 4096                    // tracked for each backend server; above it, expired ones are removed
 )
 
+// maxPause is the longest time for which a backend server may ask for no requests. A
+// longer one is likely a mistake, and would take the server out of use unnoticed.
+const maxPause = time.Minute
+
 // Request describes a request to place.
 type Request struct {
 	Pool        string
@@ -74,17 +79,25 @@
 	promptPartUsed map[string]time.Duration // time of the latest use, by part id
 }
 
+// Pause is a time during which a backend server wants no requests from this gateway.
+type Pause struct {
+	ID          string
+	StartMillis int64 // the start of the backend server that asked for it
+	From, Until time.Duration
+}
+
 // Fleet is one gateway's view of the usable backend servers and their load.
 type Fleet struct {
 	regions map[string]string // by zone
 	servers map[string]*server
 	pools   map[string][]*server
+	pauses  map[string]Pause // by id; kept while a backend server is not usable for a while
 	version uint64
 }
 
 // New returns an empty fleet; regions holds the region of each zone.
 func New(regions map[string]string) *Fleet {
-	return &Fleet{regions: regions, servers: map[string]*server{}, pools: map[string][]*server{}}
+	return &Fleet{regions: regions, servers: map[string]*server{}, pools: map[string][]*server{}, pauses: map[string]Pause{}}
 }
 
 // Update replaces the set of usable backend servers. The statistics of a backend
@@ -135,12 +148,12 @@
 
 // homeServer returns the backend server that should cache a prompt part, by
 // rendezvous hashing: gateways that know the same backend servers choose the same
-// one without communicating. Ejected and warming-up servers are skipped.
+// one without communicating. Ejected, paused and warming-up servers are skipped.
 func (f *Fleet) homeServer(at time.Duration, pool, part string) *server {
 	var best *server
 	var highest uint64
 	for _, s := range f.pools[pool] {
-		if at < s.ejectedUntil || s.WarmUp > 0 {
+		if at < s.ejectedUntil || s.WarmUp > 0 || f.PausedUntil(at, s.Announcement) > at {
 			continue
 		}
 		if hash := xxhash.Sum64String(part + "|" + s.ID); best == nil || hash > highest {
@@ -164,7 +177,7 @@
 
 // Pick chooses the backend server with the lowest cost and counts the attempt as
 // in flight there. It returns false when the pool has no backend server that is
-// not excluded.
+// neither excluded nor paused.
 func (f *Fleet) Pick(at time.Duration, req Request) (Choice, bool) {
 	var best *server
 	var lowest time.Duration
@@ -178,7 +191,7 @@
 	for i := range list {
 		// A random starting point spreads requests over servers of equal cost.
 		s := list[(uint64(i)+req.TieBreak)%uint64(len(list))]
-		if slices.Contains(req.Exclude, s.ID) {
+		if slices.Contains(req.Exclude, s.ID) || f.PausedUntil(at, s.Announcement) > at {
 			continue
 		}
 		candidates++
@@ -297,6 +310,64 @@
 	s.ejectedUntil = at + min(ejection, ejectMax)
 }
 
+// RecordPause records that a backend server wants no requests for the time d, of which
+// maxPause counts at most. It returns the end of the pause.
+func (f *Fleet) RecordPause(at time.Duration, a tanagerroad.Announcement, d time.Duration) time.Duration {
+	for id, p := range f.pauses {
+		if at >= p.Until {
+			delete(f.pauses, id)
+		}
+	}
+	until := max(at+min(d, maxPause), f.PausedUntil(at, a))
+	f.pauses[a.ID] = Pause{ID: a.ID, StartMillis: a.StartMillis, From: at, Until: until}
+	return until
+}
+
+// PausedUntil returns the end of the backend server's pause, or 0 if there is none. A
+// later start of the backend server has none.
+func (f *Fleet) PausedUntil(at time.Duration, a tanagerroad.Announcement) time.Duration {
+	if p, ok := f.pauses[a.ID]; ok && p.StartMillis == a.StartMillis && at < p.Until {
+		return p.Until
+	}
+	return 0
+}
+
+// AddressPausedUntil is PausedUntil for the backend server at an address.
+func (f *Fleet) AddressPausedUntil(at time.Duration, address string) time.Duration {
+	for id := range f.pauses {
+		if s, ok := f.servers[id]; ok && s.Address == address {
+			return f.PausedUntil(at, s.Announcement)
+		}
+	}
+	return 0
+}
+
+// Pauses returns the pauses of the usable backend servers of a pool, in the order of
+// their ends.
+func (f *Fleet) Pauses(at time.Duration, pool string) []Pause {
+	var out []Pause
+	if len(f.pauses) == 0 {
+		return nil
+	}
+	for _, s := range f.pools[pool] {
+		if f.PausedUntil(at, s.Announcement) > at {
+			out = append(out, f.pauses[s.ID])
+		}
+	}
+	slices.SortFunc(out, func(a, b Pause) int { return cmp.Or(cmp.Compare(a.Until, b.Until), cmp.Compare(a.ID, b.ID)) })
+	return out
+}
+
+// PoolPausedUntil returns the earliest end of the pauses if all usable backend servers
+// of a pool are paused, and 0 otherwise.
+func (f *Fleet) PoolPausedUntil(at time.Duration, pool string) time.Duration {
+	pauses := f.Pauses(at, pool)
+	if len(pauses) == 0 || len(pauses) < len(f.pools[pool]) {
+		return 0
+	}
+	return pauses[0].Until
+}
+
 // RecordMisplaced records that a different backend server answered at this one's
 // address. This one is probably gone, so it is ejected for the longest time; a
 // restart announced to Update clears that.
--- a/core/fleet/fleet_test.go
+++ b/core/fleet/fleet_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"os"
+	"slices"
 	"testing"
 	"time"
 
@@ -19,6 +20,10 @@
 	From      string         `json:"from"`
 	Exclude   []string       `json:"exclude"`
 	Results   map[string]int `json:"results"`
+	Paused    string         `json:"paused"` // id of a backend server that wants no requests
+	PauseMs   int            `json:"pause-ms"`
+	Restart   string         `json:"restart"` // id of a backend server that starts again
+	Until     *int           `json:"pool-paused-until-ms"`
 	Done      string         `json:"done"`
 	Failed    bool           `json:"failed"`
 	Answered  string         `json:"answered"`
@@ -63,6 +68,17 @@
 		for i, s := range script.Steps {
 			at := time.Duration(s.AtMs) * time.Millisecond
 			switch {
+			case s.Paused != "":
+				i := slices.IndexFunc(servers, func(a tanagerroad.Announcement) bool { return a.ID == s.Paused })
+				f.RecordPause(at, servers[i], time.Duration(s.PauseMs)*time.Millisecond)
+			case s.Restart != "":
+				i := slices.IndexFunc(servers, func(a tanagerroad.Announcement) bool { return a.ID == s.Restart })
+				servers[i].StartMillis++
+				f.Update(servers)
+			case s.Until != nil:
+				if got := f.PoolPausedUntil(at, "p"); got != time.Duration(*s.Until)*time.Millisecond {
+					t.Errorf("%s: step %d: the pool is paused until %v, want %d ms", script.What, i, got, *s.Until)
+				}
 			case s.Done != "":
 				f.RecordEnd(at, s.Done, fleet.Outcome{Failed: s.Failed})
 			case s.Answered != "":
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -144,6 +144,13 @@
 	return true
 }
 
+// HasDeparted reports whether this start of a backend server stated in an answer that it
+// leaves.
+func (r *Roster) HasDeparted(id string, startMillis int64) bool {
+	rec, ok := r.records[id]
+	return ok && rec.leaves() && rec.departure.StartMillis == startMillis
+}
+
 // Departures returns the backend servers of a pool that would be usable if they had not
 // stated in an answer that they leave, sorted by id.
 func (r *Roster) Departures(pool string) []Departure {
--- a/dialect.go
+++ b/dialect.go
@@ -45,10 +45,14 @@
 	NotRun    bool   // the backend server did not run the request
 	Server    string // id of the backend server; empty: not specified
 	Leaving   bool   // the backend server is leaving
-	Version   string // version of the model's weights; empty: not specified
-	Running   int    // requests executing on the backend server
-	Waiting   int    // requests queued on the backend server
-	Slots     int    // requests that the backend server executes at once; 0: load not specified
+	// RetryAfter is how long the backend server, which rejected the request, wants no
+	// requests from this instance; 0: not specified.
+	RetryAfter        time.Duration
+	InvalidRetryAfter string // the value of that header, if it is no time
+	Version           string // version of the model's weights; empty: not specified
+	Running           int    // requests executing on the backend server
+	Waiting           int    // requests queued on the backend server
+	Slots             int    // requests that the backend server executes at once; 0: load not specified
 }
 
 // PieceItem asks a backend server to run one piece of a stage.
--- a/io/gateway/batcher.go
+++ b/io/gateway/batcher.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -180,6 +181,15 @@
 // jobID returns the id of a job, which is unique over all streams.
 func jobID(stream string, number uint64) string { return stream + "/" + strconv.FormatUint(number, 10) }
 
+// pause keeps calls from a backend server until the given time.
+func (b *pieceBatcher) pause(server tanagerroad.Announcement, until time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if p := b.pools[server.Pool]; p != nil {
+		p.Pause(server, until)
+	}
+}
+
 // cancel cancels a job.
 func (b *pieceBatcher) cancel(streamID string, number uint64) {
 	b.mu.Lock()
@@ -308,9 +318,10 @@
 	res, err := b.g.client.Do(ctx, http1.Request{
 		Address: call.Server.Address, Method: http.MethodPost, Target: b.g.config.Dialect.Paths().RunPieces, Host: call.Server.Address,
 		Header: b.g.config.Dialect.PieceRequestHeaders(call.Server.ID), Body: body,
+		Allow: func() error { return b.g.checkServer(call.Server) },
 	})
 	if err != nil {
-		return nil, false, err
+		return nil, errors.Is(err, errServerUnavailable), err
 	}
 	defer res.Close()
 	reply := b.g.config.Dialect.DecodeResponseHeaders(res.StatusCode, res.Header)
@@ -390,13 +401,17 @@
 }
 
 // flushFree sends the queued results to the backend servers that store them, to be
-// freed.
+// freed. A backend server that wants no requests gets them later.
 func (b *pieceBatcher) flushFree() {
 	b.mu.Lock()
 	handlesByAddress := b.toFree
 	b.toFree, b.freeTimer = map[string][]string{}, nil
 	b.mu.Unlock()
 	for address, handles := range handlesByAddress {
+		if left := b.g.pauseLeft(address); left > 0 {
+			time.AfterFunc(left, func() { b.release(handles) })
+			continue
+		}
 		go func() {
 			if err := b.freeOn(address, handles); err != nil {
 				// Not retried: the backend server drops results after a while.
--- a/io/gateway/exchange.go
+++ b/io/gateway/exchange.go
@@ -40,6 +40,9 @@
 	writeGrace = time.Second
 	// maxEventSize is the maximum size of a stream's event, in bytes.
 	maxEventSize = 1 << 20
+	// pauseSpread is the time over which requests are spread after all backend
+	// servers of a pool wanted none.
+	pauseSpread = 300 * time.Millisecond
 	// copyBufferSize is the size of the buffer for forwarding answers, in bytes.
 	copyBufferSize = 8 << 10
 )
@@ -70,30 +73,31 @@
 
 // exchange is one caller's request, from its arrival to its final answer.
 type exchange struct {
-	g          *Gateway
-	w          http.ResponseWriter
-	r          *http.Request
-	ctx        context.Context
-	arrived    time.Duration  // on the gateway's clock, like deadline
-	index      *catalog.Index // configuration that the whole request uses
-	route      *tanagerroad.CatalogRoute
-	headers    tanagerroad.RequestHeaders // decoded headers
-	workspace  string
-	priority   int // 0 is the most urgent
-	deadline   time.Duration
-	pool       string
-	body       []byte
-	retryState attempt.Request
-	stages     *stageRun       // nil if the route has no stages
-	exclude    []string        // ids of the backend servers tried so far
-	committed  bool            // the answer's header has been written
-	status     int             // of the committed answer
-	buffered   *bufferedAnswer // nil if none
-	splitter   sse.Splitter
-	version    string        // of the model weights that the stream started with
-	received   received      // in the latest attempt
-	reason     string        // of the latest refusal or failure
-	retryAfter time.Duration // for the Retry-After header
+	g           *Gateway
+	w           http.ResponseWriter
+	r           *http.Request
+	ctx         context.Context
+	arrived     time.Duration  // on the gateway's clock, like deadline
+	index       *catalog.Index // configuration that the whole request uses
+	route       *tanagerroad.CatalogRoute
+	headers     tanagerroad.RequestHeaders // decoded headers
+	workspace   string
+	priority    int // 0 is the most urgent
+	deadline    time.Duration
+	pool        string
+	body        []byte
+	retryState  attempt.Request
+	stages      *stageRun       // nil if the route has no stages
+	exclude     []string        // ids of the backend servers tried so far
+	committed   bool            // the answer's header has been written
+	status      int             // of the committed answer
+	buffered    *bufferedAnswer // nil if none
+	splitter    sse.Splitter
+	version     string        // of the model weights that the stream started with
+	received    received      // in the latest attempt
+	pausedUntil time.Duration // earliest time at which a backend server accepts requests; after attempt.Paused
+	reason      string        // of the latest refusal or failure
+	retryAfter  time.Duration // for the Retry-After header
 }
 
 // ServeHTTP handles one request of a caller.
@@ -227,7 +231,7 @@
 		x.stages = newStageRun(x)
 		defer x.stages.close()
 		if !x.stages.run() {
-			x.endAfterStageFailure()
+			x.endUnsent()
 			return
 		}
 	}
@@ -237,7 +241,7 @@
 			x.abortDisconnected()
 			return
 		}
-		action := x.retryState.Next(x.g.now(), end, status, x.takeRetry)
+		action := x.next(end, status)
 		if end != attempt.Answered {
 			event.AttemptEndedAtGateway.Log(x.g.config.Logger, append(x.received.fields(), zap.String("request", x.headers.AttemptID), zap.String("end", string(end)),
 				zap.Int("status", status), zap.Int("tries", x.retryState.Attempts()), zap.String("next", string(action)), zap.String("reason", x.reason))...)
@@ -263,14 +267,47 @@
 			return
 		case attempt.Abort:
 			x.abort()
+		case attempt.Wait:
+			if !x.waitForServer() {
+				x.endUnsent()
+				return
+			}
 		}
 		if x.stages != nil && !x.stages.rerunIfNeeded(action) {
-			x.endAfterStageFailure()
+			x.endUnsent()
 			return
 		}
 	}
 }
 
+// next returns what follows an attempt.
+func (x *exchange) next(end attempt.End, status int) attempt.Action {
+	if end != attempt.Paused {
+		return x.retryState.Next(x.g.now(), end, status, x.takeRetry)
+	}
+	// Callers that are told to return, and requests that wait, are spread so that they
+	// do not come together.
+	spread := time.Duration(hashFraction(x.headers.AttemptID) * float64(pauseSpread))
+	x.pausedUntil += spread
+	x.retryAfter = x.pausedUntil - x.g.now()
+	return x.retryState.NextPaused(x.pausedUntil)
+}
+
+// waitForServer waits until a backend server accepts requests again. Those that have
+// rejected the request may be chosen once more. It returns false if the request ends
+// before.
+func (x *exchange) waitForServer() bool {
+	timer := time.NewTimer(x.pausedUntil - x.g.now())
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		x.exclude = nil
+		return true
+	case <-x.ctx.Done():
+		return false
+	}
+}
+
 // takeRetry takes one retry from the pool's retry budget and reports whether
 // there was one.
 func (x *exchange) takeRetry() bool {
@@ -297,9 +334,9 @@
 	x.answer(http.StatusBadGateway, x.reason)
 }
 
-// endAfterStageFailure ends a request whose stages failed. The request itself
-// has not run unless an earlier attempt was sent.
-func (x *exchange) endAfterStageFailure() {
+// endUnsent ends a request that cannot be sent, because its stages failed or no backend
+// server accepts it in time. It has not run unless an earlier attempt was sent.
+func (x *exchange) endUnsent() {
 	switch {
 	case x.r.Context().Err() != nil:
 		x.abortDisconnected()
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -16,6 +16,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -240,11 +241,21 @@
 	return budget
 }
 
-// heed records what a backend server said about itself in an answer.
+// heed records what a backend server said about itself in an answer: that it leaves, or
+// that it wants no requests for a time.
 func (g *Gateway) heed(server tanagerroad.Announcement, reply tanagerroad.ResponseHeaders) {
-	if !reply.Leaving || reply.Server != "" && reply.Server != server.ID {
+	if reply.Server != "" && reply.Server != server.ID {
 		return
 	}
+	if reply.Leaving {
+		g.heedDeparture(server)
+	}
+	if reply.RetryAfter > 0 || reply.InvalidRetryAfter != "" {
+		g.heedPause(server, reply)
+	}
+}
+
+func (g *Gateway) heedDeparture(server tanagerroad.Announcement) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.now()
@@ -255,6 +266,43 @@
 	}
 }
 
+func (g *Gateway) heedPause(server tanagerroad.Announcement, reply tanagerroad.ResponseHeaders) {
+	g.mu.Lock()
+	now := g.now()
+	until := now
+	if reply.RetryAfter > 0 {
+		until = g.fleet.RecordPause(now, server, reply.RetryAfter)
+	}
+	g.mu.Unlock()
+	g.batcher.pause(server, until)
+	g.meters.count("servers.paused")
+	event.ServerPaused.Log(g.config.Logger, zap.String("server", server.ID), zap.String("pool", server.Pool),
+		zap.Duration("asked", reply.RetryAfter), zap.Duration("until-end", until-now), zap.String("invalid", reply.InvalidRetryAfter))
+}
+
+// pauseLeft returns how long the backend server at an address wants no more requests.
+func (g *Gateway) pauseLeft(address string) time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.now()
+	return max(0, g.fleet.AddressPausedUntil(now, address)-now)
+}
+
+// errServerUnavailable is the error of a request that was not sent since its backend
+// server leaves or wants no requests.
+var errServerUnavailable = errors.New("the backend server has meanwhile said that it wants no requests")
+
+// checkServer returns errServerUnavailable if an answer to another request has said that
+// the backend server leaves, or that it wants no requests now.
+func (g *Gateway) checkServer(server tanagerroad.Announcement) error {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.roster.HasDeparted(server.ID, server.StartMillis) || g.fleet.PausedUntil(g.now(), server) > 0 {
+		return errServerUnavailable
+	}
+	return nil
+}
+
 // housekeep drops the gateways and announcements reported by control instances that
 // have become silent, and removes expired state. It runs every housekeepingInterval.
 func (g *Gateway) housekeep() {
--- a/io/gateway/try.go
+++ b/io/gateway/try.go
@@ -25,7 +25,6 @@
 // there was none.
 func (x *exchange) attempt() (attempt.End, int) {
 	g := x.g
-	x.retryState.Begin()
 	x.received = received{}
 	request := fleet.Request{
 		Pool: x.pool, From: g.config.Settings.Place(), Exclude: x.exclude, PromptParts: x.headers.PromptParts,
@@ -38,19 +37,25 @@
 	now := g.now()
 	choice, ok := g.fleet.Pick(now, request)
 	version := g.fleet.Version()
-	departures := g.roster.Departures(x.pool)
+	departures, pauses := g.roster.Departures(x.pool), g.fleet.Pauses(now, x.pool)
+	pausedUntil := g.fleet.PoolPausedUntil(now, x.pool)
 	g.mu.Unlock()
+	if !ok && pausedUntil > 0 {
+		x.reason, x.pausedUntil = "all backend servers want no requests for a time", pausedUntil
+		return attempt.Paused, 0
+	}
+	x.retryState.Begin()
 	if !ok {
 		x.reason = "no backend server can be used"
 		event.NotRouted.Log(g.config.Logger, zap.String("request", x.headers.AttemptID), zap.String("pool", x.pool),
-			zap.Strings("excluded", x.exclude), zap.Uint64("roster", version), avoidedField(now, departures))
+			zap.Strings("excluded", x.exclude), zap.Uint64("roster", version), avoidedField(now, departures, pauses))
 		return attempt.Unsent, 0
 	}
 	x.exclude = append(x.exclude, choice.ID)
 	event.Routed.Log(g.config.Logger, zap.String("request", x.headers.AttemptID), zap.String("route", x.route.Name), zap.String("pool", x.pool),
 		zap.String("server", choice.ID), zap.Duration("cost", choice.Cost), zap.Int("in-flight", choice.InFlight),
 		zap.Int("reported", choice.ReportedLoad), zap.Duration("report-age", choice.ReportAge), zap.Int("kept", choice.CachedTokens),
-		zap.Int("candidates", choice.Candidates), zap.Uint64("roster", version), zap.Duration("left", x.deadline-now), avoidedField(now, departures))
+		zap.Int("candidates", choice.Candidates), zap.Uint64("roster", version), zap.Duration("left", x.deadline-now), avoidedField(now, departures, pauses))
 	end, status, outcome := x.send(choice)
 	g.mu.Lock()
 	g.fleet.RecordEnd(g.now(), choice.ID, outcome)
@@ -63,13 +68,16 @@
 
 // avoidedField returns the log field with the backend servers that were passed over
 // because of what they had said in an answer, and how long ago that was.
-func avoidedField(now time.Duration, departures []roster.Departure) zap.Field {
-	if len(departures) == 0 {
-		return zap.Skip()
+func avoidedField(now time.Duration, departures []roster.Departure, pauses []fleet.Pause) zap.Field {
+	var avoided []string
+	for _, d := range departures {
+		avoided = append(avoided, fmt.Sprintf("%s departing, said %v ago", d.ID, now-d.At))
+	}
+	for _, p := range pauses {
+		avoided = append(avoided, fmt.Sprintf("%s paused for %v, said %v ago", p.ID, p.Until-p.From, now-p.From))
 	}
-	avoided := make([]string, len(departures))
-	for i, d := range departures {
-		avoided[i] = fmt.Sprintf("%s departing, said %v ago", d.ID, now-d.At)
+	if avoided == nil {
+		return zap.Skip()
 	}
 	return zap.Strings("avoided", avoided)
 }
@@ -95,6 +103,7 @@
 	res, err := g.client.Do(x.ctx, http1.Request{
 		Address: choice.Address, Method: x.r.Method, Target: x.target(), Host: x.r.Host,
 		Header: g.config.Dialect.ForwardHeaders(x.r.Header, options), Body: x.body,
+		Allow: func() error { return g.checkServer(choice.Announcement) },
 		Matches: func(h http.Header) bool {
 			return x.headers.AttemptID == "" || g.config.Dialect.DecodeResponseHeaders(0, h).AttemptID == x.headers.AttemptID
 		},
@@ -102,7 +111,7 @@
 	stopTimer()
 	if err != nil {
 		x.reason = err.Error()
-		failed := fleet.Outcome{Failed: x.ctx.Err() == nil}
+		failed := fleet.Outcome{Failed: x.ctx.Err() == nil && !errors.Is(err, errServerUnavailable)}
 		var unsent *http1.UnsentError
 		if errors.As(err, &unsent) {
 			return attempt.Unsent, 0, failed
--- a/io/http1/client.go
+++ b/io/http1/client.go
@@ -48,6 +48,9 @@
 	Header  http.Header
 	Body    []byte
 	NewConn bool // opens a new connection, even if an idle one exists
+	// Allow, unless nil, is called when the connection is ready. If it returns an error
+	// the request is not sent.
+	Allow func() error
 	// Matches reports whether a response header belongs to this request. Other
 	// responses are skipped. If Matches is nil, the first response is returned.
 	Matches func(http.Header) bool
@@ -158,6 +161,12 @@
 	if err != nil {
 		return nil, &UnsentError{err}
 	}
+	if r.Allow != nil {
+		if err := r.Allow(); err != nil {
+			c.putIdle(r.Address, conn)
+			return nil, &UnsentError{err}
+		}
+	}
 	stop := context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Unix(1, 0)) }) // interrupts reads and writes
 	fail := func(err error) (*Response, error) {
 		stop()
@@ -229,7 +238,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &connection{Conn: raw, reader: bufio.NewReaderSize(raw, readBufferSize)}, nil
+	return &connection{Conn: raw, reader: bufio.NewReaderSize(raw, readBufferSize), idleTimeout: defaultIdleTimeout}, nil
 }
 
 // popIdle returns the most recently used idle connection to address, or nil.
--- a/io/http1/client_test.go
+++ b/io/http1/client_test.go
@@ -143,6 +143,35 @@
 	}
 }
 
+// TestDisallowedRequestIsUnsent: a request that is called off when its connection is
+// ready is not written, and the connection serves the next request.
+func TestDisallowedRequestIsUnsent(t *testing.T) {
+	var received atomic.Int64
+	address := startBackend(t, func(conn net.Conn, r *bufio.Reader) {
+		for {
+			req, err := readRequest(r)
+			if err != nil {
+				return
+			}
+			received.Add(1)
+			respond(conn, req.Header.Get("Id"), "one")
+		}
+	})
+	c, closeClient := http1.New()
+	defer closeClient()
+	calledOff := errors.New("called off")
+	r := request(address, "1")
+	r.Allow = func() error { return calledOff }
+	var unsent *http1.UnsentError
+	if _, err := get(t, c, r); !errors.As(err, &unsent) || !errors.Is(err, calledOff) {
+		t.Errorf("got error %v, want an UnsentError with the reason", err)
+	}
+	r.Allow = func() error { return nil }
+	if body, err := get(t, c, r); body != "one" || err != nil || received.Load() != 1 || c.Opened.Load() != 1 {
+		t.Errorf("got %q, %v after %d requests on %d connections, want one of each", body, err, received.Load(), c.Opened.Load())
+	}
+}
+
 // TestStrayResponseIsSkipped: a duplicate response to the previous request arrives
 // before the response to the current one.
 func TestStrayResponseIsSkipped(t *testing.T) {
