core/catalog, core/pipeline: stages in a circle are refused, and computations end

Cause: only indexes were checked; CriticalPath was bounded by the pools it had listed, and a stage without pieces lists none. Change: Check names each stage of a circle with its place, in a time that grows with the stages and their dependencies only; CriticalPath visits as many stages as there are.

--- a/core/catalog/catalog.go
+++ b/core/catalog/catalog.go
@@ -76,6 +76,55 @@
 			}
 		}
 	}
+	for _, i := range stagesInCycles(stages) {
+		fault(fmt.Sprintf("%s.stages[%d].after", path, i), fmt.Sprint(stages[i].After), "stages that do not wait for this one")
+	}
+}
+
+// stagesInCycles returns the indexes of the stages that wait for each other in a circle,
+// and of those between two circles. Dependencies that are no index of another stage are
+// ignored.
+func stagesInCycles(stages []tanagerroad.CatalogStage) []int {
+	before, after := make([][]int, len(stages)), make([][]int, len(stages))
+	for i, s := range stages {
+		for _, j := range s.After {
+			if j >= 0 && j < len(stages) && j != i {
+				before[i], after[j] = append(before[i], j), append(after[j], i)
+			}
+		}
+	}
+	startable := removeUnblocked(before, after)
+	unneeded := removeUnblocked(after, before)
+	var out []int
+	for i := range stages {
+		if !startable[i] && !unneeded[i] {
+			out = append(out, i)
+		}
+	}
+	return out
+}
+
+// removeUnblocked removes the stages that have no blocker, then those whose blockers are
+// removed, and so on. It returns which stages are removed. blocks is the inverse of
+// blockers.
+func removeUnblocked(blockers, blocks [][]int) []bool {
+	removed, left := make([]bool, len(blockers)), make([]int, len(blockers))
+	var queue []int
+	for i := range blockers {
+		if left[i] = len(blockers[i]); left[i] == 0 {
+			queue = append(queue, i)
+		}
+	}
+	for len(queue) > 0 {
+		i := queue[0]
+		queue, removed[i] = queue[1:], true
+		for _, j := range blocks[i] {
+			if left[j]--; left[j] == 0 {
+				queue = append(queue, j)
+			}
+		}
+	}
+	return removed
 }
 
 // Index looks up routes, pools and workspaces in a configuration.
--- a/core/catalog/catalog_test.go
+++ b/core/catalog/catalog_test.go
@@ -1,6 +1,7 @@
 package catalog_test
 
 import (
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -70,6 +71,35 @@
 	}
 }
 
+// TestStagesInACircleAreAccepted guards against a route whose stages wait for each other,
+// so that no request of it can ever run.
+func TestStagesInACircleAreAccepted(t *testing.T) {
+	stage := func(after ...int) tanagerroad.CatalogStage {
+		return tanagerroad.CatalogStage{Pool: "models", After: after}
+	}
+	for _, c := range []struct {
+		what   string
+		stages []tanagerroad.CatalogStage
+		want   []string // paths of the findings
+	}{
+		{"two that wait for each other", []tanagerroad.CatalogStage{stage(1), stage(0)}, []string{"routes[1].stages[0].after", "routes[1].stages[1].after"}},
+		{"a circle of three, and one that waits for it", []tanagerroad.CatalogStage{stage(), stage(0, 3), stage(1), stage(2), stage(3)},
+			[]string{"routes[1].stages[1].after", "routes[1].stages[2].after", "routes[1].stages[3].after"}},
+		{"one that waits for itself", []tanagerroad.CatalogStage{stage(0)}, []string{"routes[1].stages[0].after"}},
+		{"none, in any order", []tanagerroad.CatalogStage{stage(2), stage(), stage(1), stage(0, 2, 1)}, nil},
+	} {
+		config := sample()
+		config.Routes[1].Stages = c.stages
+		var got []string
+		for _, f := range catalog.Check("c", config) {
+			got = append(got, f.Path)
+		}
+		if !slices.Equal(got, c.want) {
+			t.Errorf("%s: findings at %v, want %v", c.what, got, c.want)
+		}
+	}
+}
+
 func TestPickPoolFollowsWeights(t *testing.T) {
 	r := &sample().Routes[0]
 	n := 0
--- a/core/pipeline/pipeline.go
+++ b/core/pipeline/pipeline.go
@@ -132,7 +132,7 @@
 func (p *Pipeline) CriticalPath() []string {
 	var out []string
 	current := -1
-	for {
+	for range p.stages { // a chain has each stage once; stages in a circle would go on
 		next := -1
 		for i, s := range p.config.Stages {
 			follows := current < 0 && len(s.After) == 0 || current >= 0 && slices.Contains(s.After, current)
@@ -140,14 +140,15 @@
 				next = i
 			}
 		}
-		if next < 0 || len(out) > len(p.stages) { // more pools than stages: the stages form a cycle
-			return out
+		if next < 0 {
+			break
 		}
 		if p.pieces(next) > 0 {
 			out = append(out, p.config.Stages[next].Pool)
 		}
 		current = next
 	}
+	return out
 }
 
 // StagesDue returns the latest end of all stages with which the request meets
--- a/core/pipeline/pipeline_test.go
+++ b/core/pipeline/pipeline_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"testing"
 	"time"
@@ -110,3 +111,35 @@
 		}
 	}
 }
+
+// TestStagesInACircleNeverEnd guards against computations on stages that do not end where
+// the stages wait for each other.
+func TestStagesInACircleNeverEnd(t *testing.T) {
+	rng := rand.New(rand.NewPCG(20261204, 21))
+	for range 2000 {
+		config := pipeline.Config{Traits: func(string) *tanagerroad.PieceTraits { return &tanagerroad.PieceTraits{CallTime: time.Second} }}
+		n := 1 + rng.IntN(6)
+		for range n {
+			stage := tanagerroad.CatalogStage{Pool: "p"}
+			for range rng.IntN(3) {
+				stage.After = append(stage.After, rng.IntN(n))
+			}
+			config.Stages, config.Pieces = append(config.Stages, stage), append(config.Pieces, rng.IntN(3))
+		}
+		ended := make(chan int)
+		go func() {
+			p := pipeline.New(config)
+			p.Ready()
+			p.RequestInputs()
+			ended <- len(p.CriticalPath())
+		}()
+		select {
+		case length := <-ended:
+			if length > n {
+				t.Fatalf("a path of %d stages, there are %d: %+v", length, n, config.Stages)
+			}
+		case <-time.After(2 * time.Second):
+			t.Fatalf("the computations have not ended after 2 s: %+v, pieces %v", config.Stages, config.Pieces)
+		}
+	}
+}
