--- a/core/catalog/catalog_test.go
+++ b/core/catalog/catalog_test.go
@@ -83,8 +83,11 @@
 		want   []string // paths of the findings
 	}{
 		{"two that wait for each other", []tanagerroad.CatalogStage{stage(1), stage(0)}, []string{"routes[1].stages[0].after", "routes[1].stages[1].after"}},
-		{"a circle of three, and one that waits for it", []tanagerroad.CatalogStage{stage(), stage(0, 3), stage(1), stage(2), stage(3)},
-			[]string{"routes[1].stages[1].after", "routes[1].stages[2].after", "routes[1].stages[3].after"}},
+		{
+			"a circle of three, and one that waits for it",
+			[]tanagerroad.CatalogStage{stage(), stage(0, 3), stage(1), stage(2), stage(3)},
+			[]string{"routes[1].stages[1].after", "routes[1].stages[2].after", "routes[1].stages[3].after"},
+		},
 		{"one that waits for itself", []tanagerroad.CatalogStage{stage(0)}, []string{"routes[1].stages[0].after"}},
 		{"none, in any order", []tanagerroad.CatalogStage{stage(2), stage(), stage(1), stage(0, 2, 1)}, nil},
 	} {
