--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -36,7 +36,6 @@
 	sources      map[string]bool // sources that currently receive its announcements
 	lastReceived time.Duration   // time of the latest announcement that was not outdated
 	changedSeq   uint64          // sequence number of the latest change
-	departure    *Departure      // nil: no answer said that it leaves
 }
 
 // Departure says that a backend server stated in an answer that it leaves.
@@ -46,22 +45,19 @@
 	At          time.Duration // time of the first such answer
 }
 
-// leaves reports whether the current start of the backend server has stated that it
-// leaves.
-func (r *record) leaves() bool {
-	return r.departure != nil && r.departure.StartMillis == r.announcement.StartMillis
-}
-
 // Roster holds the latest announcement of each backend server. Create one with
 // New.
 type Roster struct {
 	config   Config
 	records  map[string]*record
-	sequence uint64 // of the latest change
+	departed map[string]Departure // by id; of the start that the record has, or of an earlier one
+	sequence uint64               // of the latest change
 }
 
 // New returns an empty roster.
-func New(config Config) *Roster { return &Roster{config: config, records: map[string]*record{}} }
+func New(config Config) *Roster {
+	return &Roster{config: config, records: map[string]*record{}, departed: map[string]Departure{}}
+}
 
 // supersedes reports whether a is later than b.
 func supersedes(a, b tanagerroad.Announcement) bool {
@@ -137,27 +133,28 @@
 // new; an answer of another start than the current one changes nothing.
 func (r *Roster) RecordDeparture(at time.Duration, id string, startMillis int64) bool {
 	rec, ok := r.records[id]
-	if !ok || rec.announcement.StartMillis != startMillis || rec.leaves() {
+	if !ok || rec.announcement.StartMillis != startMillis || r.HasDeparted(id, startMillis) {
 		return false
 	}
-	rec.departure = &Departure{ID: id, Pool: rec.announcement.Pool, StartMillis: startMillis, At: at}
+	r.departed[id] = Departure{ID: id, Pool: rec.announcement.Pool, StartMillis: startMillis, At: at}
 	return true
 }
 
 // HasDeparted reports whether this start of a backend server stated in an answer that it
 // leaves.
 func (r *Roster) HasDeparted(id string, startMillis int64) bool {
-	rec, ok := r.records[id]
-	return ok && rec.leaves() && rec.departure.StartMillis == startMillis
+	d, ok := r.departed[id]
+	return ok && d.StartMillis == startMillis
 }
 
 // Departures returns the backend servers of a pool that would be usable if they had not
 // stated in an answer that they leave, sorted by id.
 func (r *Roster) Departures(pool string) []Departure {
 	var out []Departure
-	for _, rec := range r.records {
-		if rec.leaves() && rec.announcement.Pool == pool && rec.announcement.State == tanagerroad.Serving && len(rec.sources) > 0 {
-			out = append(out, *rec.departure)
+	for id, d := range r.departed {
+		rec := r.records[id]
+		if d.Pool == pool && d.StartMillis == rec.announcement.StartMillis && rec.announcement.State == tanagerroad.Serving && len(rec.sources) > 0 {
+			out = append(out, d)
 		}
 	}
 	slices.SortFunc(out, func(a, b Departure) int { return cmp.Compare(a.ID, b.ID) })
@@ -195,6 +192,7 @@
 		}
 		if len(rec.sources) == 0 && silence > r.config.Retention {
 			delete(r.records, id)
+			delete(r.departed, id)
 		}
 	}
 	slices.Sort(expired)
@@ -235,7 +233,7 @@
 	}
 	var out []tanagerroad.Announcement
 	for _, rec := range r.records {
-		if rec.announcement.State != tanagerroad.Serving || len(rec.sources) == 0 || rec.leaves() {
+		if rec.announcement.State != tanagerroad.Serving || len(rec.sources) == 0 || r.HasDeparted(rec.announcement.ID, rec.announcement.StartMillis) {
 			continue
 		}
 		if other := latest[rec.announcement.Address]; other.announcement.StartMillis > rec.announcement.StartMillis {
--- a/io/gateway/exchange.go
+++ b/io/gateway/exchange.go
@@ -282,6 +282,9 @@
 
 // next returns what follows an attempt.
 func (x *exchange) next(end attempt.End, status int) attempt.Action {
+	if end == attempt.Broken {
+		x.retryState.Resumable = x.route.Resumable && x.splitter.CanResume()
+	}
 	if end != attempt.Paused {
 		return x.retryState.Next(x.g.now(), end, status, x.takeRetry)
 	}
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -274,7 +274,9 @@
 		until = g.fleet.RecordPause(now, server, reply.RetryAfter)
 	}
 	g.mu.Unlock()
-	g.batcher.pause(server, until)
+	if until > now {
+		g.batcher.pause(server, until)
+	}
 	g.meters.count("servers.paused")
 	event.ServerPaused.Log(g.config.Logger, zap.String("server", server.ID), zap.String("pool", server.Pool),
 		zap.Duration("asked", reply.RetryAfter), zap.Duration("until-end", until-now), zap.String("invalid", reply.InvalidRetryAfter))
--- a/io/gateway/try.go
+++ b/io/gateway/try.go
@@ -38,9 +38,12 @@
 	choice, ok := g.fleet.Pick(now, request)
 	version := g.fleet.Version()
 	departures, pauses := g.roster.Departures(x.pool), g.fleet.Pauses(now, x.pool)
-	pausedUntil := g.fleet.PoolPausedUntil(now, x.pool)
+	var pausedUntil time.Duration
+	if !ok {
+		pausedUntil = g.fleet.PoolPausedUntil(now, x.pool)
+	}
 	g.mu.Unlock()
-	if !ok && pausedUntil > 0 {
+	if pausedUntil > 0 {
 		x.reason, x.pausedUntil = "all backend servers want no requests for a time", pausedUntil
 		return attempt.Paused, 0
 	}
@@ -174,14 +177,12 @@
 }
 
 // incompleteEnd returns how an attempt ended whose answer is missing, unusable or
-// incomplete: Broken if part of an answer has already been forwarded, else Lost. A
-// stream whose position is not known is not resumed.
+// incomplete: Broken if part of an answer has already been forwarded, else Lost.
 func (x *exchange) incompleteEnd() attempt.End {
-	if !x.committed {
-		return attempt.Lost
+	if x.committed {
+		return attempt.Broken
 	}
-	x.retryState.Resumable = x.retryState.Resumable && x.splitter.CanResume()
-	return attempt.Broken
+	return attempt.Lost
 }
 
 // forward forwards the answer to the caller.
