io/gateway: how far an ended attempt had come, its server and prompt parts in the log

Change: attempt-ended-at-gateway has server, progress and parts; the counter attempts.END.PROGRESS counts ends. No decision reads them.

--- a/core/attempt/attempt.go
+++ b/core/attempt/attempt.go
@@ -29,6 +29,16 @@
 	Paused    End = "paused"    // not begun: all backend servers want no requests for a time
 )
 
+// Progress is how far the answer to an attempt has come.
+type Progress string
+
+// Progress of an answer.
+const (
+	Waiting Progress = "waiting" // nothing has arrived
+	Begun   Progress = "begun"   // its header has arrived, and no whole event of a stream
+	Flowing Progress = "flowing" // an event of a stream has arrived, or the whole of another answer
+)
+
 // Action is what to do after an attempt.
 type Action string
 
--- a/core/event/event.go
+++ b/core/event/event.go
@@ -59,7 +59,7 @@
 	RevisionInForce        = define(209, zap.InfoLevel, "revision-in-force", "This process applied a revision of the tables.")
 	RequestArrived         = define(210, zap.DebugLevel, "request-arrived", "A gateway read a caller's request.")
 	StageEnded             = define(211, zap.InfoLevel, "stage-ended", "A stage of a request ended: its pieces were executed, or the reason why not.")
-	AttemptEndedAtGateway  = define(212, zap.InfoLevel, "attempt-ended-at-gateway", "An attempt at a backend server ended without an answer to pass on; next is the action that follows. framing, bytes, last-event and partial describe what was received.")
+	AttemptEndedAtGateway  = define(212, zap.InfoLevel, "attempt-ended-at-gateway", "An attempt at a backend server ended without an answer to pass on; next is the action that follows, parts the ids of its prompt's parts, and progress how far the answer had come: waiting, begun or flowing. framing, bytes, last-event and partial describe what was received.")
 	CatalogInForce         = define(213, zap.InfoLevel, "catalog-in-force", "This gateway applied a version of the gateway configuration.")
 	CatalogUnreadable      = define(214, zap.ErrorLevel, "catalog-unreadable", "A configuration from a control instance could not be read; the previous one stays in force.")
 	RosterChanged          = define(215, zap.InfoLevel, "roster", "A control instance sent changes to the roster of backend servers: the source, the number of announcements, and how many servers are usable.")
--- a/core/sse/sse.go
+++ b/core/sse/sse.go
@@ -42,6 +42,9 @@
 	hasID, hasValue bool
 }
 
+// Events returns the number of complete events since the last Reset.
+func (s *Splitter) Events() int { return s.events }
+
 // Feed appends data and returns all buffered bytes up to the end of the last
 // complete event, or nil when no event is complete. The result is valid until the
 // next call.
--- a/io/gateway/exchange.go
+++ b/io/gateway/exchange.go
@@ -93,11 +93,13 @@
 	status      int             // of the committed answer
 	buffered    *bufferedAnswer // nil if none
 	splitter    sse.Splitter
-	version     string        // of the model weights that the stream started with
-	received    received      // in the latest attempt
-	pausedUntil time.Duration // earliest time at which a backend server accepts requests; after attempt.Paused
-	reason      string        // of the latest refusal or failure
-	retryAfter  time.Duration // for the Retry-After header
+	version     string           // of the model weights that the stream started with
+	server      string           // id of the backend server of the latest attempt; empty: none was chosen
+	progress    attempt.Progress // of the answer to the latest attempt
+	received    received         // in the latest attempt
+	pausedUntil time.Duration    // earliest time at which a backend server accepts requests; after attempt.Paused
+	reason      string           // of the latest refusal or failure
+	retryAfter  time.Duration    // for the Retry-After header
 }
 
 // ServeHTTP handles one request of a caller.
@@ -190,6 +192,15 @@
 	return x.headers.PieceKey
 }
 
+// partIDs returns the ids of the prompt's parts.
+func (x *exchange) partIDs() []string {
+	ids := make([]string, len(x.headers.PromptParts))
+	for i, part := range x.headers.PromptParts {
+		ids[i] = part.ID
+	}
+	return ids
+}
+
 // target returns the path and query exactly as the caller sent them.
 func (x *exchange) target() string {
 	if strings.HasPrefix(x.r.RequestURI, "/") {
@@ -244,7 +255,9 @@
 		action := x.next(end, status)
 		if end != attempt.Answered {
 			event.AttemptEndedAtGateway.Log(x.g.config.Logger, append(x.received.fields(), zap.String("request", x.headers.AttemptID), zap.String("end", string(end)),
-				zap.Int("status", status), zap.Int("tries", x.retryState.Attempts()), zap.String("next", string(action)), zap.String("reason", x.reason))...)
+				zap.Int("status", status), zap.Int("tries", x.retryState.Attempts()), zap.String("next", string(action)), zap.String("reason", x.reason),
+				zap.String("server", x.server), zap.String("progress", string(x.progress)), zap.Strings("parts", x.partIDs()))...)
+			x.g.meters.count("attempts." + string(end) + "." + string(x.progress))
 		}
 		if x.buffered != nil && action != attempt.Retry {
 			x.writeHeader(x.buffered.res, int64(len(x.buffered.body)))
--- a/io/gateway/try.go
+++ b/io/gateway/try.go
@@ -25,7 +25,7 @@
 // there was none.
 func (x *exchange) attempt() (attempt.End, int) {
 	g := x.g
-	x.received = received{}
+	x.received, x.server, x.progress = received{}, "", attempt.Waiting
 	request := fleet.Request{
 		Pool: x.pool, From: g.config.Settings.Place(), Exclude: x.exclude, PromptParts: x.headers.PromptParts,
 		TieBreak: xxhash.Sum64String(x.headers.AttemptID),
@@ -54,7 +54,7 @@
 			zap.Strings("excluded", x.exclude), zap.Uint64("roster", version), avoidedField(now, departures, pauses))
 		return attempt.Unsent, 0
 	}
-	x.exclude = append(x.exclude, choice.ID)
+	x.exclude, x.server = append(x.exclude, choice.ID), choice.ID
 	event.Routed.Log(g.config.Logger, zap.String("request", x.headers.AttemptID), zap.String("route", x.route.Name), zap.String("pool", x.pool),
 		zap.String("server", choice.ID), zap.Duration("cost", choice.Cost), zap.Int("in-flight", choice.InFlight),
 		zap.Int("reported", choice.ReportedLoad), zap.Duration("report-age", choice.ReportAge), zap.Int("kept", choice.CachedTokens),
@@ -122,6 +122,7 @@
 		return x.incompleteEnd(), 0, failed
 	}
 	defer res.Close()
+	x.progress = attempt.Begun
 	reply := g.config.Dialect.DecodeResponseHeaders(res.StatusCode, res.Header)
 	g.heed(choice.Announcement, reply)
 	outcome := fleet.Outcome{Latency: g.now() - started, Running: reply.Running, Queued: reply.Waiting, Slots: reply.Slots}
@@ -205,6 +206,7 @@
 		x.reason = "the answer was cut short: " + err.Error()
 		return x.incompleteEnd()
 	}
+	x.progress = attempt.Flowing
 	if len(body) < maxBufferedBody {
 		x.buffered = &bufferedAnswer{res, body}
 		return attempt.Answered
@@ -238,6 +240,9 @@
 			}
 		}
 		x.received.partial = x.splitter.Partial()
+		if x.splitter.Events() > 0 {
+			x.progress = attempt.Flowing
+		}
 		if len(out) > 0 {
 			x.writeHeader(res, -1)
 			if _, err := x.w.Write(out); err != nil {
