core/quarantine, io/gateway: prompt parts that crash backend servers are refused everywhere

Cause: nothing of a crash outlived its request. A gateway knew neither that a server had crashed nor what had been in flight there; the control instances heard nothing of it. Change: a gateway whose attempts end with a server that refuses connections reports those that had got no event, with what they may have in common with others: the request itself and the parts of its prompt but the last. core/quarantine, in the replicated registry, adds the reports up: the crashes of all gateways, each once; crashes at the same time as one outage; a crash speaks the less against a request the more others it may be due to. Three crashes that come to 1.5 convict, the narrowest cause first. All gateways refuse requests with it at once and cancel those that wait at servers. An event on a request clears its causes; a conviction is tried with one request after 20 s, then 60 s, then 180 s. Why it works: a culprit is in every crash and never gets an event, while sound causes are cleared by the next answer; the report of one gateway is enough for each crash.

--- /dev/null
+++ b/core/quarantine/fleet_test.go
@@ -0,0 +1,277 @@
+package quarantine_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"testing"
+	"time"
+
+	"tanagerroad"
+	"tanagerroad/core/quarantine"
+	"tanagerroad/core/wire"
+)
+
+// fleet describes gateways in front of backend servers, with requests that all have two
+// shared parts in their prompts, requests with a part that crashes servers, and outages.
+type fleet struct {
+	What          string
+	Gateways      int
+	Servers       int
+	Rate          float64 // sound requests a second
+	FirstParts    int     `json:"first-parts"`
+	SecondParts   int     `json:"second-parts"`
+	PoisonRate    float64 `json:"poison-rate"` // requests a second that crash servers
+	PoisonPart    int     `json:"poison-part"` // index of the part that does
+	OutageEveryMs int     `json:"outage-every-ms"`
+	OutageSize    int     `json:"outage-size"` // servers that crash together
+	HeadLost      bool    `json:"head-lost"`   // no header of their answers arrives
+	Ambiguous     bool    `json:"ambiguous"`   // so many crashes for so few parts that one may seem to be the cause
+	ContactMs     int     `json:"contact-ms"`
+}
+
+// Times of the simulation.
+const (
+	simulatedTime = 60 * time.Second
+	simulatedTick = 5 * time.Millisecond
+	reportDelay   = 150 * time.Millisecond // from a crash until the ledger has a report
+	settleDelay   = 250 * time.Millisecond // from a gateway's report until it reports the crash again
+	publishDelay  = 150 * time.Millisecond // from a change of the ledger until gateways know
+	downTime      = 2 * time.Second
+	warmUp        = 3 * time.Second // before the first request that crashes servers
+)
+
+type simRequest struct {
+	gateway int
+	causes  []quarantine.Cause
+	poison  bool
+	begins  time.Duration // the header of its answer
+	flows   time.Duration // its first event, or the crash
+}
+
+type simServer struct {
+	start     int64
+	downUntil time.Duration
+	inFlight  []simRequest
+}
+
+// simulation plays a fleet in virtual time.
+type simulation struct {
+	fleet
+	random  *rand.Rand
+	now     time.Duration
+	ledger  *quarantine.Ledger
+	version uint64
+	views   []*quarantine.View
+	servers []simServer
+	events  map[time.Duration][]func() // by time, a multiple of simulatedTick
+
+	requests       int
+	crashes        []time.Duration // by poisonous requests
+	arrivals       []time.Duration // of poisonous requests at servers
+	sent, refused  int             // sound requests
+	sentLate, late int             // those sent later than twice the contact time after the last crash that counts, and of them those refused
+}
+
+func (s *simulation) after(d time.Duration, f func()) {
+	at := (s.now + d).Truncate(simulatedTick) + simulatedTick
+	s.events[at] = append(s.events[at], f)
+}
+
+func (s *simulation) contact() time.Duration { return time.Duration(s.ContactMs) * time.Millisecond }
+
+// publish sends the ledger's entries to all gateways.
+func (s *simulation) publish() {
+	s.version++
+	q := &wire.Quarantine{Version: s.version, Convictions: slices.Clone(s.ledger.Entries())}
+	for _, view := range s.views {
+		s.after(publishDelay, func() {
+			_, clearable := view.Apply(s.now, q)
+			s.clear(clearable)
+		})
+	}
+}
+
+func (s *simulation) clear(fingerprints []uint64) {
+	if len(fingerprints) == 0 {
+		return
+	}
+	s.after(20*time.Millisecond, func() {
+		for _, f := range fingerprints {
+			if s.ledger.Clear(f) {
+				s.publish()
+			}
+		}
+	})
+}
+
+// crash ends a server. Each gateway reports its requests there that had no event.
+func (s *simulation) crash(i int) {
+	server := &s.servers[i]
+	reports := map[int][]*wire.CrashSuspect{}
+	for _, r := range server.inFlight {
+		suspect := &wire.CrashSuspect{Begun: s.now >= r.begins}
+		for _, c := range s.views[r.gateway].Suspects(s.now, r.causes) {
+			suspect.Causes = append(suspect.Causes, &wire.Cause{Fingerprint: c.Fingerprint, Label: c.Label})
+		}
+		reports[r.gateway] = append(reports[r.gateway], suspect)
+	}
+	for gateway := range s.Gateways {
+		if reports[gateway] == nil {
+			continue
+		}
+		delay := reportDelay + time.Duration(s.random.IntN(50))*time.Millisecond
+		for n, suspects := range [][]*wire.CrashSuspect{reports[gateway], nil} {
+			report := &wire.CrashReport{Server: fmt.Sprint(i), Start: server.start, Suspects: suspects}
+			s.after(delay+time.Duration(n)*settleDelay, func() {
+				s.ledger.Report(s.now.Milliseconds(), report)
+				s.publish()
+			})
+		}
+	}
+	server.start++
+	server.downUntil, server.inFlight = s.now+downTime, nil
+}
+
+// send sends one request, or refuses it.
+func (s *simulation) send(poison bool) {
+	s.requests++
+	parts := []tanagerroad.PromptPart{
+		{ID: fmt.Sprint("f", s.random.IntN(s.FirstParts))}, {ID: fmt.Sprint("s", s.random.IntN(s.SecondParts))}, {ID: fmt.Sprint("own", s.requests)},
+	}
+	if poison {
+		parts[s.PoisonPart].ID = "bad"
+	}
+	r := simRequest{gateway: s.random.IntN(s.Gateways), poison: poison, causes: quarantine.Causes("/p", "w", nil, parts)}
+	r.begins = s.now + time.Duration(50+s.random.IntN(350))*time.Millisecond
+	r.flows = r.begins + time.Duration(20+s.random.IntN(80))*time.Millisecond
+	if poison && s.HeadLost {
+		r.begins = r.flows + simulatedTick
+	}
+	verdict := s.views[r.gateway].Check(s.now, r.causes, 0)
+	if verdict.Convicted && verdict.Left <= 0 && s.ledger.ClaimTrial(s.now.Milliseconds(), verdict.Cause.Fingerprint) {
+		s.publish()
+		verdict.Convicted = false
+	}
+	if !poison {
+		s.sent++
+		isLate := len(s.crashes) > 0 && s.now > s.crashes[min(len(s.crashes), 5)-1]+2*s.contact()
+		if isLate {
+			s.sentLate++
+		}
+		if verdict.Convicted {
+			s.refused++
+			if isLate {
+				s.late++
+			}
+		}
+	}
+	if verdict.Convicted {
+		return
+	}
+	first := s.random.IntN(len(s.servers))
+	for i := range s.servers {
+		server := &s.servers[(first+i)%len(s.servers)]
+		if server.downUntil <= s.now {
+			server.inFlight = append(server.inFlight, r)
+			if poison {
+				s.arrivals = append(s.arrivals, s.now)
+			}
+			return
+		}
+	}
+}
+
+func (s *simulation) tick() {
+	for _, f := range s.events[s.now] {
+		f()
+	}
+	delete(s.events, s.now)
+	s.ledger.Expire(s.now.Milliseconds())
+	for i := range s.servers {
+		crashes := false
+		s.servers[i].inFlight = slices.DeleteFunc(s.servers[i].inFlight, func(r simRequest) bool {
+			if s.now < r.flows {
+				return false
+			}
+			if r.poison {
+				crashes = true
+				return false
+			}
+			s.clear(s.views[r.gateway].RecordBegin(s.now, r.causes))
+			return true
+		})
+		if crashes {
+			s.crashes = append(s.crashes, s.now)
+			s.crash(i)
+		}
+	}
+	if s.OutageEveryMs > 0 && s.now%(time.Duration(s.OutageEveryMs)*time.Millisecond) < simulatedTick {
+		first := s.random.IntN(len(s.servers))
+		for i := range s.OutageSize {
+			s.crash((first + i) % len(s.servers))
+		}
+	}
+	if s.random.Float64() < s.Rate*simulatedTick.Seconds() {
+		s.send(false)
+	}
+	if s.now > warmUp && s.random.Float64() < s.PoisonRate*simulatedTick.Seconds() {
+		s.send(true)
+	}
+	if s.now%(500*time.Millisecond) == 0 {
+		for _, v := range s.views {
+			v.Expire(s.now)
+		}
+	}
+}
+
+// TestFleets guards against a prompt part that goes on crashing backend servers because
+// each gateway sees few of its requests, and against sound requests that are refused
+// beside it or because of outages.
+func TestFleets(t *testing.T) {
+	data, err := os.ReadFile("testdata/fleets.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var fleets []fleet
+	if err := json.Unmarshal(data, &fleets); err != nil {
+		t.Fatal(err)
+	}
+	seeds := uint64(20)
+	if testing.Short() {
+		seeds = 3
+	}
+	for _, f := range fleets {
+		for seed := range seeds {
+			s := &simulation{
+				fleet: f, random: rand.New(rand.NewPCG(seed, 1)), ledger: quarantine.New(quarantine.DefaultConfig()),
+				servers: make([]simServer, f.Servers), events: map[time.Duration][]func(){},
+			}
+			for range f.Gateways {
+				s.views = append(s.views, quarantine.NewView(quarantine.DefaultConfig().Duration))
+			}
+			for ; s.now < simulatedTime; s.now += simulatedTick {
+				s.tick()
+			}
+			late := 0
+			if len(s.crashes) >= 5 {
+				for _, at := range s.arrivals {
+					if at > s.crashes[4]+s.contact() {
+						late++
+					}
+				}
+			}
+			if late > 3 {
+				t.Errorf("%s, seed %d: %d requests with the part arrived later than %v after the fifth of %d crashes, want at most 3", f.What, seed, late, s.contact(), len(s.crashes))
+			}
+			if s.late*2 > s.sentLate || s.refused*2 > s.sent || s.refused > 0 && !f.Ambiguous {
+				t.Errorf("%s, seed %d: %d of %d sound requests were refused, %d of %d late ones, want none, or less than half in ambiguous cases", f.What, seed, s.refused, s.sent, s.late, s.sentLate)
+			}
+			if testing.Verbose() {
+				t.Logf("%s, seed %d: %d crashes, %d late arrivals, %d of %d sound refused", f.What, seed, len(s.crashes), late, s.refused, s.sent)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/core/quarantine/quarantine_test.go
@@ -0,0 +1,92 @@
+package quarantine_test
+
+import (
+	"encoding/json"
+	"os"
+	"slices"
+	"testing"
+
+	"github.com/cespare/xxhash/v2"
+
+	"tanagerroad/core/quarantine"
+	"tanagerroad/core/wire"
+)
+
+type step struct {
+	AtMs      int64      `json:"at-ms"`
+	Crash     string     `json:"crash"` // the server that crashed
+	Start     int64      `json:"start"`
+	Settled   *bool      `json:"settled"` // whether it is reported again, SettleTime later; default: yes
+	Begun     [][]string `json:"begun"`   // causes of each request whose answer had begun
+	Waiting   [][]string `json:"waiting"` // causes of each request that waited
+	Clear     string     `json:"clear"`
+	Trial     string     `json:"trial"`
+	Granted   bool       `json:"granted"`
+	Suspects  []string   `json:"suspects"`  // expected after the step
+	Convicted []string   `json:"convicted"` // expected after the step
+}
+
+func fingerprint(name string) uint64 { return xxhash.Sum64String(name) }
+
+func suspects(requests [][]string, begun bool) []*wire.CrashSuspect {
+	var out []*wire.CrashSuspect
+	for _, causes := range requests {
+		s := &wire.CrashSuspect{Begun: begun}
+		for _, name := range causes {
+			s.Causes = append(s.Causes, &wire.Cause{Fingerprint: fingerprint(name), Label: name})
+		}
+		out = append(out, s)
+	}
+	return out
+}
+
+// TestLedger runs the sequences of crashes, answers and trials in testdata/ledger.json. A
+// ledger that is restored after each step must say the same.
+func TestLedger(t *testing.T) {
+	data, err := os.ReadFile("testdata/ledger.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var scripts []struct {
+		What  string
+		Steps []step
+	}
+	if err := json.Unmarshal(data, &scripts); err != nil {
+		t.Fatal(err)
+	}
+	for _, script := range scripts {
+		l := quarantine.New(quarantine.DefaultConfig())
+		for i, s := range script.Steps {
+			l.Expire(s.AtMs)
+			switch {
+			case s.Crash != "":
+				l.Report(s.AtMs, &wire.CrashReport{Server: s.Crash, Start: s.Start, Suspects: slices.Concat(suspects(s.Begun, true), suspects(s.Waiting, false))})
+				if s.Settled == nil || *s.Settled {
+					l.Report(s.AtMs+quarantine.DefaultConfig().SettleTime.Milliseconds(), &wire.CrashReport{Server: s.Crash, Start: s.Start})
+				}
+			case s.Clear != "":
+				l.Clear(fingerprint(s.Clear))
+			default:
+				if granted := l.ClaimTrial(s.AtMs, fingerprint(s.Trial)); granted != s.Granted {
+					t.Errorf("%s: step %d: trial granted: %v, want %v", script.What, i, granted, s.Granted)
+				}
+			}
+			var suspected, convicted []string
+			for _, c := range l.Entries() {
+				if c.GetConvicted() {
+					convicted = append(convicted, c.GetLabel())
+				} else {
+					suspected = append(suspected, c.GetLabel())
+				}
+			}
+			slices.Sort(suspected)
+			slices.Sort(convicted)
+			if !slices.Equal(suspected, s.Suspects) || !slices.Equal(convicted, s.Convicted) {
+				t.Errorf("%s: step %d: got suspects %v and convicted %v, want %v and %v", script.What, i, suspected, convicted, s.Suspects, s.Convicted)
+			}
+			restored := quarantine.New(quarantine.DefaultConfig())
+			restored.Restore(l.Crashes(), l.Entries())
+			l = restored
+		}
+	}
+}
--- /dev/null
+++ b/core/quarantine/view.go
@@ -0,0 +1,148 @@
+package quarantine
+
+import (
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"tanagerroad"
+	"tanagerroad/core/wire"
+)
+
+// beginMemory is how long an answer that began clears the causes of its request: a crash
+// within this time does not make them suspects.
+const beginMemory = time.Second
+
+// Cause is something that a request has in common with others.
+type Cause struct {
+	Fingerprint uint64
+	Label       string
+}
+
+// Causes returns what may make a request crash backend servers, the narrowest cause first:
+// the request itself, recognized by its path, workspace, prompt and body, and the parts of
+// its prompt. The last part of a prompt belongs to the request alone.
+func Causes(path, workspace string, body []byte, parts []tanagerroad.PromptPart) []Cause {
+	digest := xxhash.New()
+	fields := []string{"request", path, workspace}
+	for _, p := range parts {
+		fields = append(fields, p.ID)
+	}
+	_, _ = digest.WriteString(strings.Join(fields, "\x00") + "\x00") // never fails
+	_, _ = digest.Write(body)
+	out := []Cause{{digest.Sum64(), "request to " + path}}
+	for i := len(parts) - 2; i >= 0; i-- {
+		out = append(out, Cause{xxhash.Sum64String("part\x00" + parts[i].ID), "prompt part " + parts[i].ID})
+	}
+	return out
+}
+
+// entry is a suspect or convicted cause in a view.
+type entry struct {
+	*wire.Conviction
+	since     time.Duration // when the view learned of it, or of its latest trial
+	clearedAt time.Duration // when the gateway last asked to clear it; 0: never
+}
+
+// View is what one gateway knows of the quarantine, and of the answers that have begun.
+type View struct {
+	duration time.Duration
+	version  uint64
+	entries  map[uint64]*entry
+	begun    map[uint64]time.Duration // time of the latest answer that began, by fingerprint
+}
+
+// NewView returns an empty view. duration is how long a conviction lasts: a view that
+// hears of no change drops it by itself.
+func NewView(duration time.Duration) *View {
+	return &View{duration: duration, entries: map[uint64]*entry{}, begun: map[uint64]time.Duration{}}
+}
+
+// Apply replaces the entries by those of a control instance, unless the view holds newer
+// ones. It returns the causes to clear, since requests with them have just got answers.
+func (v *View) Apply(at time.Duration, q *wire.Quarantine) (changed bool, clearable []uint64) {
+	if q.GetVersion() <= v.version {
+		return false, nil
+	}
+	v.version = q.GetVersion()
+	previous := v.entries
+	v.entries = map[uint64]*entry{}
+	for _, c := range q.GetConvictions() {
+		e := &entry{Conviction: c, since: at}
+		if old := previous[c.GetFingerprint()]; old != nil {
+			e.clearedAt = old.clearedAt
+			if old.GetSinceMillis() == c.GetSinceMillis() {
+				e.since = old.since
+			}
+		}
+		v.entries[c.GetFingerprint()] = e
+		if v.hasBegun(at, c.GetFingerprint()) {
+			clearable = append(clearable, c.GetFingerprint())
+		}
+	}
+	return true, clearable
+}
+
+// Verdict is what a view says of a request.
+type Verdict struct {
+	Convicted bool
+	Cause     Cause         // the first convicted one
+	Left      time.Duration // until the next trial of the cause; at most 0: one is due
+}
+
+// Check returns the verdict on a request with the given causes. The cause with the
+// fingerprint exempt, of which the request is a trial, does not count; 0 exempts none.
+func (v *View) Check(at time.Duration, causes []Cause, exempt uint64) Verdict {
+	if len(v.entries) == 0 {
+		return Verdict{}
+	}
+	for _, c := range causes {
+		e := v.entries[c.Fingerprint]
+		if e == nil || !e.GetConvicted() || c.Fingerprint == exempt || at-e.since >= v.duration {
+			continue
+		}
+		wait := time.Duration(e.GetTrialWaitMillis()) * time.Millisecond
+		return Verdict{Convicted: true, Cause: c, Left: e.since + wait - at}
+	}
+	return Verdict{}
+}
+
+// RecordBegin records that a request with these causes has got the first event of an
+// answer, or the whole of one without events. It returns the causes to clear.
+func (v *View) RecordBegin(at time.Duration, causes []Cause) (clearable []uint64) {
+	for _, c := range causes {
+		v.begun[c.Fingerprint] = at
+		if e := v.entries[c.Fingerprint]; e != nil && (e.clearedAt == 0 || at-e.clearedAt > beginMemory) {
+			e.clearedAt = at
+			clearable = append(clearable, c.Fingerprint)
+		}
+	}
+	return clearable
+}
+
+func (v *View) hasBegun(at time.Duration, fingerprint uint64) bool {
+	begun, ok := v.begun[fingerprint]
+	return ok && at-begun <= beginMemory
+}
+
+// Suspects returns those causes of a request that was in flight at a crash that may have
+// brought it about: no other request with them has just got an answer.
+func (v *View) Suspects(at time.Duration, causes []Cause) []Cause {
+	var out []Cause
+	for _, c := range causes {
+		if !v.hasBegun(at, c.Fingerprint) {
+			out = append(out, c)
+		}
+	}
+	return out
+}
+
+// Expire drops the begun answers that no longer count.
+func (v *View) Expire(at time.Duration) {
+	for fingerprint, begun := range v.begun {
+		if at-begun > beginMemory {
+			delete(v.begun, fingerprint)
+		}
+	}
+}
--- a/core/registry/image.go
+++ b/core/registry/image.go
@@ -17,8 +17,10 @@
 		Current:    r.current,
 		Recent:     r.recent,
 		Changes:    r.changes,
-		Quarantine: r.Quarantine(),
+		Quarantine: r.requestQuarantine(),
 		Reports:    r.crashReports,
+		Crashes:    r.causes.Crashes(),
+		Causes:     r.causes.Entries(),
 		Catalog:    r.catalog,
 	}
 	// Settled claims are written in the order in which they were settled, so that
@@ -77,6 +79,7 @@
 		r.quarantined[c.GetFingerprint()] = c
 	}
 	r.crashReports = image.GetReports()
+	r.causes.Restore(image.GetCrashes(), image.GetCauses())
 	r.catalog = image.GetCatalog()
 	for _, f := range image.GetFences() {
 		r.fences[f.GetServer()] = f
--- a/core/registry/registry.go
+++ b/core/registry/registry.go
@@ -6,7 +6,7 @@
 //     attempt and records the result, so that the request runs at most once
 //   - the quarantine: fingerprints of requests that may crash backend servers;
 //     a suspect runs with no other request on its server, a convicted one is
-//     refused
+//     refused. Package quarantine decides on what requests have in common
 //   - the fencing token of each backend server
 //   - the gateways' catalog
 //
@@ -22,11 +22,13 @@
 	_ "embed"
 	"encoding/json"
 	"slices"
+	"strings"
 	"time"
 
 	"google.golang.org/protobuf/proto"
 
 	"tanagerroad/core/chart"
+	"tanagerroad/core/quarantine"
 	"tanagerroad/core/table"
 	"tanagerroad/core/wire"
 )
@@ -114,6 +116,7 @@
 	quarantined       map[uint64]*wire.Conviction // suspects and convicted, by fingerprint
 	quarantineVersion uint64                      // grows with each change of quarantined
 	crashReports      []string                    // ids of recent reports, oldest first
+	causes            *quarantine.Ledger
 
 	fences       map[string]*wire.FenceState // by server id
 	catalog      *wire.Catalog
@@ -128,6 +131,7 @@
 		changesByID: map[string]*wire.Change{},
 		claims:      map[claimKey]*wire.Held{},
 		quarantined: map[uint64]*wire.Conviction{},
+		causes:      quarantine.New(quarantine.DefaultConfig()),
 		fences:      map[string]*wire.FenceState{},
 	}
 }
@@ -155,6 +159,12 @@
 		return r.applyFence(body.Fence)
 	case *wire.Command_PutCatalog:
 		return r.applyPutCatalog(body.PutCatalog.GetCatalog())
+	case *wire.Command_CrashReport:
+		return r.applyCrashReport(body.CrashReport)
+	case *wire.Command_ClaimTrial:
+		return r.applyClaimTrial(body.ClaimTrial)
+	case *wire.Command_ClearCauses:
+		return r.applyClearCauses(body.ClearCauses)
 	}
 	return &wire.Outcome{Kind: Invalid, Reason: "an unknown command"}
 }
@@ -396,18 +406,63 @@
 		delete(r.quarantined, l.GetFingerprint())
 		r.quarantineVersion++
 	}
+	if !l.GetSuspectOnly() && r.causes.Clear(l.GetFingerprint()) {
+		r.quarantineVersion++
+	}
+	return &wire.Outcome{Kind: Accepted}
+}
+
+// applyCrashReport adds a crash report of a gateway or a sidecar. The outcome's reason
+// names the causes that it convicts.
+func (r *Registry) applyCrashReport(report *wire.CrashReport) *wire.Outcome {
+	var labels []string
+	for _, c := range r.causes.Report(r.latestMillis, report) {
+		labels = append(labels, c.GetLabel())
+	}
+	if len(r.causes.Entries()) > 0 {
+		r.quarantineVersion++
+	}
+	return &wire.Outcome{Kind: Accepted, Reason: strings.Join(labels, ", ")}
+}
+
+// applyClaimTrial grants a trial of a convicted cause to one process.
+func (r *Registry) applyClaimTrial(c *wire.ClaimTrial) *wire.Outcome {
+	if !r.causes.ClaimTrial(r.latestMillis, c.GetFingerprint()) {
+		return &wire.Outcome{Kind: AlreadyClaimed, Reason: "no trial is due"}
+	}
+	r.quarantineVersion++
+	return &wire.Outcome{Kind: Granted}
+}
+
+// applyClearCauses takes causes out of the quarantine.
+func (r *Registry) applyClearCauses(c *wire.ClearCauses) *wire.Outcome {
+	for _, fingerprint := range c.GetFingerprints() {
+		if r.causes.Clear(fingerprint) {
+			r.quarantineVersion++
+		}
+	}
 	return &wire.Outcome{Kind: Accepted}
 }
 
 // Quarantine returns all suspect and convicted fingerprints in ascending order.
 func (r *Registry) Quarantine() *wire.Quarantine {
+	out := r.requestQuarantine()
+	out.Convictions = append(out.Convictions, r.causes.Entries()...)
+	slices.SortFunc(out.Convictions, compareConvictions)
+	return out
+}
+
+func compareConvictions(a, b *wire.Conviction) int {
+	return cmp.Compare(a.GetFingerprint(), b.GetFingerprint())
+}
+
+// requestQuarantine is Quarantine without the causes.
+func (r *Registry) requestQuarantine() *wire.Quarantine {
 	out := &wire.Quarantine{Version: r.quarantineVersion}
 	for _, c := range r.quarantined {
 		out.Convictions = append(out.Convictions, c)
 	}
-	slices.SortFunc(out.Convictions, func(a, b *wire.Conviction) int {
-		return cmp.Compare(a.GetFingerprint(), b.GetFingerprint())
-	})
+	slices.SortFunc(out.Convictions, compareConvictions)
 	return out
 }
 
@@ -438,6 +493,9 @@
 		delete(r.claims, r.settled[0])
 		r.settled = r.settled[1:]
 	}
+	if r.causes.Expire(r.latestMillis) {
+		r.quarantineVersion++
+	}
 	for fingerprint, c := range r.quarantined {
 		if c.GetUntilMillis() <= r.latestMillis {
 			delete(r.quarantined, fingerprint)
--- a/core/registry/registry_test.go
+++ b/core/registry/registry_test.go
@@ -115,7 +115,7 @@
 			at += int64(rapid.IntRange(0, 5).Draw(rt, "ms"))
 			id := fmt.Sprint(rapid.IntRange(0, 8).Draw(rt, "id"))
 			var c *wire.Command
-			switch rapid.IntRange(0, 5).Draw(rt, "command") {
+			switch rapid.IntRange(0, 8).Draw(rt, "command") {
 			case 0, 1:
 				c = claim(id, at)
 			case 2:
@@ -125,11 +125,21 @@
 				c.AtMillis = at
 			case 4:
 				c = &wire.Command{AtMillis: at, Body: &wire.Command_Crash{Crash: &wire.Crash{Fingerprint: 7, Alone: true, Report: id}}}
+			case 6:
+				at += int64(rapid.IntRange(0, 400).Draw(rt, "pause"))
+				c = &wire.Command{AtMillis: at, Body: &wire.Command_CrashReport{CrashReport: &wire.CrashReport{Server: id, Suspects: []*wire.CrashSuspect{
+					{Begun: true, Causes: []*wire.Cause{{Fingerprint: uint64(i), Label: "r"}, {Fingerprint: uint64(rapid.IntRange(1, 2).Draw(rt, "cause")), Label: "p"}}},
+				}}}}
+			case 7:
+				c = &wire.Command{AtMillis: at, Body: &wire.Command_ClearCauses{ClearCauses: &wire.ClearCauses{Fingerprints: []uint64{1}}}}
+			case 8:
+				at += int64(rapid.IntRange(0, 20000).Draw(rt, "wait"))
+				c = &wire.Command{AtMillis: at, Body: &wire.Command_ClaimTrial{ClaimTrial: &wire.ClaimTrial{Fingerprint: uint64(rapid.IntRange(1, 2).Draw(rt, "cause"))}}}
 			case 5:
 				c = &wire.Command{AtMillis: at, Body: &wire.Command_Fence{Fence: &wire.Fence{Server: "s", Holder: id}}}
 			}
 			want, got := r.Apply(uint64(i), c), restored.Apply(uint64(i), c)
-			if want.GetKind() != got.GetKind() || want.GetRevision() != got.GetRevision() || want.GetFence() != got.GetFence() {
+			if want.GetKind() != got.GetKind() || want.GetRevision() != got.GetRevision() || want.GetFence() != got.GetFence() || want.GetReason() != got.GetReason() {
 				rt.Fatalf("command %d: outcome %v, from the restored registry %v", i, want, got)
 			}
 			snapshot, err := r.Snapshot()
--- /dev/null
+++ b/io/gateway/crashes.go
@@ -0,0 +1,201 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"os"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"go.uber.org/zap"
+
+	"tanagerroad"
+	"tanagerroad/core/attempt"
+	"tanagerroad/core/event"
+	"tanagerroad/core/limit"
+	"tanagerroad/core/quarantine"
+	"tanagerroad/core/registry"
+	"tanagerroad/core/wire"
+)
+
+const (
+	// crashWindow is how long the attempts that end with a backend server are
+	// collected before they are reported.
+	crashWindow = 100 * time.Millisecond
+	// proposeTimeout bounds the attempts to commit a report to the replicated log.
+	proposeTimeout = 5 * time.Second
+	// trialClaimTimeout bounds how long a request waits for the grant of a trial.
+	trialClaimTimeout = 500 * time.Millisecond
+)
+
+// serverStart is one start of a backend server.
+type serverStart struct {
+	id    string
+	start int64
+}
+
+// errQuarantined is the error of a request that was not sent since requests like it
+// have meanwhile been convicted of crashing backend servers.
+var errQuarantined = errors.New("the request is quarantined")
+
+// checkQuarantine returns errQuarantined, and sets the reason and the retry delay, if
+// requests like this one crash backend servers.
+func (x *exchange) checkQuarantine() error {
+	x.g.mu.Lock()
+	verdict := x.g.quarantine.Check(x.g.now(), x.causes, x.trialOf.Load())
+	x.g.mu.Unlock()
+	if !verdict.Convicted {
+		return nil
+	}
+	x.reason = "quarantined: requests with the " + verdict.Cause.Label + " crash backend servers"
+	x.retryAfter = limit.RetryAfter(max(verdict.Left, defaultRetryDelay), xxhash.Sum64String(x.headers.AttemptID))
+	return errQuarantined
+}
+
+// claimTrial makes the request a trial of its convicted cause if one is due and no other
+// gateway has been granted it.
+func (x *exchange) claimTrial() {
+	x.g.mu.Lock()
+	verdict := x.g.quarantine.Check(x.g.now(), x.causes, 0)
+	x.g.mu.Unlock()
+	if !verdict.Convicted || verdict.Left > 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(x.ctx, trialClaimTimeout)
+	defer cancel()
+	outcome := x.g.propose(ctx, &wire.Command{Body: &wire.Command_ClaimTrial{ClaimTrial: &wire.ClaimTrial{Fingerprint: verdict.Cause.Fingerprint}}})
+	if outcome.GetKind() != registry.Granted {
+		return
+	}
+	x.trialOf.Store(verdict.Cause.Fingerprint)
+	event.QuarantineTrial.Log(x.g.config.Logger, zap.String("request", x.headers.AttemptID), zap.String("cause", verdict.Cause.Label))
+}
+
+// endTrial ends the request's trial, if it is one, unless its answer flows: it is not
+// sent again.
+func (x *exchange) endTrial() {
+	if !x.flowing.Load() {
+		x.trialOf.Store(0)
+	}
+}
+
+// recordProgress records how far the answer to the current attempt has come.
+func (x *exchange) recordProgress(p attempt.Progress) {
+	if p == attempt.Flowing && x.progress != attempt.Flowing {
+		x.flowing.Store(true)
+		x.g.mu.Lock()
+		clearable := x.g.quarantine.RecordBegin(x.g.now(), x.causes)
+		x.g.mu.Unlock()
+		x.g.clearCauses(clearable)
+	}
+	x.progress = p
+}
+
+// clearCauses asks the control instances to take causes out of the quarantine.
+func (g *Gateway) clearCauses(fingerprints []uint64) {
+	if len(fingerprints) == 0 {
+		return
+	}
+	go g.propose(g.ctx, &wire.Command{Body: &wire.Command_ClearCauses{ClearCauses: &wire.ClearCauses{Fingerprints: fingerprints}}})
+}
+
+// propose appends a command to the replicated log. It returns nil if that failed.
+func (g *Gateway) propose(ctx context.Context, command *wire.Command) *wire.Outcome {
+	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
+	defer cancel()
+	outcome, err := g.control.Propose(ctx, command)
+	if err != nil || outcome.GetKind() == registry.NoQuorum {
+		event.ReportFailed.Log(g.config.Logger, zap.String("outcome", outcome.GetKind()), zap.Error(err))
+		return nil
+	}
+	return outcome
+}
+
+// recordBrokenAttempt records that an attempt ended with its connection before its answer
+// flowed. If the backend server turns out to have crashed, the request is reported.
+func (g *Gateway) recordBrokenAttempt(server tanagerroad.Announcement, causes []quarantine.Cause, begun bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	suspect := &wire.CrashSuspect{Begun: begun}
+	for _, c := range g.quarantine.Suspects(g.now(), causes) {
+		suspect.Causes = append(suspect.Causes, &wire.Cause{Fingerprint: c.Fingerprint, Label: c.Label})
+	}
+	if len(suspect.GetCauses()) == 0 {
+		return
+	}
+	start := serverStart{server.ID, server.StartMillis}
+	if g.broken[start] == nil {
+		time.AfterFunc(crashWindow, func() { g.reportCrash(server) })
+	}
+	g.broken[start] = append(g.broken[start], suspect)
+}
+
+// reportCrash reports a backend server to the control instances, with the requests whose
+// attempts ended with it, unless it still accepts connections.
+func (g *Gateway) reportCrash(server tanagerroad.Announcement) {
+	start := serverStart{server.ID, server.StartMillis}
+	ctx, cancel := context.WithTimeout(g.ctx, proposeTimeout)
+	defer cancel()
+	crashed := g.client.Refuses(ctx, server.Address)
+	g.mu.Lock()
+	suspects := g.broken[start]
+	delete(g.broken, start)
+	g.mu.Unlock()
+	if !crashed {
+		return
+	}
+	begun := 0
+	var labels []string
+	for _, s := range suspects {
+		if s.GetBegun() {
+			begun++
+		}
+		for _, c := range s.GetCauses() {
+			labels = append(labels, c.GetLabel())
+		}
+	}
+	g.meters.count("servers.crashed")
+	event.ServerCrashed.Log(g.config.Logger, zap.String("server", server.ID), zap.String("pool", server.Pool), zap.Int64("start", server.StartMillis),
+		zap.Int("suspects", len(suspects)), zap.Int("begun", begun), zap.Strings("causes", labels))
+	for _, s := range [][]*wire.CrashSuspect{suspects, nil} { // see quarantine.Ledger.Report
+		g.propose(g.ctx, &wire.Command{Body: &wire.Command_CrashReport{CrashReport: &wire.CrashReport{
+			Server: server.ID, Start: server.StartMillis, Suspects: s,
+		}}})
+		select {
+		case <-g.ctx.Done():
+			return
+		case <-time.After(quarantine.DefaultConfig().SettleTime + crashWindow):
+		}
+	}
+}
+
+// applyQuarantine applies a quarantine that a control instance sent, and ends the requests
+// that it convicts and whose answers do not flow yet. g.mu must be held.
+func (g *Gateway) applyQuarantine(q *wire.Quarantine) {
+	now := g.now()
+	changed, clearable := g.quarantine.Apply(now, q)
+	if !changed {
+		return
+	}
+	g.clearCauses(clearable)
+	var convicted, suspected []string
+	for _, c := range q.GetConvictions() {
+		if c.GetConvicted() {
+			convicted = append(convicted, c.GetLabel())
+		} else {
+			suspected = append(suspected, c.GetLabel())
+		}
+	}
+	event.QuarantineChanged.Log(g.config.Logger, zap.Uint64("version", q.GetVersion()), zap.Strings("convicted", convicted), zap.Strings("suspected", suspected))
+	g.stopMu.Lock()
+	defer g.stopMu.Unlock()
+	for x, cancel := range g.cancels {
+		if g.quarantine.Check(now, x.causes, x.trialOf.Load()).Convicted && !x.flowing.Load() {
+			cancel()
+		}
+	}
+}
+
+// endsWithConnection reports whether an error means that a connection has ended, rather
+// than that it was silent for too long.
+func endsWithConnection(err error) bool { return err != nil && !errors.Is(err, os.ErrDeadlineExceeded) }
--- a/io/gateway/exchange.go
+++ b/io/gateway/exchange.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -17,6 +18,7 @@
 	"tanagerroad/core/attempt"
 	"tanagerroad/core/catalog"
 	"tanagerroad/core/event"
+	"tanagerroad/core/quarantine"
 	"tanagerroad/core/sse"
 	"tanagerroad/io/http1"
 	"tanagerroad/io/operator"
@@ -93,13 +95,17 @@
 	status      int             // of the committed answer
 	buffered    *bufferedAnswer // nil if none
 	splitter    sse.Splitter
-	version     string           // of the model weights that the stream started with
-	server      string           // id of the backend server of the latest attempt; empty: none was chosen
-	progress    attempt.Progress // of the answer to the latest attempt
-	received    received         // in the latest attempt
-	pausedUntil time.Duration    // earliest time at which a backend server accepts requests; after attempt.Paused
-	reason      string           // of the latest refusal or failure
-	retryAfter  time.Duration    // for the Retry-After header
+	version     string             // of the model weights that the stream started with
+	server      string             // id of the backend server of the latest attempt; empty: none was chosen
+	causes      []quarantine.Cause // what may make the request crash backend servers
+	trialOf     atomic.Uint64      // fingerprint of the convicted cause that the request is a trial of; 0: none
+	progress    attempt.Progress   // of the answer to the latest attempt
+	brokenOff   bool               // the latest attempt ended with its connection
+	flowing     atomic.Bool        // an answer has got as far as attempt.Flowing
+	received    received           // in the latest attempt
+	pausedUntil time.Duration      // earliest time at which a backend server accepts requests; after attempt.Paused
+	reason      string             // of the latest refusal or failure
+	retryAfter  time.Duration      // for the Retry-After header
 }
 
 // ServeHTTP handles one request of a caller.
@@ -174,6 +180,7 @@
 	x.retryState = attempt.Request{
 		Repeat: x.route.Repeatability, Resumable: x.route.Resumable, MaxServers: x.route.MaxServers, Deadline: x.deadline,
 	}
+	x.causes = quarantine.Causes(x.r.Host+x.target(), x.workspace, body, x.headers.PromptParts)
 	event.RequestArrived.Log(g.config.Logger, zap.String("request", x.headers.AttemptID), zap.String("route", x.route.Name))
 	return true
 }
@@ -235,6 +242,11 @@
 // serve runs the request's stages, then makes attempts at backend servers until
 // one yields a final answer or none may follow.
 func (x *exchange) serve() {
+	x.claimTrial()
+	if x.checkQuarantine() != nil {
+		x.endUnsent()
+		return
+	}
 	x.g.mu.Lock()
 	x.g.retryBudget(x.pool).RecordFirst()
 	x.g.mu.Unlock()
@@ -247,6 +259,10 @@
 		}
 	}
 	for {
+		if x.checkQuarantine() != nil {
+			x.endUnsent()
+			return
+		}
 		end, status := x.attempt()
 		if x.r.Context().Err() != nil {
 			x.abortDisconnected()
@@ -350,9 +366,12 @@
 	x.answer(http.StatusBadGateway, x.reason)
 }
 
-// endUnsent ends a request that cannot be sent, because its stages failed or no backend
-// server accepts it in time. It has not run unless an earlier attempt was sent.
+// endUnsent ends a request that cannot be sent, because its stages failed, no backend
+// server accepts it in time, or it is quarantined. It has not run unless an earlier attempt was sent.
 func (x *exchange) endUnsent() {
+	if x.checkQuarantine() != nil {
+		x.g.meters.count("requests.quarantined")
+	}
 	switch {
 	case x.r.Context().Err() != nil:
 		x.abortDisconnected()
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -30,6 +30,7 @@
 	"tanagerroad/core/event"
 	"tanagerroad/core/fleet"
 	"tanagerroad/core/limit"
+	"tanagerroad/core/quarantine"
 	"tanagerroad/core/roster"
 	"tanagerroad/core/settings"
 	"tanagerroad/core/wire"
@@ -81,10 +82,12 @@
 	mu             sync.Mutex // guards the fields down to stopMu
 	roster         *roster.Roster
 	fleet          *fleet.Fleet
-	retryBudgets   map[string]*limit.Budget // by pool
-	sources        map[string]*source       // control instances, by address
-	gateways       []string                 // peer addresses of all gateways, including this one
-	rosterComplete bool                     // a source has sent its complete roster
+	quarantine     *quarantine.View
+	broken         map[serverStart][]*wire.CrashSuspect // requests whose attempts ended with their connections
+	retryBudgets   map[string]*limit.Budget             // by pool
+	sources        map[string]*source                   // control instances, by address
+	gateways       []string                             // peer addresses of all gateways, including this one
+	rosterComplete bool                                 // a source has sent its complete roster
 
 	seeds     []string // addresses of control instances, from the settings
 	instances []string // addresses of control instances, from their updates
@@ -108,6 +111,7 @@
 		config: config, client: client, ctx: ctx, noticeDue: signal.New(),
 		control: control.NewClient(config.Conns, config.Settings.Control, config.Logger),
 		roster:  roster.New(roster.DefaultConfig()), fleet: fleet.New(regions),
+		quarantine: quarantine.NewView(quarantine.DefaultConfig().Duration), broken: map[serverStart][]*wire.CrashSuspect{},
 		retryBudgets: map[string]*limit.Budget{}, sources: map[string]*source{},
 		gateways: []string{config.Settings.Peer.AdvertisedAddress()},
 		meters:   newMeters(config.Metrics),
@@ -321,6 +325,7 @@
 	}
 	g.updateGateways(now)
 	g.roster.Expire(now, "")
+	g.quarantine.Expire(now)
 	if rosterChanged {
 		g.applyRoster(now)
 	}
--- a/io/gateway/try.go
+++ b/io/gateway/try.go
@@ -25,7 +25,7 @@
 // there was none.
 func (x *exchange) attempt() (attempt.End, int) {
 	g := x.g
-	x.received, x.server, x.progress = received{}, "", attempt.Waiting
+	x.received, x.server, x.progress, x.brokenOff = received{}, "", attempt.Waiting, false
 	request := fleet.Request{
 		Pool: x.pool, From: g.config.Settings.Place(), Exclude: x.exclude, PromptParts: x.headers.PromptParts,
 		TieBreak: xxhash.Sum64String(x.headers.AttemptID),
@@ -60,6 +60,10 @@
 		zap.Int("reported", choice.ReportedLoad), zap.Duration("report-age", choice.ReportAge), zap.Int("kept", choice.CachedTokens),
 		zap.Int("candidates", choice.Candidates), zap.Uint64("roster", version), zap.Duration("left", x.deadline-now), avoidedField(now, departures, pauses))
 	end, status, outcome := x.send(choice)
+	x.endTrial()
+	if x.brokenOff && x.progress != attempt.Flowing {
+		g.recordBrokenAttempt(choice.Announcement, x.causes, x.progress == attempt.Begun)
+	}
 	g.mu.Lock()
 	g.fleet.RecordEnd(g.now(), choice.ID, outcome)
 	if end == attempt.Misplaced {
@@ -106,7 +110,7 @@
 	res, err := g.client.Do(x.ctx, http1.Request{
 		Address: choice.Address, Method: x.r.Method, Target: x.target(), Host: x.r.Host,
 		Header: g.config.Dialect.ForwardHeaders(x.r.Header, options), Body: x.body,
-		Allow: func() error { return g.checkServer(choice.Announcement) },
+		Allow: func() error { return errors.Join(g.checkServer(choice.Announcement), x.checkQuarantine()) },
 		Matches: func(h http.Header) bool {
 			return x.headers.AttemptID == "" || g.config.Dialect.DecodeResponseHeaders(0, h).AttemptID == x.headers.AttemptID
 		},
@@ -114,15 +118,16 @@
 	stopTimer()
 	if err != nil {
 		x.reason = err.Error()
-		failed := fleet.Outcome{Failed: x.ctx.Err() == nil && !errors.Is(err, errServerUnavailable)}
+		failed := fleet.Outcome{Failed: x.ctx.Err() == nil && !errors.Is(err, errServerUnavailable) && !errors.Is(err, errQuarantined)}
 		var unsent *http1.UnsentError
 		if errors.As(err, &unsent) {
 			return attempt.Unsent, 0, failed
 		}
+		x.brokenOff = endsWithConnection(err)
 		return x.incompleteEnd(), 0, failed
 	}
 	defer res.Close()
-	x.progress = attempt.Begun
+	x.recordProgress(attempt.Begun)
 	reply := g.config.Dialect.DecodeResponseHeaders(res.StatusCode, res.Header)
 	g.heed(choice.Announcement, reply)
 	outcome := fleet.Outcome{Latency: g.now() - started, Running: reply.Running, Queued: reply.Waiting, Slots: reply.Slots}
@@ -140,7 +145,7 @@
 		}
 		return attempt.Rejected, res.StatusCode, outcome
 	}
-	success := res.StatusCode >= http.StatusOK && res.StatusCode < http.StatusMultipleChoices
+	success := isSuccess(res.StatusCode)
 	if success && (!reply.Signed || res.Header.Get("Content-Encoding") != "") {
 		x.reason = "an answer without the backend server's signature"
 		res.Discard()
@@ -177,6 +182,11 @@
 	}
 }
 
+// isSuccess reports whether an HTTP status is 2xx.
+func isSuccess(status int) bool {
+	return status >= http.StatusOK && status < http.StatusMultipleChoices
+}
+
 // incompleteEnd returns how an attempt ended whose answer is missing, unusable or
 // incomplete: Broken if part of an answer has already been forwarded, else Lost.
 func (x *exchange) incompleteEnd() attempt.End {
@@ -203,10 +213,13 @@
 func (x *exchange) forwardWhole(res *http1.Response) attempt.End {
 	body, err := io.ReadAll(io.LimitReader(res, maxBufferedBody))
 	if err != nil {
+		x.brokenOff = endsWithConnection(err)
 		x.reason = "the answer was cut short: " + err.Error()
 		return x.incompleteEnd()
 	}
-	x.progress = attempt.Flowing
+	if isSuccess(res.StatusCode) {
+		x.recordProgress(attempt.Flowing)
+	}
 	if len(body) < maxBufferedBody {
 		x.buffered = &bufferedAnswer{res, body}
 		return attempt.Answered
@@ -239,9 +252,10 @@
 				out = append(out, x.splitter.Rest()...)
 			}
 		}
+		x.brokenOff = endsWithConnection(err)
 		x.received.partial = x.splitter.Partial()
 		if x.splitter.Events() > 0 {
-			x.progress = attempt.Flowing
+			x.recordProgress(attempt.Flowing)
 		}
 		if len(out) > 0 {
 			x.writeHeader(res, -1)
--- a/io/gateway/watch.go
+++ b/io/gateway/watch.go
@@ -95,6 +95,9 @@
 		event.SourceConnected.Log(g.config.Logger, zap.String("source", address), zap.Duration("silent", now-s.updatedAt))
 	}
 	s.updatedAt, s.connected = now, true
+	if q := update.GetQuarantine(); q != nil {
+		g.applyQuarantine(q)
+	}
 	g.rosterComplete = g.rosterComplete || update.GetWhole()
 	if len(update.GetInstances()) > 0 && !slices.Equal(update.GetInstances(), g.instances) {
 		g.instances = update.GetInstances()
--- a/io/http1/client.go
+++ b/io/http1/client.go
@@ -241,6 +241,16 @@
 	return &connection{Conn: raw, reader: bufio.NewReaderSize(raw, readBufferSize), idleTimeout: defaultIdleTimeout}, nil
 }
 
+// Refuses reports whether connections to address are refused: nothing listens there.
+func (c *Client) Refuses(ctx context.Context, address string) bool {
+	conn, err := c.dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	_ = conn.Close() // nothing was sent
+	return false
+}
+
 // popIdle returns the most recently used idle connection to address, or nil.
 func (c *Client) popIdle(address string) *connection {
 	c.mu.Lock()
--- a/io/quorum/quorum.go
+++ b/io/quorum/quorum.go
@@ -467,6 +467,13 @@
 		event.Convicted.Log(q.config.Logger, zap.Uint64("fingerprint", crash.GetFingerprint()),
 			zap.String("route", crash.GetRoute()), zap.String("verdict", outcome.GetReason()))
 	}
+	if report := command.GetCrashReport(); len(report.GetSuspects()) > 0 || report != nil && outcome.GetReason() != "" {
+		event.CrashReported.Log(q.config.Logger, zap.String("server", report.GetServer()), zap.Int64("start", report.GetStart()),
+			zap.Int("suspects", len(report.GetSuspects())), zap.String("convicted", outcome.GetReason()))
+	}
+	if c := command.GetClearCauses(); c != nil {
+		event.CausesCleared.Log(q.config.Logger, zap.Uint64s("fingerprints", c.GetFingerprints()))
+	}
 }
 
 // finishReads serves the reads that were confirmed, or fails the others.
