io/backend, core/router: requests whose inputs begin alike and crash servers are refused

The quarantine of entries and sidecars knew a request by its route and whole body, so requests that begin alike (what a model engine's prefix cache shares) and differ further on were never recognized: each crashed two servers. Change: a sidecar reports the beginning of the inputs that ran at a crash and had brought nothing yet to the same quarantine as the gateways' prompt parts; entries refuse at admission what begins like a convicted input, sidecars reject it, a completed one clears it. Gateways and sidecars share the code that reports and clears (io/control). Before: io/demo TestSharedPrefixKeepsCrashingServers red: 24 crashes for 12 requests, the last one sent as well. After: green, at most 8, the last one refused as quarantined. core, io, platform: green.

--- a/core/event/event.go
+++ b/core/event/event.go
@@ -74,7 +74,7 @@
 	ServerPaused           = define(224, zap.InfoLevel, "server-paused", "A backend server that rejected a request wants none from this gateway for a time: asked is that time, until-end what is kept of it; invalid is a value that is no time and is ignored.")
 	ServerCrashed          = define(225, zap.WarnLevel, "server-crashed", "Attempts at a backend server ended with their connections, and it refuses new ones; suspects is the number of requests that had got no event, begun those of them whose answer had begun, and causes what they may have in common with others. It was reported to the control instances.")
 	QuarantineChanged      = define(226, zap.InfoLevel, "quarantine", "A control instance sent another quarantine: what is convicted and refused, and what one more crash would convict.")
-	ReportFailed           = define(227, zap.WarnLevel, "report-failed", "A report about backend servers that crash could not be committed to the replicated log.")
+	ReportFailed           = define(227, zap.WarnLevel, "report-failed", "A gateway or a sidecar could not commit a report about crashing backend servers to the replicated log.")
 	QuarantineTrial        = define(228, zap.InfoLevel, "quarantine-trial", "A request with a convicted cause is sent, to find out whether it still crashes backend servers.")
 	LinesDropped           = define(108, zap.WarnLevel, "lines-dropped", "Log lines were dropped because the rate limit was exceeded or the reader is slow.")
 	Reloaded               = define(109, zap.InfoLevel, "reloaded", "The settings file was reloaded; bytes is its size.")
--- a/core/quarantine/view.go
+++ b/core/quarantine/view.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"strconv"
 	"strings"
 	"time"
 
@@ -38,6 +39,16 @@
 	return out
 }
 
+// PrefixCause returns the cause that requests have in common whose inputs begin alike.
+// digest is the digest of that beginning; 0: the input is too short.
+func PrefixCause(digest uint64) (Cause, bool) {
+	if digest == 0 {
+		return Cause{}, false
+	}
+	text := strconv.FormatUint(digest, 16)
+	return Cause{xxhash.Sum64String("prefix\x00" + text), "input prefix " + text}, true
+}
+
 // entry is a suspect or convicted cause in a view.
 type entry struct {
 	*wire.Conviction
--- a/core/router/router.go
+++ b/core/router/router.go
@@ -14,6 +14,7 @@
 	"tanagerroad"
 	"tanagerroad/core/limit"
 	"tanagerroad/core/pick"
+	"tanagerroad/core/quarantine"
 	"tanagerroad/core/table"
 )
 
@@ -38,7 +39,7 @@
 )
 
 // States of a quarantined fingerprint. A fingerprint is a hash of a request's route
-// and body.
+// and body, or of the beginning of its body.
 const (
 	Suspect   = "suspect"   // may crash backend servers; its requests run alone
 	Convicted = "convicted" // crashes backend servers; its requests are refused
@@ -166,7 +167,8 @@
 	r.picker.Observe(at, servers)
 }
 
-// admit refuses a request if its route is unknown, its fingerprint is convicted, its
+// admit refuses a request if its route is unknown, its fingerprint or that of the
+// beginning of its body is convicted, its
 // deadline is too early for the expected times, or its workspace has used up its
 // share. Otherwise it counts the request as in flight until finish.
 func (r *Router) admit(at time.Duration, e Event) Verdict {
@@ -174,7 +176,8 @@
 	if !ok {
 		return Verdict{Reason: "no such route"}
 	}
-	if r.fingerprints[e.Fingerprint] == Convicted {
+	prefix, _ := quarantine.PrefixCause(e.PrefixDigest)
+	if r.fingerprints[e.Fingerprint] == Convicted || r.fingerprints[prefix.Fingerprint] == Convicted {
 		return Verdict{Reason: "quarantined: requests like it crash backend servers", RetryAfter: limit.RetryAfter(quarantineRetry, e.Fingerprint)}
 	}
 	expected, total := r.expectedTimes(at, route)
--- a/io/backend/serve.go
+++ b/io/backend/serve.go
@@ -90,7 +90,8 @@
 	conviction := s.quarantine[request.GetFingerprint()]
 	actions := s.step(stage.Event{
 		Kind: stage.Submit, Key: key, Deadline: arrived + budget, Expected: time.Duration(request.GetExpectedMillis()) * time.Millisecond,
-		Once: request.GetOnce(), Alone: request.GetAlone() || conviction != nil, Convicted: conviction.GetConvicted(),
+		Once: request.GetOnce(), Alone: request.GetAlone() || conviction != nil,
+		Convicted:   conviction.GetConvicted() || s.quarantine[prefixOf(request).Fingerprint].GetConvicted(),
 		Fingerprint: request.GetFingerprint(), Generation: request.GetGeneration(),
 	})
 	for _, a := range actions {
--- a/io/backend/sidecar.go
+++ b/io/backend/sidecar.go
@@ -14,6 +14,8 @@
 	"tanagerroad"
 	"tanagerroad/core/directory"
 	"tanagerroad/core/event"
+	"tanagerroad/core/quarantine"
+	"tanagerroad/core/router"
 	"tanagerroad/core/settings"
 	"tanagerroad/core/stage"
 	"tanagerroad/core/table"
@@ -45,11 +47,13 @@
 // CrashReport is published for each request that was running when the backend
 // server crashed, and for a suspected request that has been cleared.
 type CrashReport struct {
-	Fingerprint uint64 `json:"fingerprint"`
-	Route       string `json:"route"`
-	Alone       bool   `json:"alone"`    // nothing else ran at the same time
-	ID          string `json:"id"`       // unique, so that a report sent twice counts once
-	Cleared     bool   `json:"harmless"` // not a crash: a suspected request ran alone without one
+	Fingerprint uint64           `json:"fingerprint"`
+	Route       string           `json:"route"`
+	Alone       bool             `json:"alone"`    // nothing else ran at the same time
+	ID          string           `json:"id"`       // unique, so that a report sent twice counts once
+	Cleared     bool             `json:"harmless"` // not a crash: a suspected request ran alone without one
+	Start       int64            `json:"start"`    // generation of the backend server that crashed
+	Prefix      quarantine.Cause `json:"prefix"`   // zero: the input is short, or the answer had begun to arrive
 }
 
 // Sidecar runs attempts on one backend server, serves their results to entries and
@@ -300,7 +304,10 @@
 		ID: fmt.Sprintf("%s/%d/%s", s.config.Settings.Process, s.generation, a.Key),
 	}
 	if r != nil {
-		report.Route = r.request.GetRoute()
+		report.Route, report.Start = r.request.GetRoute(), int64(s.announced.Generation)
+		if r.size() == 0 {
+			report.Prefix = prefixOf(r.request)
+		}
 	}
 	// Publish waits for the handlers, and they must not wait for the lock that the
 	// caller holds.
@@ -311,6 +318,42 @@
 	})
 }
 
+// prefixOf returns the cause that an attempt shares with all whose inputs begin alike.
+func prefixOf(request *wire.RunRequest) quarantine.Cause {
+	cause, _ := quarantine.PrefixCause(router.PrefixDigest(request.GetInput()))
+	return cause
+}
+
+// reportPrefix reports a crash of the backend server with what the request has in common
+// with others.
+func (s *Sidecar) reportPrefix(c CrashReport) {
+	err := s.control.ReportCrash(s.ctx, &wire.CrashReport{
+		Server: s.config.Settings.Process, Start: c.Start,
+		Suspects: []*wire.CrashSuspect{{Begun: true, Causes: []*wire.Cause{{Fingerprint: c.Prefix.Fingerprint, Label: c.Prefix.Label}}}},
+	})
+	if err != nil {
+		event.ReportFailed.Log(s.config.Logger, zap.Error(err))
+	}
+}
+
+// clearPrefix takes what a completed request has in common with others out of the
+// quarantine, if it is there. The caller holds the lock.
+func (s *Sidecar) clearPrefix(r *record) {
+	if len(s.quarantine) == 0 {
+		return
+	}
+	prefix := prefixOf(r.request).Fingerprint
+	if s.quarantine[prefix] == nil {
+		return
+	}
+	delete(s.quarantine, prefix) // until the next update: once is enough
+	s.goroutines.Go(func() {
+		if err := s.control.ClearCauses(s.ctx, []uint64{prefix}); err != nil {
+			event.ReportFailed.Log(s.config.Logger, zap.Error(err))
+		}
+	})
+}
+
 // crashReportTimeout bounds the attempts to commit a crash report to the replicated
 // log.
 const crashReportTimeout = 10 * time.Second
@@ -329,6 +372,9 @@
 	} else {
 		event.BackendCrashed.Log(s.config.Logger, zap.Uint64("fingerprint", c.Fingerprint), zap.String("route", c.Route), zap.Bool("alone", c.Alone))
 		s.incCounter("crashes")
+		if c.Prefix.Fingerprint != 0 {
+			s.goroutines.Go(func() { s.reportPrefix(c) })
+		}
 	}
 	if _, err := s.control.Propose(ctx, command); err != nil {
 		event.BusFailed.Log(s.config.Logger, zap.String("topic", string(TopicCrash)), zap.Error(err))
@@ -375,6 +421,7 @@
 	}
 	switch result.kind {
 	case completed:
+		s.clearPrefix(r)
 		s.step(stage.Event{Kind: stage.Finish, Key: key, Bytes: r.size()})
 		r.close(s.endPart(r))
 	case notRun:
--- a/io/caller/handler.go
+++ b/io/caller/handler.go
@@ -106,7 +106,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	return e.stepRouterLocked(router.Event{
-		Kind: router.Admit, Route: config.Route.Name, Workspace: config.Workspace, Fingerprint: config.Fingerprint,
+		Kind: router.Admit, Route: config.Route.Name, Workspace: config.Workspace, Fingerprint: config.Fingerprint, PrefixDigest: router.PrefixDigest(config.Body),
 		Remaining: config.Deadline - e.config.Clock.Now(), Seed: seed,
 	})
 }
--- a/io/control/client.go
+++ b/io/control/client.go
@@ -13,6 +13,7 @@
 
 	"tanagerroad"
 	"tanagerroad/core/event"
+	"tanagerroad/core/quarantine"
 	"tanagerroad/core/registry"
 	"tanagerroad/core/wire"
 	"tanagerroad/io/peer"
@@ -25,6 +26,7 @@
 	callTimeout         = time.Second     // for one call to one instance
 	retryDelay          = 50 * time.Millisecond
 	watchRetryDelay     = 200 * time.Millisecond
+	reportDelay         = 100 * time.Millisecond // for the reports of other processes to travel
 )
 
 // Client sends commands and reads to the control instance that leads. It finds the
@@ -121,6 +123,41 @@
 	return &wire.Outcome{Kind: registry.NoQuorum, Reason: "no leader with a quorum could be reached"}, nil
 }
 
+// reportRetention bounds the attempts to commit a crash report.
+const reportRetention = 5 * time.Second
+
+// ReportCrash reports the crash of a backend server, and once more when the reports of
+// other processes must have arrived.
+func (c *Client) ReportCrash(ctx context.Context, report *wire.CrashReport) error {
+	ctx, cancel := context.WithTimeout(ctx, reportRetention)
+	defer cancel()
+	again := &wire.CrashReport{Server: report.GetServer(), Start: report.GetStart()}
+	for _, r := range []*wire.CrashReport{report, again} {
+		outcome, err := c.Propose(ctx, &wire.Command{Body: &wire.Command_CrashReport{CrashReport: r}})
+		if err != nil {
+			return err
+		}
+		if outcome.GetKind() != registry.Accepted {
+			return errors.New(outcome.GetReason())
+		}
+		if r == report {
+			sleep(ctx, quarantine.DefaultConfig().SettleTime+reportDelay)
+		}
+	}
+	return nil
+}
+
+// ClearCauses takes causes out of the quarantine.
+func (c *Client) ClearCauses(ctx context.Context, fingerprints []uint64) error {
+	ctx, cancel := context.WithTimeout(ctx, reportRetention)
+	defer cancel()
+	outcome, err := c.Propose(ctx, &wire.Command{Body: &wire.Command_ClearCauses{ClearCauses: &wire.ClearCauses{Fingerprints: fingerprints}}})
+	if err == nil && outcome.GetKind() != registry.Accepted {
+		err = errors.New(outcome.GetReason())
+	}
+	return err
+}
+
 func sleep(ctx context.Context, d time.Duration) {
 	select {
 	case <-ctx.Done():
--- a/io/demo/demo_test.go
+++ b/io/demo/demo_test.go
@@ -306,6 +306,37 @@
 	}
 }
 
+// TestSharedPrefixKeepsCrashingServers guards against requests that crash every backend
+// server because of how they begin, and of which no two are alike. They must be refused
+// after at most eight crashes, and requests that begin otherwise must be served.
+func TestSharedPrefixKeepsCrashingServers(t *testing.T) {
+	c, ctx := startCluster(t, nil)
+	prefix := standin.FaultCrash + strings.Repeat("a", 300)
+	sound := load.Request{Route: "history", Body: []byte(strings.Repeat("b", 300)), Repeatable: true}
+	var last load.Reply
+	for i := range 12 {
+		last = call(t, ctx, c, i%3, load.Request{ID: fmt.Sprintf("prefix-%d", i), Route: "history", Body: fmt.Appendf(nil, "%s %d", prefix, i), Repeatable: true})
+		if last.Kind == tanagerroad.AnswerComplete {
+			t.Fatal("a request that crashes its server was answered")
+		}
+		served := 0
+		for end := time.Now().Add(5 * time.Second); served < 4 && time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+			if call(t, ctx, c, served%3, sound).Verified {
+				served++
+			}
+		}
+		if served < 4 {
+			t.Fatalf("after %d requests that crash servers, and %d crashes: a request that begins otherwise is not served", i+1, crashCount(c))
+		}
+	}
+	if last.Kind != tanagerroad.AnswerNotRun || !strings.Contains(last.Reason, "quarantined") {
+		t.Errorf("the twelfth request was answered with %s (%s), want not-run and quarantined", last.Kind, last.Reason)
+	}
+	if n := crashCount(c); n > 8 {
+		t.Errorf("they crashed %d backend servers, want at most 8", n)
+	}
+}
+
 // crashCount returns the number of crashes of all stand-ins.
 func crashCount(c *demo.Cluster) int {
 	n := 0
--- a/io/gateway/crashes.go
+++ b/io/gateway/crashes.go
@@ -22,8 +22,6 @@
 	// crashWindow is how long the attempts that end with a backend server are
 	// collected before they are reported.
 	crashWindow = 100 * time.Millisecond
-	// proposeTimeout bounds the attempts to commit a report to the replicated log.
-	proposeTimeout = 5 * time.Second
 	// trialClaimTimeout bounds how long a request waits for the grant of a trial.
 	trialClaimTimeout = 500 * time.Millisecond
 )
@@ -63,8 +61,8 @@
 	}
 	ctx, cancel := context.WithTimeout(x.ctx, trialClaimTimeout)
 	defer cancel()
-	outcome := x.g.propose(ctx, &wire.Command{Body: &wire.Command_ClaimTrial{ClaimTrial: &wire.ClaimTrial{Fingerprint: verdict.Cause.Fingerprint}}})
-	if outcome.GetKind() != registry.Granted {
+	outcome, err := x.g.control.Propose(ctx, &wire.Command{Body: &wire.Command_ClaimTrial{ClaimTrial: &wire.ClaimTrial{Fingerprint: verdict.Cause.Fingerprint}}})
+	if err != nil || outcome.GetKind() != registry.Granted {
 		return
 	}
 	x.trialOf.Store(verdict.Cause.Fingerprint)
@@ -96,19 +94,14 @@
 	if len(fingerprints) == 0 {
 		return
 	}
-	go g.propose(g.ctx, &wire.Command{Body: &wire.Command_ClearCauses{ClearCauses: &wire.ClearCauses{Fingerprints: fingerprints}}})
+	go func() { g.logReportFailed(g.control.ClearCauses(g.ctx, fingerprints)) }()
 }
 
-// propose appends a command to the replicated log. It returns nil if that failed.
-func (g *Gateway) propose(ctx context.Context, command *wire.Command) *wire.Outcome {
-	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
-	defer cancel()
-	outcome, err := g.control.Propose(ctx, command)
-	if err != nil || outcome.GetKind() == registry.NoQuorum {
-		event.ReportFailed.Log(g.config.Logger, zap.String("outcome", outcome.GetKind()), zap.Error(err))
-		return nil
+// logReportFailed logs the error of a report, if there is one.
+func (g *Gateway) logReportFailed(err error) {
+	if err != nil {
+		event.ReportFailed.Log(g.config.Logger, zap.Error(err))
 	}
-	return outcome
 }
 
 // recordBrokenAttempt records that an attempt ended with its connection before its answer
@@ -134,9 +127,7 @@
 // attempts ended with it, unless it still accepts connections.
 func (g *Gateway) reportCrash(server tanagerroad.Announcement) {
 	start := serverStart{server.ID, server.StartMillis}
-	ctx, cancel := context.WithTimeout(g.ctx, proposeTimeout)
-	defer cancel()
-	crashed := g.client.Refuses(ctx, server.Address)
+	crashed := g.client.Refuses(g.ctx, server.Address)
 	g.mu.Lock()
 	suspects := g.broken[start]
 	delete(g.broken, start)
@@ -157,16 +148,7 @@
 	g.meters.count("servers.crashed")
 	event.ServerCrashed.Log(g.config.Logger, zap.String("server", server.ID), zap.String("pool", server.Pool), zap.Int64("start", server.StartMillis),
 		zap.Int("suspects", len(suspects)), zap.Int("begun", begun), zap.Strings("causes", labels))
-	for _, s := range [][]*wire.CrashSuspect{suspects, nil} { // see quarantine.Ledger.Report
-		g.propose(g.ctx, &wire.Command{Body: &wire.Command_CrashReport{CrashReport: &wire.CrashReport{
-			Server: server.ID, Start: server.StartMillis, Suspects: s,
-		}}})
-		select {
-		case <-g.ctx.Done():
-			return
-		case <-time.After(quarantine.DefaultConfig().SettleTime + crashWindow):
-		}
-	}
+	g.logReportFailed(g.control.ReportCrash(g.ctx, &wire.CrashReport{Server: server.ID, Start: server.StartMillis, Suspects: suspects}))
 }
 
 // applyQuarantine applies a quarantine that a control instance sent, and ends the requests
