io/gateway, core/batch: pieces that crash backend servers are refused

A piece that crashes the server that runs it was tried four times, each time in a call with pieces of other requests, and again whenever its request came back. Change: after a crash the jobs of a call run by themselves, so that the one that crashes servers is told from those beside it; the owner reports the crash with the cause of each job (the request and the pool) and takes an answered call as a sign against it; a convicted request is refused at its gateway before its stages, and its pieces are not tried again.

--- a/core/batch/batch.go
+++ b/core/batch/batch.go
@@ -78,6 +78,8 @@
 	Zone           string        // preferred availability zone; empty: any
 	CrossZoneBytes int           // bytes transferred between zones if executed outside Zone
 	LastUse        bool          // no other stage reads the inputs
+	Cause          uint64        // fingerprint of what may make it crash backend servers; 0: none
+	alone          bool          // a call with it crashed a backend server: it shares none any more
 }
 
 // size returns the bytes to reserve for one result.
@@ -99,6 +101,8 @@
 	Expected          time.Duration // expected duration
 	Queued            int           // pieces left in the queue
 	ServerUncontended bool          // the server's previous call started without queueing
+	Crashed           bool          // the backend server crashed during the call
+	GiveUp            bool          // its pieces are not to be tried again
 	nominal           float64       // duration by the pool's traits, in nanoseconds
 
 	abandoned, ended bool
@@ -309,7 +313,8 @@
 			group = group[:limit]
 		}
 		size := int64(len(group)) * job.size()
-		if p.defers(at, job, w) || len(call.Pieces)+len(group) > p.traits.MaxBatch || size > free && (size <= p.traits.ResultSpace || w.resultBytes+w.pendingBytes > 0) {
+		shared := len(call.Pieces) > 0 && (job.alone || call.Pieces[0].Job.alone)
+		if shared || p.defers(at, job, w) || len(call.Pieces)+len(group) > p.traits.MaxBatch || size > free && (size <= p.traits.ResultSpace || w.resultBytes+w.pendingBytes > 0) {
 			rest = append(rest, group...)
 			continue
 		}
@@ -398,6 +403,17 @@
 	return max(overdueFactor*c.Expected, c.Expected+overdueSlack)
 }
 
+// Jobs returns the jobs of the call's pieces.
+func (c *Call) Jobs() []*Job {
+	var out []*Job
+	for _, q := range c.Pieces {
+		if len(out) == 0 || out[len(out)-1] != q.Job {
+			out = append(out, q.Job)
+		}
+	}
+	return out
+}
+
 // Abandon gives up on an overdue call, whose answer may be lost, and queues its
 // pieces again. If the call is answered after all, the first result of each
 // piece counts. Abandon returns false if the call has already ended or been
@@ -457,7 +473,8 @@
 		} else {
 			q.tries++
 		}
-		retry := reason != tanagerroad.PieceInputGone && reason != tanagerroad.PieceLate && at < q.Job.Deadline
+		q.Job.alone = q.Job.alone || call.Crashed
+		retry := reason != tanagerroad.PieceInputGone && reason != tanagerroad.PieceLate && at < q.Job.Deadline && !call.GiveUp
 		if retry && (full || q.tries < maxTries) {
 			p.queue = append(p.queue, q)
 			continue
--- a/core/quarantine/view.go
+++ b/core/quarantine/view.go
@@ -39,6 +39,17 @@
 	return out
 }
 
+// PieceCause returns what may make the pieces of a request crash the backend servers of a
+// pool, given the request's own cause: they may run in one pool and crash another.
+func PieceCause(request Cause, pool string) Cause {
+	return Cause{xxhash.Sum64String("pieces\x00" + pool + "\x00" + strconv.FormatUint(request.Fingerprint, 16)), pieceLabel}
+}
+
+const pieceLabel = "pieces of a request"
+
+// JobCause returns the cause of a job of pieces that was submitted with a fingerprint.
+func JobCause(fingerprint uint64) Cause { return Cause{fingerprint, pieceLabel} }
+
 // PrefixCause returns the cause that requests have in common whose inputs begin alike.
 // digest is the digest of that beginning; 0: the input is too short.
 func PrefixCause(digest uint64) (Cause, bool) {
--- a/io/gateway/batcher.go
+++ b/io/gateway/batcher.go
@@ -16,6 +16,7 @@
 	"tanagerroad"
 	"tanagerroad/core/batch"
 	"tanagerroad/core/event"
+	"tanagerroad/core/quarantine"
 	"tanagerroad/core/shed"
 	"tanagerroad/core/wire"
 	"tanagerroad/io/http1"
@@ -128,7 +129,7 @@
 			Deadline: now + time.Duration(job.GetLeftMillis())*time.Millisecond,
 			Due:      now + time.Duration(job.GetSlackMillis())*time.Millisecond,
 			Priority: int(job.GetPriority()), Bytes: int(job.GetResultBytes()),
-			Zone: job.GetZone(), CrossZoneBytes: int(job.GetPullBytes()), LastUse: job.GetLastUse(),
+			Zone: job.GetZone(), CrossZoneBytes: int(job.GetPullBytes()), LastUse: job.GetLastUse(), Cause: job.GetCause(),
 		},
 		pool: job.GetPool(), number: job.GetNumber(), remaining: len(job.GetPieces()), deliver: deliver,
 	}
@@ -269,6 +270,7 @@
 	overdueTimer := time.AfterFunc(call.Timeout(), func() { b.abandon(name, p, call) })
 	outcomes, full, err := b.send(call, items)
 	overdueTimer.Stop()
+	b.recordCrash(call, outcomes, err)
 	if outcomes == nil && releaseTimer != nil {
 		releaseTimer.Stop()
 	}
@@ -294,6 +296,29 @@
 	b.dispatch(name, p)
 }
 
+// recordCrash records whether the backend server crashed during a call, or which jobs it
+// ran without.
+func (b *pieceBatcher) recordCrash(call *batch.Call, outcomes []tanagerroad.PieceOutcome, err error) {
+	jobs := call.Jobs()
+	if outcomes != nil {
+		var causes []quarantine.Cause
+		for _, job := range jobs {
+			causes = append(causes, quarantine.JobCause(job.Cause))
+		}
+		b.g.recordBegin(causes)
+		return
+	}
+	call.Crashed = endsWithConnection(err) && !isUnsent(err) && b.g.client.Refuses(b.g.ctx, call.Server.Address)
+	if !call.Crashed {
+		return
+	}
+	for _, job := range jobs {
+		causes := []quarantine.Cause{quarantine.JobCause(job.Cause)}
+		call.GiveUp = call.GiveUp || b.g.isQuarantined(causes)
+		b.g.recordBrokenAttempt(call.Server, causes, len(jobs) == 1)
+	}
+}
+
 // abandon queues the pieces of an overdue call again, for other backend servers.
 func (b *pieceBatcher) abandon(name string, p *batch.Pool, call *batch.Call) {
 	b.mu.Lock()
--- a/io/gateway/crashes.go
+++ b/io/gateway/crashes.go
@@ -16,6 +16,7 @@
 	"tanagerroad/core/quarantine"
 	"tanagerroad/core/registry"
 	"tanagerroad/core/wire"
+	"tanagerroad/io/http1"
 )
 
 const (
@@ -36,11 +37,18 @@
 // have meanwhile been convicted of crashing backend servers.
 var errQuarantined = errors.New("the request is quarantined")
 
+// isQuarantined reports whether one of the causes is convicted.
+func (g *Gateway) isQuarantined(causes []quarantine.Cause) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.quarantine.Check(g.now(), causes, 0).Convicted
+}
+
 // checkQuarantine returns errQuarantined, and sets the reason and the retry delay, if
 // requests like this one crash backend servers.
 func (x *exchange) checkQuarantine() error {
 	x.g.mu.Lock()
-	verdict := x.g.quarantine.Check(x.g.now(), x.causes, x.trialOf.Load())
+	verdict := x.g.quarantine.Check(x.g.now(), x.allCauses, x.trialOf.Load())
 	x.g.mu.Unlock()
 	if !verdict.Convicted {
 		return nil
@@ -54,7 +62,7 @@
 // gateway has been granted it.
 func (x *exchange) claimTrial() {
 	x.g.mu.Lock()
-	verdict := x.g.quarantine.Check(x.g.now(), x.causes, 0)
+	verdict := x.g.quarantine.Check(x.g.now(), x.allCauses, 0)
 	x.g.mu.Unlock()
 	if !verdict.Convicted || verdict.Left > 0 {
 		return
@@ -81,14 +89,19 @@
 func (x *exchange) recordProgress(p attempt.Progress) {
 	if p == attempt.Flowing && x.progress != attempt.Flowing {
 		x.flowing.Store(true)
-		x.g.mu.Lock()
-		clearable := x.g.quarantine.RecordBegin(x.g.now(), x.causes)
-		x.g.mu.Unlock()
-		x.g.clearCauses(clearable)
+		x.g.recordBegin(x.causes)
 	}
 	x.progress = p
 }
 
+// recordBegin records that something with these causes got an answer.
+func (g *Gateway) recordBegin(causes []quarantine.Cause) {
+	g.mu.Lock()
+	clearable := g.quarantine.RecordBegin(g.now(), causes)
+	g.mu.Unlock()
+	g.clearCauses(clearable)
+}
+
 // clearCauses asks the control instances to take causes out of the quarantine.
 func (g *Gateway) clearCauses(fingerprints []uint64) {
 	if len(fingerprints) == 0 {
@@ -172,12 +185,18 @@
 	g.stopMu.Lock()
 	defer g.stopMu.Unlock()
 	for x, cancel := range g.cancels {
-		if g.quarantine.Check(now, x.causes, x.trialOf.Load()).Convicted && !x.flowing.Load() {
+		if g.quarantine.Check(now, x.allCauses, x.trialOf.Load()).Convicted && !x.flowing.Load() {
 			cancel()
 		}
 	}
 }
 
+// isUnsent reports whether an error means that no byte of a request was written.
+func isUnsent(err error) bool {
+	var unsent *http1.UnsentError
+	return errors.As(err, &unsent)
+}
+
 // endsWithConnection reports whether an error means that a connection has ended, rather
 // than that it was silent for too long.
 func endsWithConnection(err error) bool { return err != nil && !errors.Is(err, os.ErrDeadlineExceeded) }
--- a/io/gateway/exchange.go
+++ b/io/gateway/exchange.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -98,6 +99,7 @@
 	version     string             // of the model weights that the stream started with
 	server      string             // id of the backend server of the latest attempt; empty: none was chosen
 	causes      []quarantine.Cause // what may make the request crash backend servers
+	allCauses   []quarantine.Cause // the same, and what may make its pieces do so
 	trialOf     atomic.Uint64      // fingerprint of the convicted cause that the request is a trial of; 0: none
 	progress    attempt.Progress   // of the answer to the latest attempt
 	brokenOff   bool               // the latest attempt ended with its connection
@@ -181,6 +183,10 @@
 		Repeat: x.route.Repeatability, Resumable: x.route.Resumable, MaxServers: x.route.MaxServers, Deadline: x.deadline,
 	}
 	x.causes = quarantine.Causes(x.r.Host+x.target(), x.workspace, body, x.headers.PromptParts)
+	x.allCauses = slices.Clone(x.causes)
+	for _, stage := range x.route.Stages {
+		x.allCauses = append(x.allCauses, quarantine.PieceCause(x.causes[0], stage.Pool))
+	}
 	event.RequestArrived.Log(g.config.Logger, zap.String("request", x.headers.AttemptID), zap.String("route", x.route.Name))
 	return true
 }
--- a/io/gateway/stages.go
+++ b/io/gateway/stages.go
@@ -10,6 +10,7 @@
 	"tanagerroad/core/attempt"
 	"tanagerroad/core/event"
 	"tanagerroad/core/pipeline"
+	"tanagerroad/core/quarantine"
 	"tanagerroad/core/wire"
 )
 
@@ -106,6 +107,7 @@
 		Request: x.headers.AttemptID, Pool: job.Pool, Stage: uint32(job.Stage), Inputs: job.Inputs,
 		LeftMillis: (job.Deadline - now).Milliseconds(), SlackMillis: (job.Due - now).Milliseconds(),
 		Priority: int32(x.priority), ResultBytes: uint32(job.Bytes), Zone: job.Zone, PullBytes: uint32(job.CrossZoneBytes), LastUse: job.LastUse,
+		Cause: quarantine.PieceCause(x.causes[0], job.Pool).Fingerprint,
 	}
 	if len(job.Inputs) == 0 {
 		message.Key = x.headers.PieceKey
--- a/io/gateway/try.go
+++ b/io/gateway/try.go
@@ -119,8 +119,7 @@
 	if err != nil {
 		x.reason = err.Error()
 		failed := fleet.Outcome{Failed: x.ctx.Err() == nil && !errors.Is(err, errServerUnavailable) && !errors.Is(err, errQuarantined)}
-		var unsent *http1.UnsentError
-		if errors.As(err, &unsent) {
+		if isUnsent(err) {
 			return attempt.Unsent, 0, failed
 		}
 		x.brokenOff = endsWithConnection(err)
