--- a/core/quarantine/quarantine_test.go
+++ b/core/quarantine/quarantine_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"os"
 	"slices"
 	"testing"
 
 	"github.com/cespare/xxhash/v2"
+	"google.golang.org/protobuf/proto"
 
 	"tanagerroad/core/quarantine"
 	"tanagerroad/core/wire"
@@ -90,3 +92,30 @@
 		}
 	}
 }
+
+// BenchmarkReport adds a report of three requests to a ledger that holds as many crashes
+// as it may, and tells the size of the report.
+func BenchmarkReport(b *testing.B) {
+	l := quarantine.New(quarantine.DefaultConfig())
+	report := func(i int) *wire.CrashReport {
+		r := &wire.CrashReport{Server: fmt.Sprint("i-", i), Start: int64(i)}
+		for n := range 3 {
+			name := fmt.Sprint(i, "/", n)
+			r.Suspects = append(r.Suspects, suspects([][]string{{"request to h/" + name, "prompt part " + name, "prompt part f" + name}}, n == 0)...)
+		}
+		return r
+	}
+	at := int64(0)
+	for i := range 300 {
+		at += 10
+		l.Report(at, report(i))
+	}
+	b.ResetTimer()
+	for i := range b.N {
+		if i%100 == 99 {
+			at++
+		}
+		l.Report(at, report(1000+i))
+	}
+	b.ReportMetric(float64(proto.Size(report(0))), "bytes/report")
+}
