platform, io/gateway: the limits that backend servers name, in the log

Change: Server-Limit is decoded once, into requests a second; core/fleet keeps the latest for each start of a server; routed has try and limit with its age, server-limited (229) and servers.limited tell of changes and of values that are no number. No decision reads them.

--- a/core/event/event.go
+++ b/core/event/event.go
@@ -76,6 +76,7 @@
 	QuarantineChanged      = define(226, zap.InfoLevel, "quarantine", "A control instance sent another quarantine: what is convicted and refused, and what one more crash would convict.")
 	ReportFailed           = define(227, zap.WarnLevel, "report-failed", "A gateway or a sidecar could not commit a report about crashing backend servers to the replicated log.")
 	QuarantineTrial        = define(228, zap.InfoLevel, "quarantine-trial", "A request with a convicted cause is sent, to find out whether it still crashes backend servers.")
+	ServerLimited          = define(229, zap.InfoLevel, "server-limited", "A backend server named in an answer how many requests a second it takes from all gateways together, or another number than before; 0: it named none any more. invalid is a value that is no such number and is ignored.")
 	LinesDropped           = define(108, zap.WarnLevel, "lines-dropped", "Log lines were dropped because the rate limit was exceeded or the reader is slow.")
 	Reloaded               = define(109, zap.InfoLevel, "reloaded", "The settings file was reloaded; bytes is its size.")
 	ReloadFailed           = define(110, zap.ErrorLevel, "reload-failed", "The settings file could not be reloaded; the previous settings stay in force.")
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -91,13 +91,14 @@
 	regions map[string]string // by zone
 	servers map[string]*server
 	pools   map[string][]*server
-	pauses  map[string]Pause // by id; kept while a backend server is not usable for a while
+	pauses  map[string]Pause       // by id; kept while a backend server is not usable for a while
+	limits  map[string]ServerLimit // by id
 	version uint64
 }
 
 // New returns an empty fleet; regions holds the region of each zone.
 func New(regions map[string]string) *Fleet {
-	return &Fleet{regions: regions, servers: map[string]*server{}, pools: map[string][]*server{}, pauses: map[string]Pause{}}
+	return &Fleet{regions: regions, servers: map[string]*server{}, pools: map[string][]*server{}, pauses: map[string]Pause{}, limits: map[string]ServerLimit{}}
 }
 
 // Update replaces the set of usable backend servers. The statistics of a backend
--- a/dialect.go
+++ b/dialect.go
@@ -49,10 +49,14 @@
 	// requests from this instance; 0: not specified.
 	RetryAfter        time.Duration
 	InvalidRetryAfter string // the value of that header, if it is no time
-	Version           string // version of the model's weights; empty: not specified
-	Running           int    // requests executing on the backend server
-	Waiting           int    // requests queued on the backend server
-	Slots             int    // requests that the backend server executes at once; 0: load not specified
+	// Limit is how many requests a second the backend server takes from all instances
+	// together; 0: any number.
+	Limit        float64
+	InvalidLimit string // the value of that header, if it is no such number
+	Version      string // version of the model's weights; empty: not specified
+	Running      int    // requests executing on the backend server
+	Waiting      int    // requests queued on the backend server
+	Slots        int    // requests that the backend server executes at once; 0: load not specified
 }
 
 // PieceItem asks a backend server to run one piece of a stage.
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -257,6 +257,7 @@
 	if reply.RetryAfter > 0 || reply.InvalidRetryAfter != "" {
 		g.heedPause(server, reply)
 	}
+	g.heedLimit(server, reply)
 }
 
 func (g *Gateway) heedDeparture(server tanagerroad.Announcement) {
@@ -286,6 +287,23 @@
 		zap.Duration("asked", reply.RetryAfter), zap.Duration("until-end", until-now), zap.String("invalid", reply.InvalidRetryAfter))
 }
 
+// heedLimit records the limit that a backend server named in an answer, or that it named
+// none. An answer that rejects a request may leave it out.
+func (g *Gateway) heedLimit(server tanagerroad.Announcement, reply tanagerroad.ResponseHeaders) {
+	if reply.Limit == 0 && reply.InvalidLimit == "" && reply.NotRun {
+		return
+	}
+	g.mu.Lock()
+	limit := fleet.ServerLimit{ID: server.ID, StartMillis: server.StartMillis, PerSecond: reply.Limit, HeardAt: g.now()}
+	changed := g.fleet.RecordLimit(limit)
+	g.mu.Unlock()
+	if changed || reply.InvalidLimit != "" {
+		g.meters.count("servers.limited")
+		event.ServerLimited.Log(g.config.Logger, zap.String("server", server.ID), zap.String("pool", server.Pool),
+			zap.Float64("limit", reply.Limit), zap.String("invalid", reply.InvalidLimit))
+	}
+}
+
 // pauseLeft returns how long the backend server at an address wants no more requests.
 func (g *Gateway) pauseLeft(address string) time.Duration {
 	g.mu.Lock()
--- a/io/gateway/try.go
+++ b/io/gateway/try.go
@@ -42,6 +42,7 @@
 	if !ok {
 		pausedUntil = g.fleet.PoolPausedUntil(now, x.pool)
 	}
+	limit, _ := g.fleet.Limit(choice.Announcement)
 	g.mu.Unlock()
 	if pausedUntil > 0 {
 		x.reason, x.pausedUntil = "all backend servers want no requests for a time", pausedUntil
@@ -58,7 +59,8 @@
 	event.Routed.Log(g.config.Logger, zap.String("request", x.headers.AttemptID), zap.String("route", x.route.Name), zap.String("pool", x.pool),
 		zap.String("server", choice.ID), zap.Duration("cost", choice.Cost), zap.Int("in-flight", choice.InFlight),
 		zap.Int("reported", choice.ReportedLoad), zap.Duration("report-age", choice.ReportAge), zap.Int("kept", choice.CachedTokens),
-		zap.Int("candidates", choice.Candidates), zap.Uint64("roster", version), zap.Duration("left", x.deadline-now), avoidedField(now, departures, pauses))
+		zap.Int("candidates", choice.Candidates), zap.Uint64("roster", version), zap.Duration("left", x.deadline-now), zap.Int("try", x.retryState.Attempts()),
+		limitField(now, limit), avoidedField(now, departures, pauses))
 	end, status, outcome := x.send(choice)
 	x.endTrial()
 	if x.brokenOff && x.progress != attempt.Flowing {
@@ -73,6 +75,15 @@
 	return end, status
 }
 
+// limitField returns the log field with the limit of a backend server, if it has one, and
+// how long ago an answer named it.
+func limitField(now time.Duration, l fleet.ServerLimit) zap.Field {
+	if l.PerSecond == 0 {
+		return zap.Skip()
+	}
+	return zap.String("limit", fmt.Sprintf("%g/s, said %v ago", l.PerSecond, now-l.HeardAt))
+}
+
 // avoidedField returns the log field with the backend servers that were passed over
 // because of what they had said in an answer, and how long ago that was.
 func avoidedField(now time.Duration, departures []roster.Departure, pauses []fleet.Pause) zap.Field {
