core/fleet, core/batch, io/gateway: gateways share the limits that backend servers name

A model engine that names how many requests a second it takes from all instances went on getting three and more times that. Had each gateway read it for itself, eight would have sent eight times as much (hypothesis 2). Ruled out: repeats (hypothesis 3; nothing distinguished them). Change: gateways tell the control instances what they heard, with its age, and get what the others heard with their watches. A limit is divided among as many gateways as get one request a second each, by rendezvous hashing of the server and the gateways, so that they agree without asking; each has a token bucket that starts empty. A server whose limit allows nothing now is passed over like one that pauses, also just before a request is written; a pool of which none does lets requests wait, or refuses them at once with that time. Limited servers are nobody's home for prompts. When no answer comes for 5 s other gateways take their turn; a gateway that may sends the next request to a server that it has not heard of for 2 s, and an answer without a limit ends it everywhere. The owner of pieces spaces calls to a limited server by itself, counts its capacity by the limit, and does not ask it to free results. Before: TestServersGetMoreThanTheirLimit red in four cases (up to 391 requests in 4 s, allowed 11); its fake engines now name the limit in streams too, on the old code still red in all four.

--- a/core/batch/batch.go
+++ b/core/batch/batch.go
@@ -164,6 +164,16 @@
 	}
 }
 
+// SetLimit sets how many calls a second a backend server takes; 0: any number.
+func (p *Pool) SetLimit(at time.Duration, id string, startMillis int64, perSecond float64) {
+	w := p.workers[id]
+	if w == nil || w.StartMillis != startMillis || w.limit == perSecond {
+		return
+	}
+	w.limit, w.limitedUntil = perSecond, 0
+	w.recordCall(at) // calls were just sent without a limit
+}
+
 // QueueLen returns the number of queued pieces.
 func (p *Pool) QueueLen() int { return len(p.queue) }
 
@@ -176,7 +186,15 @@
 // second.
 func (p *Pool) Capacity() float64 {
 	full := p.traits.CallTime + time.Duration(p.traits.MaxBatch)*p.traits.PieceTime
-	return float64(len(p.workers)) * float64(p.traits.MaxBatch) / (full.Seconds() * max(p.slowdown, 0.1))
+	perWorker, calls := 1/(full.Seconds()*max(p.slowdown, 0.1)), 0.0
+	for _, w := range p.workers {
+		if w.limit > 0 {
+			calls += min(w.limit, perWorker)
+		} else {
+			calls += perWorker
+		}
+	}
+	return calls * float64(p.traits.MaxBatch)
 }
 
 // PredictEnd returns when a job with the given number of pieces would finish if
@@ -195,7 +213,7 @@
 	}
 	nextFree := time.Duration(-1)
 	for _, w := range p.workers {
-		if busy := max(0, w.freeAt-at, w.pausedUntil-at); nextFree < 0 || busy < nextFree {
+		if busy := max(0, w.freeAt-at, w.pausedUntil-at, w.limitedUntil-at); nextFree < 0 || busy < nextFree {
 			nextFree = busy
 		}
 	}
@@ -331,6 +349,7 @@
 	call.Expected = time.Duration(float64(work) * w.slowdown)
 	call.Queued = len(rest)
 	w.calls++
+	w.recordCall(at)
 	w.freeAt = at + call.Expected
 	return call
 }
--- a/core/batch/worker.go
+++ b/core/batch/worker.go
@@ -15,6 +15,8 @@
 	slowdown     float64       // moving average of the call duration relative to the pool's traits
 	ejectedUntil time.Duration
 	pausedUntil  time.Duration // it wants no calls before
+	limit        float64       // calls a second that it takes; 0: any number
+	limitedUntil time.Duration // the limit allows no call before
 	idleSince    time.Duration
 	results      map[string]storedResult // by handle
 	resultBytes  int64                   // total size of results
@@ -47,7 +49,16 @@
 }
 
 // usableFrom returns when the backend server may get calls again.
-func (w *worker) usableFrom() time.Duration { return max(w.ejectedUntil, w.pausedUntil) }
+func (w *worker) usableFrom() time.Duration {
+	return max(w.ejectedUntil, w.pausedUntil, w.limitedUntil)
+}
+
+// recordCall counts a call against the limit.
+func (w *worker) recordCall(at time.Duration) {
+	if w.limit > 0 {
+		w.limitedUntil = at + time.Duration(float64(time.Second)/w.limit)
+	}
+}
 
 // idleWorkers lists the backend servers that have a free slot and are neither
 // ejected nor paused, in order of preference.
@@ -124,11 +135,11 @@
 }
 
 // ReleaseResults subtracts released results from the memory counted for their
-// backend servers.
+// backend servers. Those with a limit are not asked to free results.
 func (p *Pool) ReleaseResults(handles []string) {
 	for _, handle := range handles {
 		for _, w := range p.workers {
-			if r, ok := w.results[handle]; ok {
+			if r, ok := w.results[handle]; ok && w.limit == 0 {
 				w.resultBytes -= r.bytes
 				delete(w.results, handle)
 			}
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -54,7 +54,8 @@
 	ReportedLoad int // other requests there, running or queued, by its latest load report
 	ReportAge    time.Duration
 	Candidates   int
-	CachedTokens int // prompt tokens assumed to be cached there
+	CachedTokens int  // prompt tokens assumed to be cached there
+	Limited      bool // the request counts against a limit that the backend server named
 }
 
 // Outcome is what an attempt showed about its backend server.
@@ -88,17 +89,20 @@
 
 // Fleet is one gateway's view of the usable backend servers and their load.
 type Fleet struct {
-	regions map[string]string // by zone
-	servers map[string]*server
-	pools   map[string][]*server
-	pauses  map[string]Pause       // by id; kept while a backend server is not usable for a while
-	limits  map[string]ServerLimit // by id
-	version uint64
+	regions  map[string]string // by zone
+	servers  map[string]*server
+	pools    map[string][]*server
+	pauses   map[string]Pause // by id; kept while a backend server is not usable for a while
+	limits   Limits
+	buckets  map[string]*bucket // by id; of the backend servers with limits
+	self     string             // peer address of this gateway
+	gateways []string           // peer addresses of all gateways
+	version  uint64
 }
 
 // New returns an empty fleet; regions holds the region of each zone.
 func New(regions map[string]string) *Fleet {
-	return &Fleet{regions: regions, servers: map[string]*server{}, pools: map[string][]*server{}, pauses: map[string]Pause{}, limits: map[string]ServerLimit{}}
+	return &Fleet{regions: regions, servers: map[string]*server{}, pools: map[string][]*server{}, pauses: map[string]Pause{}, limits: Limits{}, buckets: map[string]*bucket{}}
 }
 
 // Update replaces the set of usable backend servers. The statistics of a backend
@@ -149,12 +153,13 @@
 
 // homeServer returns the backend server that should cache a prompt part, by
 // rendezvous hashing: gateways that know the same backend servers choose the same
-// one without communicating. Ejected, paused and warming-up servers are skipped.
+// one without communicating. Ejected, paused, limited and warming-up servers are skipped.
 func (f *Fleet) homeServer(at time.Duration, pool, part string) *server {
 	var best *server
 	var highest uint64
 	for _, s := range f.pools[pool] {
-		if at < s.ejectedUntil || s.WarmUp > 0 || f.PausedUntil(at, s.Announcement) > at {
+		_, limited := f.Limit(s.Announcement)
+		if at < s.ejectedUntil || s.WarmUp > 0 || limited || f.PausedUntil(at, s.Announcement) > at {
 			continue
 		}
 		if hash := xxhash.Sum64String(part + "|" + s.ID); best == nil || hash > highest {
@@ -178,7 +183,7 @@
 
 // Pick chooses the backend server with the lowest cost and counts the attempt as
 // in flight there. It returns false when the pool has no backend server that is
-// neither excluded nor paused.
+// neither excluded nor paused nor at its limit.
 func (f *Fleet) Pick(at time.Duration, req Request) (Choice, bool) {
 	var best *server
 	var lowest time.Duration
@@ -192,7 +197,7 @@
 	for i := range list {
 		// A random starting point spreads requests over servers of equal cost.
 		s := list[(uint64(i)+req.TieBreak)%uint64(len(list))]
-		if slices.Contains(req.Exclude, s.ID) || f.PausedUntil(at, s.Announcement) > at {
+		if slices.Contains(req.Exclude, s.ID) || f.unavailableUntil(at, s.Announcement) > 0 {
 			continue
 		}
 		candidates++
@@ -207,6 +212,7 @@
 	best.inFlight++
 	best.recordPromptParts(at, req.PromptParts)
 	return Choice{
+		Limited:      f.takeToken(best.Announcement),
 		Announcement: best.Announcement, Cost: lowest, InFlight: best.inFlight, ReportedLoad: best.othersRunning + best.queued,
 		ReportAge: at - best.reportAt, Candidates: candidates, CachedTokens: cached,
 	}, true
@@ -252,6 +258,8 @@
 	}
 	if at < s.ejectedUntil {
 		total += time.Hour // an ejected server is the last resort
+	} else if l, ok := f.Limit(s.Announcement); ok && at-l.HeardAt > limitRefresh {
+		total -= time.Hour // its next answer tells whether it still needs the limit
 	}
 	return total, cached
 }
@@ -359,14 +367,29 @@
 	return out
 }
 
-// PoolPausedUntil returns the earliest end of the pauses if all usable backend servers
-// of a pool are paused, and 0 otherwise.
+// unavailableUntil returns when a backend server takes the next request of this gateway: at
+// the end of its pause, or when its limit allows it; 0: now.
+func (f *Fleet) unavailableUntil(at time.Duration, a tanagerroad.Announcement) time.Duration {
+	if until := f.PausedUntil(at, a); until > 0 {
+		return until
+	}
+	return f.limitedUntil(at, a)
+}
+
+// PoolPausedUntil returns when the first of the usable backend servers of a pool takes
+// requests of this gateway, if all are paused or at their limits, and 0 otherwise.
 func (f *Fleet) PoolPausedUntil(at time.Duration, pool string) time.Duration {
-	pauses := f.Pauses(at, pool)
-	if len(pauses) == 0 || len(pauses) < len(f.pools[pool]) {
-		return 0
+	var first time.Duration
+	for _, s := range f.pools[pool] {
+		until := f.unavailableUntil(at, s.Announcement)
+		if until == 0 {
+			return 0
+		}
+		if first == 0 || until < first {
+			first = until
+		}
 	}
-	return pauses[0].Until
+	return first
 }
 
 // RecordMisplaced records that a different backend server answered at this one's
--- a/io/control/service.go
+++ b/io/control/service.go
@@ -18,6 +18,7 @@
 	"tanagerroad"
 	"tanagerroad/core/directory"
 	"tanagerroad/core/event"
+	"tanagerroad/core/fleet"
 	"tanagerroad/core/registry"
 	"tanagerroad/core/roster"
 	"tanagerroad/core/wire"
@@ -50,10 +51,11 @@
 	clock  tanagerroad.Clock
 	logger *zap.Logger
 
-	mu         sync.Mutex           // guards directory, roster and processes
+	mu         sync.Mutex           // guards directory, roster, processes and limits
 	directory  *directory.Directory // backend servers, from the notices of their sidecars
 	roster     *roster.Roster       // backend servers that announce themselves to control instances
 	processes  map[string]*process
+	limits     fleet.Limits   // that gateways reported
 	updated    *signal.Signal // wakes all watches to send an update
 	watchCtx   context.Context
 	EndWatches func() // cancels watchCtx and so ends all watches; their clients then connect to other instances
@@ -67,6 +69,7 @@
 		directory: directory.New(directory.DefaultConfig()),
 		roster:    roster.New(roster.DefaultConfig()),
 		processes: map[string]*process{},
+		limits:    fleet.Limits{},
 		updated:   signal.New(),
 	}
 	ctx, cancel := context.WithCancel(context.Background())
@@ -110,6 +113,7 @@
 	if len(lapsed) > 0 {
 		event.LeaseLapsed.Log(s.logger, zap.Strings("servers", lapsed), zap.Bool("suspect-ourselves", massLapse))
 	}
+	s.limits.Expire(now)
 	silent := s.roster.Expire(now, thisInstance)
 	for _, id := range silent {
 		event.ServerSilent.Log(s.logger, zap.String("server", id))
@@ -294,6 +298,11 @@
 	defer s.mu.Unlock()
 	now := s.clock.Now()
 	s.processes[notice.GetProcess()] = &process{notice, now}
+	for _, l := range notice.GetLimits() {
+		if s.limits.Record(peer.LimitFromWire(now, l)) {
+			s.updated.Broadcast()
+		}
+	}
 	server := notice.GetServer()
 	if notice.GetRenew() && announced != nil {
 		server = announced
@@ -339,6 +348,10 @@
 	if gateways := s.gateways(); !slices.Equal(gateways, w.gateways) {
 		update.Gateways, w.gateways = gateways, gateways
 	}
+	now := s.clock.Now()
+	for _, l := range s.limits.All() {
+		update.Limits = append(update.Limits, peer.LimitToWire(now, l))
+	}
 	if len(view.Instances) > 0 && !slices.Equal(view.Instances, w.instances) {
 		update.Instances, w.instances = view.Instances, view.Instances
 	}
--- a/io/gateway/batcher.go
+++ b/io/gateway/batcher.go
@@ -16,6 +16,7 @@
 	"tanagerroad"
 	"tanagerroad/core/batch"
 	"tanagerroad/core/event"
+	"tanagerroad/core/fleet"
 	"tanagerroad/core/quarantine"
 	"tanagerroad/core/shed"
 	"tanagerroad/core/wire"
@@ -90,23 +91,35 @@
 	return p
 }
 
-// setServers replaces the backend servers of all pools.
-func (b *pieceBatcher) setServers(at time.Duration, servers func(pool string) []tanagerroad.Announcement) {
+// setServers replaces the backend servers of all pools, and their limits.
+func (b *pieceBatcher) setServers(at time.Duration, servers func(pool string) []tanagerroad.Announcement, limits func(pool string) []fleet.ServerLimit) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for name, p := range b.pools {
 		p.SetServers(at, servers(name))
+		for _, l := range limits(name) {
+			p.SetLimit(at, l.ID, l.StartMillis, l.PerSecond)
+		}
 		b.dispatch(name, p)
 	}
 }
 
+// limit applies what a backend server said about its limit.
+func (b *pieceBatcher) limit(l fleet.ServerLimit) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, p := range b.pools {
+		p.SetLimit(b.g.now(), l.ID, l.StartMillis, l.PerSecond)
+	}
+}
+
 // submit queues a job, or delivers a refusal. streamID identifies the stream that
 // the job came on; with the job's number it identifies the job for cancel. deliver
 // is called with each result, which may cover some of the pieces only; it must not
 // block.
 func (b *pieceBatcher) submit(streamID string, job *wire.PieceJob, deliver func(*wire.PieceResult)) {
 	now := b.g.now()
-	servers := b.g.servers(job.GetPool())
+	servers, limits := b.g.servers(job.GetPool())
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	p := b.pool(job.GetPool())
@@ -116,6 +129,9 @@
 	}
 	if _, waiting := p.NextWake(now); !waiting { // the pool may be new, without servers
 		p.SetServers(now, servers)
+		for _, l := range limits {
+			p.SetLimit(now, l.ID, l.StartMillis, l.PerSecond)
+		}
 	}
 	b.admission.Release(job.GetRequest(), job.GetPool())
 	if decision := b.admit(now, job); !decision.Admit {
@@ -343,7 +359,7 @@
 	res, err := b.g.client.Do(ctx, http1.Request{
 		Address: call.Server.Address, Method: http.MethodPost, Target: b.g.config.Dialect.Paths().RunPieces, Host: call.Server.Address,
 		Header: b.g.config.Dialect.PieceRequestHeaders(call.Server.ID), Body: body,
-		Allow: func() error { return b.g.checkServer(call.Server) },
+		Allow: func() error { return b.g.checkServer(fleet.Choice{Announcement: call.Server, Limited: true}) },
 	})
 	if err != nil {
 		return nil, errors.Is(err, errServerUnavailable), err
@@ -437,6 +453,9 @@
 			time.AfterFunc(left, func() { b.release(handles) })
 			continue
 		}
+		if b.g.isLimited(address) {
+			continue // it drops the results after a while; calls are worth more
+		}
 		go func() {
 			if err := b.freeOn(address, handles); err != nil {
 				// Not retried: the backend server drops results after a while.
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -118,6 +118,7 @@
 		seeds:    config.Settings.Control,
 		cancels:  map[*exchange]func(){},
 	}
+	g.fleet.SetGateways(config.Settings.Peer.AdvertisedAddress(), g.gateways)
 	g.batcher = newPieceBatcher(g)
 	g.owners = newOwnerClient(g)
 	watches, closeWatches := control.NewWatchSet(g.watcher)
@@ -294,9 +295,11 @@
 		return
 	}
 	g.mu.Lock()
-	limit := fleet.ServerLimit{ID: server.ID, StartMillis: server.StartMillis, PerSecond: reply.Limit, HeardAt: g.now()}
-	changed := g.fleet.RecordLimit(limit)
+	changed := g.recordLimit(fleet.ServerLimit{ID: server.ID, StartMillis: server.StartMillis, PerSecond: reply.Limit, HeardAt: g.now(), Own: true})
 	g.mu.Unlock()
+	if changed {
+		g.noticeDue.Broadcast()
+	}
 	if changed || reply.InvalidLimit != "" {
 		g.meters.count("servers.limited")
 		event.ServerLimited.Log(g.config.Logger, zap.String("server", server.ID), zap.String("pool", server.Pool),
@@ -312,16 +315,23 @@
 	return max(0, g.fleet.AddressPausedUntil(now, address)-now)
 }
 
+// isLimited reports whether the backend server at an address named a limit.
+func (g *Gateway) isLimited(address string) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.fleet.AddressLimited(address)
+}
+
 // errServerUnavailable is the error of a request that was not sent since its backend
 // server leaves or wants no requests.
 var errServerUnavailable = errors.New("the backend server has meanwhile said that it wants no requests")
 
 // checkServer returns errServerUnavailable if an answer to another request has said that
-// the backend server leaves, or that it wants no requests now.
-func (g *Gateway) checkServer(server tanagerroad.Announcement) error {
+// the chosen backend server leaves, or that it wants no requests now, or fewer.
+func (g *Gateway) checkServer(choice fleet.Choice) error {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.roster.HasDeparted(server.ID, server.StartMillis) || g.fleet.PausedUntil(g.now(), server) > 0 {
+	if g.roster.HasDeparted(choice.ID, choice.StartMillis) || !g.fleet.Allow(g.now(), choice) {
 		return errServerUnavailable
 	}
 	return nil
@@ -344,6 +354,7 @@
 	g.updateGateways(now)
 	g.roster.Expire(now, "")
 	g.quarantine.Expire(now)
+	g.fleet.ExpireLimits(now)
 	if rosterChanged {
 		g.applyRoster(now)
 	}
--- a/io/gateway/owners.go
+++ b/io/gateway/owners.go
@@ -11,6 +11,7 @@
 
 	"tanagerroad"
 	"tanagerroad/core/event"
+	"tanagerroad/core/fleet"
 	"tanagerroad/core/owner"
 	"tanagerroad/core/wire"
 )
@@ -130,11 +131,11 @@
 	}
 }
 
-// servers returns the usable backend servers of a pool.
-func (g *Gateway) servers(pool string) []tanagerroad.Announcement {
+// servers returns the usable backend servers of a pool, and their limits.
+func (g *Gateway) servers(pool string) ([]tanagerroad.Announcement, []fleet.ServerLimit) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.fleet.Pool(pool)
+	return g.fleet.Pool(pool), g.fleet.Limited(pool)
 }
 
 // send queues a message, unless the stream has ended.
--- a/io/gateway/try.go
+++ b/io/gateway/try.go
@@ -35,9 +35,9 @@
 	}
 	g.mu.Lock()
 	now := g.now()
+	avoided := avoidedField(now, g.roster.Departures(x.pool), g.fleet.Pauses(now, x.pool), g.fleet.AtLimit(now, x.pool))
 	choice, ok := g.fleet.Pick(now, request)
 	version := g.fleet.Version()
-	departures, pauses := g.roster.Departures(x.pool), g.fleet.Pauses(now, x.pool)
 	var pausedUntil time.Duration
 	if !ok {
 		pausedUntil = g.fleet.PoolPausedUntil(now, x.pool)
@@ -45,14 +45,14 @@
 	limit, _ := g.fleet.Limit(choice.Announcement)
 	g.mu.Unlock()
 	if pausedUntil > 0 {
-		x.reason, x.pausedUntil = "all backend servers want no requests for a time", pausedUntil
+		x.reason, x.pausedUntil = "all backend servers want no requests for a time, or are at their limits", pausedUntil
 		return attempt.Paused, 0
 	}
 	x.retryState.Begin()
 	if !ok {
 		x.reason = "no backend server can be used"
 		event.NotRouted.Log(g.config.Logger, zap.String("request", x.headers.AttemptID), zap.String("pool", x.pool),
-			zap.Strings("excluded", x.exclude), zap.Uint64("roster", version), avoidedField(now, departures, pauses))
+			zap.Strings("excluded", x.exclude), zap.Uint64("roster", version), avoided)
 		return attempt.Unsent, 0
 	}
 	x.exclude, x.server = append(x.exclude, choice.ID), choice.ID
@@ -60,7 +60,7 @@
 		zap.String("server", choice.ID), zap.Duration("cost", choice.Cost), zap.Int("in-flight", choice.InFlight),
 		zap.Int("reported", choice.ReportedLoad), zap.Duration("report-age", choice.ReportAge), zap.Int("kept", choice.CachedTokens),
 		zap.Int("candidates", choice.Candidates), zap.Uint64("roster", version), zap.Duration("left", x.deadline-now), zap.Int("try", x.retryState.Attempts()),
-		limitField(now, limit), avoidedField(now, departures, pauses))
+		limitField(now, limit), avoided)
 	end, status, outcome := x.send(choice)
 	x.endTrial()
 	if x.brokenOff && x.progress != attempt.Flowing {
@@ -86,7 +86,7 @@
 
 // avoidedField returns the log field with the backend servers that were passed over
 // because of what they had said in an answer, and how long ago that was.
-func avoidedField(now time.Duration, departures []roster.Departure, pauses []fleet.Pause) zap.Field {
+func avoidedField(now time.Duration, departures []roster.Departure, pauses []fleet.Pause, limits []fleet.ServerLimit) zap.Field {
 	var avoided []string
 	for _, d := range departures {
 		avoided = append(avoided, fmt.Sprintf("%s departing, said %v ago", d.ID, now-d.At))
@@ -94,6 +94,9 @@
 	for _, p := range pauses {
 		avoided = append(avoided, fmt.Sprintf("%s paused for %v, said %v ago", p.ID, p.Until-p.From, now-p.From))
 	}
+	for _, l := range limits {
+		avoided = append(avoided, fmt.Sprintf("%s at its limit of %g/s, said %v ago", l.ID, l.PerSecond, now-l.HeardAt))
+	}
 	if avoided == nil {
 		return zap.Skip()
 	}
@@ -121,7 +124,7 @@
 	res, err := g.client.Do(x.ctx, http1.Request{
 		Address: choice.Address, Method: x.r.Method, Target: x.target(), Host: x.r.Host,
 		Header: g.config.Dialect.ForwardHeaders(x.r.Header, options), Body: x.body,
-		Allow: func() error { return errors.Join(g.checkServer(choice.Announcement), x.checkQuarantine()) },
+		Allow: func() error { return errors.Join(g.checkServer(choice), x.checkQuarantine()) },
 		Matches: func(h http.Header) bool {
 			return x.headers.AttemptID == "" || g.config.Dialect.DecodeResponseHeaders(0, h).AttemptID == x.headers.AttemptID
 		},
--- a/io/gateway/watch.go
+++ b/io/gateway/watch.go
@@ -8,6 +8,7 @@
 
 	"tanagerroad/core/catalog"
 	"tanagerroad/core/event"
+	"tanagerroad/core/fleet"
 	"tanagerroad/core/roster"
 	"tanagerroad/core/wire"
 	"tanagerroad/io/control"
@@ -72,6 +73,7 @@
 	s := g.config.Settings
 	notice := &wire.Notice{
 		Process: s.Process, Role: s.Role, Zone: s.Zone, Region: s.Region, WantRoster: true, Catalog: g.CatalogVersion(),
+		Limits: g.ownLimits(),
 	}
 	if !g.draining.Load() {
 		notice.Address = s.Peer.AdvertisedAddress()
@@ -107,6 +109,9 @@
 		s.gateways = update.GetGateways()
 		g.updateGateways(now)
 	}
+	for _, l := range update.GetLimits() {
+		g.recordLimit(peer.LimitFromWire(now, l))
+	}
 	if len(update.GetAnnounced()) == 0 && !update.GetWhole() {
 		return
 	}
@@ -130,11 +135,34 @@
 		zap.Int("usable", g.fleet.Len()), zap.Uint64("version", g.fleet.Version()))
 }
 
+// ownLimits returns what backend servers said about their limits in answers to this
+// gateway.
+func (g *Gateway) ownLimits() []*wire.ServerLimit {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var out []*wire.ServerLimit
+	for _, l := range g.fleet.OwnLimits() {
+		out = append(out, peer.LimitToWire(g.now(), l))
+	}
+	return out
+}
+
+// recordLimit records what a backend server said about its limit, to this gateway or
+// another one. It reports whether that differs from what was known before. g.mu must be
+// held.
+func (g *Gateway) recordLimit(l fleet.ServerLimit) bool {
+	changed := g.fleet.RecordLimit(l)
+	if changed {
+		g.batcher.limit(l)
+	}
+	return changed
+}
+
 // applyRoster passes a changed roster on to the fleet and the pools. g.mu must be
 // held.
 func (g *Gateway) applyRoster(now time.Duration) {
 	g.fleet.Update(g.roster.Usable())
-	g.batcher.setServers(now, g.fleet.Pool)
+	g.batcher.setServers(now, g.fleet.Pool, g.fleet.Limited)
 }
 
 // updateGateways recomputes the list of gateways from the lists of all sources.
@@ -147,6 +175,7 @@
 	all := roster.Peers(now, g.config.Settings.Peer.AdvertisedAddress(), lists)
 	if !slices.Equal(all, g.gateways) {
 		g.gateways = all
+		g.fleet.SetGateways(g.config.Settings.Peer.AdvertisedAddress(), all)
 		g.owners.setGateways(now, all)
 		clear(g.retryBudgets) // each gateway's share depends on their number
 	}
--- a/io/peer/convert.go
+++ b/io/peer/convert.go
@@ -5,6 +5,7 @@
 
 	"tanagerroad"
 	"tanagerroad/core/directory"
+	"tanagerroad/core/fleet"
 	"tanagerroad/core/wire"
 )
 
@@ -79,3 +80,15 @@
 		WarmUp: time.Duration(a.GetColdMillis()) * time.Millisecond,
 	}
 }
+
+// LimitToWire converts what a backend server said about its limit, as of now.
+func LimitToWire(now time.Duration, l fleet.ServerLimit) *wire.ServerLimit {
+	return &wire.ServerLimit{Server: l.ID, Start: l.StartMillis, PerSecond: l.PerSecond, AgeMillis: (now - l.HeardAt).Milliseconds()}
+}
+
+// LimitFromWire is the inverse of LimitToWire, on the receiver's clock.
+func LimitFromWire(now time.Duration, l *wire.ServerLimit) fleet.ServerLimit {
+	return fleet.ServerLimit{
+		ID: l.GetServer(), StartMillis: l.GetStart(), PerSecond: l.GetPerSecond(), HeardAt: now - time.Duration(l.GetAgeMillis())*time.Millisecond,
+	}
+}
