core/fleet: a limit is not kept by gateways that have no requests

What callers would have seen: the shares of a limited server fall to gateways by hash, and those of a zone without callers never use them, so that nobody learned of the limit's end: 12 s after it two servers in five were still limited (core/fleet TestLimitsAreShared, two busy gateways of eight; found when the bucket's refill began to count from its first use). Change: after 5 s without an answer the turns of other gateways last 1 s instead of 5 s.

--- a/core/fleet/limit.go
+++ b/core/fleet/limit.go
@@ -9,6 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"tanagerroad"
+	"tanagerroad/core/limit"
 )
 
 const (
@@ -18,11 +19,10 @@
 	// minShare is the lowest share of a limit that a gateway gets, in requests a second,
 	// unless the limit itself is lower. Fewer gateways share a lower limit.
 	minShare = 1.0
-	// limitBurst is the time whose requests a gateway may send at once.
-	limitBurst = 250 * time.Millisecond
-	// limitTurn is how long no answer of a limited backend server may come before other
-	// gateways get its shares: those that have them may have no requests for it.
-	limitTurn = 5 * time.Second
+	// When no answer of a limited backend server has come for firstTurn, other gateways
+	// get its shares in turns of nextTurn: those that have them may have no requests.
+	firstTurn = 5 * time.Second
+	nextTurn  = time.Second
 	// limitRefresh is the age of a limit after which the next request goes to the
 	// backend server if it may, so that an end of the limit is noticed.
 	limitRefresh = 2 * time.Second
@@ -59,8 +59,8 @@
 
 // Expire removes what was heard too long ago.
 func (l Limits) Expire(at time.Duration) {
-	for id, limit := range l {
-		if at-limit.HeardAt > limitMemory {
+	for id, said := range l {
+		if at-said.HeardAt > limitMemory {
 			delete(l, id)
 		}
 	}
@@ -69,18 +69,17 @@
 // All returns everything that is kept, sorted by id.
 func (l Limits) All() []ServerLimit {
 	out := make([]ServerLimit, 0, len(l))
-	for _, limit := range l {
-		out = append(out, limit)
+	for _, said := range l {
+		out = append(out, said)
 	}
 	slices.SortFunc(out, func(a, b ServerLimit) int { return cmp.Compare(a.ID, b.ID) })
 	return out
 }
 
-// bucket is a token bucket for the requests of this gateway to a limited backend server.
+// bucket limits the requests of this gateway to a limited backend server.
 type bucket struct {
-	start  int64 // the start of the backend server
-	tokens float64
-	at     time.Duration // when tokens was computed
+	limit.Rate
+	start int64 // the start of the backend server
 }
 
 // SetGateways replaces the addresses of all gateways, which share the limits of backend
@@ -92,8 +91,7 @@
 func (f *Fleet) RecordLimit(said ServerLimit) bool {
 	changed := f.limits.Record(said)
 	if b := f.buckets[said.ID]; changed && (b == nil || b.start != said.StartMillis) {
-		// An empty bucket: requests were just sent without one.
-		f.buckets[said.ID] = &bucket{start: said.StartMillis, at: said.HeardAt}
+		f.buckets[said.ID] = &bucket{start: said.StartMillis}
 	}
 	return changed
 }
@@ -157,8 +155,9 @@
 // rendezvous hashing. While the backend server sends no answers, others take their turn.
 func (f *Fleet) share(at time.Duration, l ServerLimit) float64 {
 	n := min(max(int(l.PerSecond/minShare), 1), max(len(f.gateways), 1))
+	turn, _ := l.turn(at)
 	hash := func(gateway string) uint64 {
-		return xxhash.Sum64String(l.ID + "|" + strconv.FormatInt(l.turn(at), 10) + "|" + gateway)
+		return xxhash.Sum64String(l.ID + "|" + strconv.FormatInt(turn, 10) + "|" + gateway)
 	}
 	own, above := hash(f.self), 0
 	for _, gateway := range f.gateways {
@@ -172,8 +171,15 @@
 	return l.PerSecond / float64(n)
 }
 
-// turn counts the turns since the latest answer.
-func (l ServerLimit) turn(at time.Duration) int64 { return int64(max(0, at-l.HeardAt) / limitTurn) }
+// turn returns the number of the current turn since the latest answer, from 0, and its end.
+func (l ServerLimit) turn(at time.Duration) (number int64, end time.Duration) {
+	end = l.HeardAt + firstTurn
+	if at < end {
+		return 0, end
+	}
+	number = 1 + int64((at-end)/nextTurn)
+	return number, end + time.Duration(number)*nextTurn
+}
 
 // limitedUntil returns when the limit of a backend server allows this gateway the next
 // request, 0 if it does so now.
@@ -184,15 +190,15 @@
 	}
 	share := f.share(at, l)
 	if share == 0 {
-		return l.HeardAt + time.Duration(l.turn(at)+1)*limitTurn
+		_, end := l.turn(at)
+		return end
 	}
 	b := f.buckets[a.ID]
-	b.tokens = min(max(1, share*limitBurst.Seconds()), b.tokens+share*(at-b.at).Seconds())
-	b.at = at
-	if b.tokens >= 1 {
-		return 0
+	b.Set(at, share)
+	if wait := b.Wait(at); wait > 0 {
+		return at + wait
 	}
-	return at + time.Duration((1-b.tokens)/share*float64(time.Second))
+	return 0
 }
 
 // takeToken counts a request against the limit of a backend server, if it has one. It
@@ -201,7 +207,7 @@
 	if _, ok := f.Limit(a); !ok {
 		return false
 	}
-	f.buckets[a.ID].tokens--
+	f.buckets[a.ID].Take()
 	return true
 }
 
