io/backend, core/stage: a sidecar keeps to the limit that its backend server names

A server that names how many calls a second it takes went on getting all that its slots allow. Change: a sidecar, which alone sends calls to its server, reads Server-Limit in each answer (docs/BACKEND.md), starts attempts at that rate, and counts it in the expected wait, so that what cannot be served in time is rejected at once. An answer without it, or a new start of the server, ends the limit. Before: io/demo TestServersGetMoreThanTheirLimit red, 32 to 34 calls in 4 s where 17 are allowed, two pools. After: green, half or more of what the servers take is used. core, io, cmd: green.

--- a/core/settings/settings.go
+++ b/core/settings/settings.go
@@ -201,6 +201,7 @@
 	Capacity int                  `json:"capacity" doc:"maximum number of concurrent attempts"`
 	Time     tanagerroad.Duration `json:"time" doc:"service time of one attempt"`
 	Tokens   int                  `json:"tokens" doc:"number of tokens in a model engine's answer"`
+	Limit    float64              `json:"limit" doc:"calls per second that the server names as its limit, and does not enforce; 0: none"`
 }
 
 // StandIn holds the settings of a process that simulates backend servers for
--- a/core/stage/stage.go
+++ b/core/stage/stage.go
@@ -65,6 +65,7 @@
 	Query       = "question" // an entry asks whether an attempt ran
 	Tick        = "tick"     // time passed
 	Stop        = "stop"     // the sidecar must shut down
+	SetLimit    = "limit"    // the backend server named how many attempts a second it takes
 )
 
 // Event is an input to the scheduler. Which fields are set depends on Kind.
@@ -82,6 +83,7 @@
 	Capacity    int                     `json:"capacity,omitempty"`    // announced number of concurrent attempts
 	State       tanagerroad.ServerState `json:"state,omitempty"`       // announced state
 	Bytes       int                     `json:"bytes,omitempty"`       // size of the result
+	PerSecond   float64                 `json:"per-second,omitempty"`  // with SetLimit; 0: any number
 }
 
 // Action kinds.
@@ -140,6 +142,8 @@
 	finishedOnce       []tanagerroad.AttemptKey // non-repeatable attempts in a final state, oldest first
 	retainedBytes      int                      // total size of retained results
 	onceCount          int                      // non-repeatable attempts in the attempts map
+	rate               limit.Rate               // of starts
+	startsPerSecond    float64                  // that rate; 0: unlimited
 }
 
 // NewScheduler returns a scheduler whose backend server counts as down until it
@@ -194,6 +198,9 @@
 		out = s.cancel(at, e)
 	case Query:
 		out = s.query(at, e)
+	case SetLimit:
+		s.rate.Set(at, e.PerSecond)
+		s.startsPerSecond = e.PerSecond
 	case Stop:
 		s.stopping = true
 		out = s.rejectQueued(at, "the sidecar is stopping")
@@ -294,7 +301,7 @@
 // rejectReason returns why an attempt must be rejected and the expected queue
 // wait. An empty reason means that the attempt can be accepted.
 func (s *Scheduler) rejectReason(at time.Duration, e Event) (reason string, wait time.Duration) {
-	wait = s.expectedWait()
+	wait = s.expectedWait(at)
 	switch {
 	case s.stopping:
 		return "the sidecar is stopping", 0
@@ -313,26 +320,30 @@
 }
 
 // expectedWait estimates how long a new attempt would wait for a slot.
-func (s *Scheduler) expectedWait() time.Duration {
-	slots := max(1, s.limit())
-	if s.running < slots {
-		return 0
+func (s *Scheduler) expectedWait(at time.Duration) time.Duration {
+	var wait time.Duration
+	if slots := max(1, s.limit()); s.running >= slots {
+		wait = s.meanService * time.Duration(len(s.queue)+1) / time.Duration(slots)
 	}
-	return s.meanService * time.Duration(len(s.queue)+1) / time.Duration(slots)
+	if s.startsPerSecond > 0 {
+		queued := time.Duration(float64(len(s.queue)) / s.startsPerSecond * float64(time.Second))
+		wait = max(wait, s.rate.Wait(at)+queued)
+	}
+	return wait
 }
 
 // startQueued starts queued attempts while the concurrency limit allows, earliest
 // deadline first, and rejects those that can no longer meet their deadline.
 func (s *Scheduler) startQueued(at time.Duration) []Action {
 	var out []Action
-	for len(s.queue) > 0 && s.running < s.limit() && !s.exclusive {
+	for len(s.queue) > 0 && s.running < s.limit() && !s.exclusive && s.rate.Wait(at) == 0 {
 		a := s.queue[0]
 		if a.Alone && s.running > 0 {
 			break // wait until nothing runs; later attempts must not overtake it
 		}
 		s.queue = s.queue[1:]
 		if at+a.Expected > a.Deadline {
-			out = append(out, s.reject(at, a, "the deadline cannot be met", s.expectedWait()))
+			out = append(out, s.reject(at, a, "the deadline cannot be met", s.expectedWait(at)))
 			continue
 		}
 		if unexpected, ok := s.transition(at, a, "start"); !ok {
@@ -340,6 +351,7 @@
 			continue
 		}
 		s.running++
+		s.rate.Take()
 		s.exclusive = a.Alone
 		a.waited = at - a.submittedAt
 		s.markOverlapped()
--- a/io/backend/announce.go
+++ b/io/backend/announce.go
@@ -2,8 +2,10 @@
 
 import (
 	"encoding/json"
+	"math"
 	"net/http"
 	"slices"
+	"strconv"
 
 	"go.uber.org/zap"
 
@@ -96,6 +98,7 @@
 	if restarted {
 		// The calls in flight died with the previous process.
 		s.step(stage.Event{Kind: stage.Crash})
+		s.setLimit(0)
 	}
 	if s.client == nil || previous.Address != a.Address {
 		if s.client != nil {
@@ -103,6 +106,7 @@
 		}
 		b := s.config.Settings.Backend
 		s.client = newClient(a.Address, b.SilenceTimeout.Std(), int64(b.MaxBody), b.MaxResumes)
+		s.client.handleHeader = s.handleLimit
 	}
 	s.announced, s.announcedAt = a, s.config.Clock.Now()
 	previousState := s.scheduler.State()
@@ -114,6 +118,31 @@
 	}
 }
 
+// handleLimit applies the limit in the header of a response of the backend server, or that
+// it named none.
+func (s *Sidecar) handleLimit(h http.Header) {
+	text := h.Get(HeaderLimit)
+	perSecond, err := strconv.ParseFloat(text, 64)
+	if text != "" && (err != nil || !(perSecond > 0) || math.IsInf(perSecond, 0)) {
+		event.ServerLimited.Log(s.config.Logger, zap.String("server", s.config.Settings.Process), zap.String("invalid", text))
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.setLimit(perSecond)
+}
+
+// setLimit sets how many attempts a second may start; 0: any number. The caller holds the
+// lock.
+func (s *Sidecar) setLimit(perSecond float64) {
+	if s.limit == perSecond {
+		return
+	}
+	s.limit = perSecond
+	event.ServerLimited.Log(s.config.Logger, zap.String("server", s.config.Settings.Process), zap.String("pool", s.announced.Pool), zap.Float64("limit", perSecond))
+	s.step(stage.Event{Kind: stage.SetLimit, PerSecond: perSecond})
+}
+
 // equalAnnouncements reports whether all fields are equal.
 func equalAnnouncements(a, b Announcement) bool {
 	return a.Pool == b.Pool && a.Kind == b.Kind && a.Capacity == b.Capacity && a.Address == b.Address &&
--- a/io/backend/client.go
+++ b/io/backend/client.go
@@ -41,6 +41,7 @@
 	HeaderBudget    = "Budget-Ms"     // milliseconds until the deadline
 	HeaderNotRun    = "Not-Run"       // "true" on an error response: the call did not run
 	HeaderDigest    = "Result-Digest" // xxhash64 of the result, in hexadecimal
+	HeaderLimit     = "Server-Limit"  // calls per second that the backend server takes for now, a decimal number
 )
 
 // Paths of the protocol between sidecar and backend server.
@@ -93,8 +94,9 @@
 	silenceTimeout time.Duration // time without output after which a connection counts as lost
 	maxBody        int64         // bytes of one result
 	maxResumes     int
-	pooled         *http.Client // reuses connections
-	unpooled       *http.Client // opens a connection for each call
+	handleHeader   func(http.Header) // called with the header of each response; nil: not
+	pooled         *http.Client      // reuses connections
+	unpooled       *http.Client      // opens a connection for each call
 }
 
 const dialTimeout = 2 * time.Second
@@ -184,7 +186,7 @@
 		return c.connectionFailure(ctx, err)
 	}
 	defer response.Body.Close()
-	if result, final := checkStatus(response); final {
+	if result, final := c.checkResponse(response); final {
 		return result
 	}
 	body, err := io.ReadAll(io.LimitReader(response.Body, c.maxBody+1))
@@ -214,9 +216,12 @@
 // hexDigest formats a digest as in HeaderDigest and StreamEnd.
 func hexDigest(d uint64) string { return strconv.FormatUint(d, 16) }
 
-// checkStatus returns the outcome of a response whose status is not 200; it
-// returns false if the status is 200.
-func checkStatus(response *http.Response) (outcome, bool) {
+// checkResponse returns the outcome of a response whose status is not 200; it returns
+// false if the status is 200.
+func (c *client) checkResponse(response *http.Response) (outcome, bool) {
+	if c.handleHeader != nil {
+		c.handleHeader(response.Header)
+	}
 	switch {
 	case response.StatusCode == http.StatusOK:
 		return outcome{}, false
@@ -320,7 +325,7 @@
 		return s.client.connectionFailure(ctx, err)
 	}
 	defer response.Body.Close()
-	if result, final := checkStatus(response); final {
+	if result, final := s.client.checkResponse(response); final {
 		return result
 	}
 	return s.readEvents(ctx, response.Body, silenceTimer)
--- a/io/backend/sidecar.go
+++ b/io/backend/sidecar.go
@@ -83,6 +83,7 @@
 	revision         uint64                      // number of the revision in force
 	index            uint64                      // log index of the revision
 	quarantine       map[uint64]*wire.Conviction // by fingerprint
+	limit            float64                     // attempts a second that the backend server takes; 0: any number
 }
 
 // New starts a sidecar. The returned function stops it and aborts the calls that
--- a/io/demo/demo_test.go
+++ b/io/demo/demo_test.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"net/http"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -364,6 +366,58 @@
 	time.Sleep(300 * time.Millisecond)
 }
 
+// TestServersGetMoreThanTheirLimit guards against a backend server that names in its
+// answers how many calls a second it takes and gets more, through all entries. In any 4 s
+// from 3 s after it first did so it may get one and a half times what that allows, and 5.
+func TestServersGetMoreThanTheirLimit(t *testing.T) {
+	const limit, window, contact = 2.0, 4 * time.Second, 3 * time.Second
+	c, ctx := startCluster(t, func(config *demo.Config) {
+		for i := range config.Backends {
+			if config.Backends[i].Pool == "histories" || config.Backends[i].Pool == "models" {
+				config.Backends[i].Limit = limit
+			}
+		}
+	})
+	var group sync.WaitGroup
+	var served atomic.Int64
+	start := time.Now()
+	for i := 0; time.Since(start) < contact+2*window; i++ {
+		group.Go(func() {
+			route := []string{"history", "assist"}[i%2]
+			if call(t, ctx, c, i%3, load.Request{Route: route, Body: fmt.Appendf(nil, "%d", i), Repeatable: true}).Kind == tanagerroad.AnswerComplete {
+				served.Add(1)
+			}
+		})
+		time.Sleep(30 * time.Millisecond)
+	}
+	group.Wait()
+	allowed := int(1.5*limit*window.Seconds()) + 5
+	for i, s := range c.StandIns {
+		if pool := c.StandIns[i].Pool(); pool != "histories" && pool != "models" {
+			continue
+		}
+		arrivals := s.Arrivals()
+		if len(arrivals) == 0 {
+			t.Errorf("%s %d got no call", s.Pool(), i)
+			continue
+		}
+		for n, from := range arrivals {
+			last := n
+			for last < len(arrivals) && arrivals[last].Sub(from) < window {
+				last++
+			}
+			if from.Sub(arrivals[0]) >= contact && last-n > allowed {
+				t.Errorf("%s %d named %g a second and got %d calls in 4 s, allowed %d", s.Pool(), i, limit, last-n, allowed)
+				break
+			}
+		}
+	}
+	// Two servers of each pool; each request of both routes ends at one of them.
+	if want := int64(limit * 2 * 2 * (2 * window).Seconds() / 2); served.Load() < want {
+		t.Errorf("%d requests were served, want half of what the servers take or more, %d", served.Load(), want)
+	}
+}
+
 // TestNoQuorumFailsFast closes two of three control instances. A booking must be refused
 // as not run within 2 s and without having run, a resend of it must be answered as
 // unknown, and repeatable requests must be served as before.
--- a/io/standin/standin.go
+++ b/io/standin/standin.go
@@ -14,6 +14,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -58,6 +59,7 @@
 	running    int                // calls in progress
 	maxRunning int                // highest value of running
 	crashCount int
+	arrivals   []time.Time // of all calls
 }
 
 // stream is a model engine's answer to one attempt. It outlives its connection, so
@@ -108,7 +110,7 @@
 	mux.HandleFunc("DELETE "+backend.PathStreams, s.cancel)
 	mux.HandleFunc("GET "+backend.PathLive, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	mux.HandleFunc("GET /runs", s.serveRunCounts)
-	server := &http.Server{Handler: mux, ReadHeaderTimeout: 5 * time.Second}
+	server := &http.Server{Handler: s.nameLimit(mux), ReadHeaderTimeout: 5 * time.Second}
 	s.mu.Lock()
 	s.httpServer = server
 	s.mu.Unlock()
@@ -116,6 +118,18 @@
 	return nil
 }
 
+// nameLimit returns a handler that adds the limit in the settings to all answers.
+func (s *Server) nameLimit(next http.Handler) http.Handler {
+	if s.config.Limit == 0 {
+		return next
+	}
+	text := strconv.FormatFloat(s.config.Limit, 'f', -1, 64)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(backend.HeaderLimit, text)
+		next.ServeHTTP(w, r)
+	})
+}
+
 // announce sends an announcement to the sidecar at regular intervals until the
 // stand-in is stopped.
 func (s *Server) announce() {
@@ -189,6 +203,16 @@
 	return out
 }
 
+// Pool returns the pool that the server belongs to.
+func (s *Server) Pool() string { return s.config.Pool }
+
+// Arrivals returns the times at which calls arrived.
+func (s *Server) Arrivals() []time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.arrivals)
+}
+
 // CrashCount returns how often the server crashed.
 func (s *Server) CrashCount() int {
 	s.mu.Lock()
@@ -208,6 +232,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.runCounts[runKey(r.Header.Get(backend.HeaderRequest), r.Header.Get(backend.HeaderStage))]++
+	s.arrivals = append(s.arrivals, time.Now())
 	s.running++
 	s.maxRunning = max(s.maxRunning, s.running)
 	return func() {
