io/http1: a response header without end is cut off

Cause: net/http reads a header of any size from a reader; only its own transport limits it. Change: a response header may have 64 KiB, interim ones too; more ends the attempt and the connection. Bodies had limits already: events 1 MiB, calls for pieces 4 MiB, rejections none read, other answers are passed on with their reader's pace.

--- a/io/http1/client.go
+++ b/io/http1/client.go
@@ -33,6 +33,7 @@
 	maxIdlePerServer    = 32              // idle connections
 	readBufferSize      = 4 << 10         // bytes
 	maxInlineRequest    = 8 << 10         // bytes written before the response is read; they fit into the socket buffers even if the server reads nothing
+	maxHeaderBytes      = 64 << 10        // of one response header
 	maxInterimResponses = 4               // 1xx responses before the final one
 	maxStrayResponses   = 2               // responses to other requests before the one to this request
 	maxStrayBody        = 256 << 10       // bytes; the body of a response to another request is skipped up to this size
@@ -80,6 +81,7 @@
 
 type connection struct {
 	net.Conn
+	limited     *limitedReader // reads from Conn, for reader
 	reader      *bufio.Reader
 	idleSince   time.Time
 	idleTimeout time.Duration // how long the connection may be idle before it is no longer reused
@@ -238,7 +240,30 @@
 	if err != nil {
 		return nil, err
 	}
-	return &connection{Conn: raw, reader: bufio.NewReaderSize(raw, readBufferSize), idleTimeout: defaultIdleTimeout}, nil
+	limited := &limitedReader{reader: raw, left: unlimited}
+	return &connection{Conn: raw, limited: limited, reader: bufio.NewReaderSize(limited, readBufferSize), idleTimeout: defaultIdleTimeout}, nil
+}
+
+// limitedReader returns an error instead of more than a number of bytes.
+type limitedReader struct {
+	reader io.Reader
+	left   int // bytes, or unlimited
+}
+
+const unlimited = -1
+
+var errHeaderTooLarge = fmt.Errorf("the response header is larger than %d bytes", maxHeaderBytes)
+
+func (l *limitedReader) Read(p []byte) (int, error) {
+	switch {
+	case l.left == unlimited:
+		return l.reader.Read(p)
+	case l.left == 0:
+		return 0, errHeaderTooLarge
+	}
+	n, err := l.reader.Read(p[:min(len(p), l.left)])
+	l.left -= n
+	return n, err
 }
 
 // Refuses reports whether connections to address are refused: nothing listens there.
@@ -355,7 +380,9 @@
 // receive reads the header of the next response, skipping 1xx responses.
 func (conn *connection) receive(method string) (*http.Response, error) {
 	request := &http.Request{Method: method}
+	defer func() { conn.limited.left = unlimited }()
 	for range maxInterimResponses {
+		conn.limited.left = maxHeaderBytes
 		resp, err := http.ReadResponse(conn.reader, request)
 		if err != nil {
 			return nil, err
