io/backend: a line of a stream without end is cut off

What callers of our own interface would see: a model engine that sends a line without end fills the memory of its sidecar, as heads did at gateways. Change: a line may be as long as a whole result, escaped, and its overhead; response headers 64 KiB instead of net/http's 10 MiB. A longer line fails the attempt. Before: TestEndlessLine red, all 64 MiB were read. After: green. io/demo green.

--- a/io/backend/client.go
+++ b/io/backend/client.go
@@ -109,6 +109,8 @@
 			DisableCompression:  true,
 			MaxIdleConnsPerHost: 64,
 			IdleConnTimeout:     30 * time.Second,
+
+			MaxResponseHeaderBytes: 64 << 10,
 		}}
 	}
 	return &client{
@@ -335,13 +337,38 @@
 // still read whole.
 const readBufferBytes = 32 << 10
 
+const (
+	maxEscape        = 6       // bytes of a JSON string for each byte of its text
+	maxEventOverhead = 4 << 10 // bytes of a line of an event besides its text
+)
+
+var errLineTooLong = errors.New("a line of an event is longer than a whole result may be")
+
+// readLine reads up to the end of the line. It returns errLineTooLong after limit bytes.
+func readLine(r *bufio.Reader, limit int) (string, error) {
+	var line []byte
+	for {
+		part, err := r.ReadSlice('\n')
+		line = append(line, part...)
+		if len(line) > limit {
+			return "", errLineTooLong
+		}
+		if !errors.Is(err, bufio.ErrBufferFull) {
+			return string(line), err
+		}
+	}
+}
+
 // readEvents reads server-sent events until the end event. Every line restarts
 // the silence timer.
 func (s *stream) readEvents(ctx context.Context, body io.Reader, silenceTimer *time.Timer) outcome {
 	lines := bufio.NewReaderSize(body, readBufferBytes)
 	var name, id, data string
 	for {
-		line, err := lines.ReadString('\n')
+		line, err := readLine(lines, maxEscape*int(s.client.maxBody)+maxEventOverhead)
+		if errors.Is(err, errLineTooLong) {
+			return outcome{kind: failed, reason: err.Error()}
+		}
 		if err != nil {
 			return s.client.connectionFailure(ctx, err)
 		}
--- a/io/backend/stream_test.go
+++ b/io/backend/stream_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"io"
 	"strings"
 	"testing"
 	"time"
@@ -48,3 +49,29 @@
 		})
 	}
 }
+
+// endless reads as the same byte, and counts how many were read.
+type endless struct{ read int }
+
+func (e *endless) Read(p []byte) (int, error) {
+	if e.read > 64<<20 {
+		return 0, io.ErrUnexpectedEOF
+	}
+	for i := range p {
+		p[i] = 'x'
+	}
+	e.read += len(p)
+	return len(p), nil
+}
+
+// TestEndlessLine guards against a model engine that sends a line without end, which fills
+// the memory of its sidecar.
+func TestEndlessLine(t *testing.T) {
+	s := &stream{client: newClient("127.0.0.1:1", time.Minute, 1<<10, 0), deliver: func([]byte) {}, hash: xxhash.New()}
+	silenceTimer := time.NewTimer(time.Minute)
+	defer silenceTimer.Stop()
+	body := &endless{}
+	if result := s.readEvents(t.Context(), body, silenceTimer); result.kind != failed || body.read > 1<<20 {
+		t.Errorf("outcome kind %d (%s) after %d bytes, want %d before 1 MiB", result.kind, result.reason, body.read, failed)
+	}
+}
