core/quarantine: labels and causes of a request are bounded; several parts at once

Cause: found in reading. A label holds what a caller sent, up to the size of a header, and would have gone into the replicated log and every update; text that is no UTF-8 cannot be sent in a message at all, so that the report would have failed. A prompt may list a thousand parts. Change: the last 32 shared parts count, labels hold 80 bytes of valid text. The view's test has the labels, red without the change.

--- a/core/quarantine/fleet_test.go
+++ b/core/quarantine/fleet_test.go
@@ -23,8 +23,9 @@
 	Rate          float64 // sound requests a second
 	FirstParts    int     `json:"first-parts"`
 	SecondParts   int     `json:"second-parts"`
-	PoisonRate    float64 `json:"poison-rate"` // requests a second that crash servers
-	PoisonPart    int     `json:"poison-part"` // index of the part that does
+	PoisonRate    float64 `json:"poison-rate"`  // requests a second that crash servers
+	PoisonPart    int     `json:"poison-part"`  // index of the part that does
+	PoisonParts   int     `json:"poison-parts"` // number of different parts that do; 0: one
 	OutageEveryMs int     `json:"outage-every-ms"`
 	OutageSize    int     `json:"outage-size"` // servers that crash together
 	HeadLost      bool    `json:"head-lost"`   // no header of their answers arrives
@@ -46,7 +47,7 @@
 type simRequest struct {
 	gateway int
 	causes  []quarantine.Cause
-	poison  bool
+	poison  string        // the part that crashes servers; empty: none
 	begins  time.Duration // the header of its answer
 	flows   time.Duration // its first event, or the crash
 }
@@ -69,10 +70,10 @@
 	events  map[time.Duration][]func() // by time, a multiple of simulatedTick
 
 	requests       int
-	crashes        []time.Duration // by poisonous requests
-	arrivals       []time.Duration // of poisonous requests at servers
-	sent, refused  int             // sound requests
-	sentLate, late int             // those sent later than twice the contact time after the last crash that counts, and of them those refused
+	crashes        map[string][]time.Duration // by poisonous requests, by their part
+	arrivals       map[string][]time.Duration // of poisonous requests at servers, by their part
+	sent, refused  int                        // sound requests
+	sentLate, late int                        // those sent later than twice the contact time after the last crash that counts, and of them those refused
 }
 
 func (s *simulation) after(d time.Duration, f func()) {
@@ -141,10 +142,12 @@
 	parts := []tanagerroad.PromptPart{
 		{ID: fmt.Sprint("f", s.random.IntN(s.FirstParts))}, {ID: fmt.Sprint("s", s.random.IntN(s.SecondParts))}, {ID: fmt.Sprint("own", s.requests)},
 	}
+	bad := ""
 	if poison {
-		parts[s.PoisonPart].ID = "bad"
+		bad = fmt.Sprint("bad", s.random.IntN(max(s.PoisonParts, 1)))
+		parts[s.PoisonPart].ID = bad
 	}
-	r := simRequest{gateway: s.random.IntN(s.Gateways), poison: poison, causes: quarantine.Causes("/p", "w", nil, parts)}
+	r := simRequest{gateway: s.random.IntN(s.Gateways), poison: bad, causes: quarantine.Causes("/p", "w", nil, parts)}
 	r.begins = s.now + time.Duration(50+s.random.IntN(350))*time.Millisecond
 	r.flows = r.begins + time.Duration(20+s.random.IntN(80))*time.Millisecond
 	if poison && s.HeadLost {
@@ -157,7 +160,10 @@
 	}
 	if !poison {
 		s.sent++
-		isLate := len(s.crashes) > 0 && s.now > s.crashes[min(len(s.crashes), 5)-1]+2*s.contact()
+		isLate := len(s.crashes) > 0
+		for _, at := range s.crashes {
+			isLate = isLate && s.now > at[min(len(at), 5)-1]+2*s.contact()
+		}
 		if isLate {
 			s.sentLate++
 		}
@@ -177,7 +183,7 @@
 		if server.downUntil <= s.now {
 			server.inFlight = append(server.inFlight, r)
 			if poison {
-				s.arrivals = append(s.arrivals, s.now)
+				s.arrivals[bad] = append(s.arrivals[bad], s.now)
 			}
 			return
 		}
@@ -196,15 +202,15 @@
 			if s.now < r.flows {
 				return false
 			}
-			if r.poison {
+			if r.poison != "" {
 				crashes = true
+				s.crashes[r.poison] = append(s.crashes[r.poison], s.now)
 				return false
 			}
 			s.clear(s.views[r.gateway].RecordBegin(s.now, r.causes))
 			return true
 		})
 		if crashes {
-			s.crashes = append(s.crashes, s.now)
 			s.crash(i)
 		}
 	}
@@ -248,6 +254,7 @@
 			s := &simulation{
 				fleet: f, random: rand.New(rand.NewPCG(seed, 1)), ledger: quarantine.New(quarantine.DefaultConfig()),
 				servers: make([]simServer, f.Servers), events: map[time.Duration][]func(){},
+				crashes: map[string][]time.Duration{}, arrivals: map[string][]time.Duration{},
 			}
 			for range f.Gateways {
 				s.views = append(s.views, quarantine.NewView(quarantine.DefaultConfig().Duration))
@@ -255,22 +262,25 @@
 			for ; s.now < simulatedTime; s.now += simulatedTick {
 				s.tick()
 			}
-			late := 0
-			if len(s.crashes) >= 5 {
-				for _, at := range s.arrivals {
-					if at > s.crashes[4]+s.contact() {
+			for part, crashes := range s.crashes {
+				late := 0
+				for _, at := range s.arrivals[part] {
+					if len(crashes) >= 5 && at > crashes[4]+s.contact() {
 						late++
 					}
 				}
-			}
-			if late > 3 {
-				t.Errorf("%s, seed %d: %d requests with the part arrived later than %v after the fifth of %d crashes, want at most 3", f.What, seed, late, s.contact(), len(s.crashes))
+				if late > 3 {
+					t.Errorf("%s, seed %d: %d requests with the part arrived later than %v after the fifth of %d crashes, want at most 3", f.What, seed, late, s.contact(), len(crashes))
+				}
+				if testing.Verbose() {
+					t.Logf("%s, seed %d: %s: %d crashes, %d late arrivals", f.What, seed, part, len(crashes), late)
+				}
 			}
 			if s.late*2 > s.sentLate || s.refused*2 > s.sent || s.refused > 0 && !f.Ambiguous {
 				t.Errorf("%s, seed %d: %d of %d sound requests were refused, %d of %d late ones, want none, or less than half in ambiguous cases", f.What, seed, s.refused, s.sent, s.late, s.sentLate)
 			}
 			if testing.Verbose() {
-				t.Logf("%s, seed %d: %d crashes, %d late arrivals, %d of %d sound refused", f.What, seed, len(s.crashes), late, s.refused, s.sent)
+				t.Logf("%s, seed %d: %d of %d sound requests refused", f.What, seed, s.refused, s.sent)
 			}
 		}
 	}
--- a/core/quarantine/view.go
+++ b/core/quarantine/view.go
@@ -15,6 +15,11 @@
 // within this time does not make them suspects.
 const beginMemory = time.Second
 
+const (
+	maxParts = 32 // shared parts of one prompt that are considered, the last ones
+	maxLabel = 80 // bytes of what a caller sent in a label
+)
+
 // Cause is something that a request has in common with others.
 type Cause struct {
 	Fingerprint uint64
@@ -32,13 +37,16 @@
 	}
 	_, _ = digest.WriteString(strings.Join(fields, "\x00") + "\x00") // never fails
 	_, _ = digest.Write(body)
-	out := []Cause{{digest.Sum64(), "request to " + path}}
-	for i := len(parts) - 2; i >= 0; i-- {
-		out = append(out, Cause{xxhash.Sum64String("part\x00" + parts[i].ID), "prompt part " + parts[i].ID})
+	out := []Cause{{digest.Sum64(), "request to " + truncate(path)}}
+	for i := len(parts) - 2; i >= max(0, len(parts)-1-maxParts); i-- {
+		out = append(out, Cause{xxhash.Sum64String("part\x00" + parts[i].ID), "prompt part " + truncate(parts[i].ID)})
 	}
 	return out
 }
 
+// truncate returns the beginning of a text that a caller sent, for a label.
+func truncate(text string) string { return strings.ToValidUTF8(text[:min(len(text), maxLabel)], "") }
+
 // PieceCause returns what may make the pieces of a request crash the backend servers of a
 // pool, given the request's own cause: they may run in one pool and crash another.
 func PieceCause(request Cause, pool string) Cause {
--- a/core/quarantine/view_test.go
+++ b/core/quarantine/view_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"slices"
+	"strings"
 	"testing"
 	"time"
+	"unicode/utf8"
 
 	"tanagerroad"
 	"tanagerroad/core/quarantine"
@@ -20,6 +22,15 @@
 	if len(causes) != 3 || causes[1].Label != "prompt part second" || causes[2].Label != "prompt part first" {
 		t.Fatalf("causes %v, want the request, the second and the first part", causes)
 	}
+	long := make([]tanagerroad.PromptPart, 1000)
+	for i := range long {
+		long[i].ID = strings.Repeat("\xff", 1000)
+	}
+	for _, c := range quarantine.Causes(strings.Repeat("/", 1000), "w", nil, long) {
+		if len(c.Label) > 100 || !utf8.ValidString(c.Label) {
+			t.Errorf("label %q: not valid UTF-8 of at most 100 bytes", c.Label)
+		}
+	}
 	second := causes[1].Fingerprint
 	list := func(version uint64, convicted bool) *wire.Quarantine {
 		return &wire.Quarantine{Version: version, Convictions: []*wire.Conviction{{Fingerprint: second, Convicted: convicted, SinceMillis: 1, TrialWaitMillis: 20000}}}
