core/request: a resend gets the answer that is recorded before it is answered unknown

What callers saw: a resent booking could be answered "unknown" although its answer was recorded: it learned that another entry's call runs, that call was answered and recorded, its sidecar stopped and started, and the next start cannot speak for the one before. Cause: the outcome "unknown" was proposed and not waited for; the registry's reply has the recorded answer.

--- a/core/request/claim.go
+++ b/core/request/claim.go
@@ -100,6 +100,10 @@
 func (m *Machine) onSettled(e Event) {
 	switch m.state {
 	case settling:
+		if m.pendingAnswer.Kind == tanagerroad.AnswerUnknown {
+			m.finishRecorded(e)
+			return
+		}
 		m.finish(*m.pendingAnswer)
 	case releasing:
 		if e.State != registry.Accepted {
@@ -111,6 +115,30 @@
 	}
 }
 
+// settleUnknown asks the quorum to record that it is not known whether the request ran. If
+// it has recorded another outcome meanwhile, the request is finished with that.
+func (m *Machine) settleUnknown(at time.Duration, c *call, reason string) {
+	if !m.transition("settle") {
+		return
+	}
+	m.pendingAnswer = &tanagerroad.Answer{Kind: tanagerroad.AnswerUnknown, Reason: reason}
+	m.emit(Action{Kind: Settle, Key: c.key, State: string(tanagerroad.AnswerUnknown), Reason: reason})
+	m.emit(Action{Kind: SetTimer, Name: "settle", At: min(m.config.Deadline, at+settleTimeout)})
+}
+
+// finishRecorded finishes the request with the answer that the quorum had recorded before,
+// or as unknown if there is none or it was too large to be kept.
+func (m *Machine) finishRecorded(e Event) {
+	switch {
+	case e.Claim == string(tanagerroad.AnswerComplete) && len(e.Bytes) == int(e.Length):
+		m.finish(m.completeAnswer(e.Bytes))
+	case e.Claim == string(tanagerroad.AnswerFailed):
+		m.finish(tanagerroad.Answer{Kind: tanagerroad.AnswerFailed, Reason: e.Reason})
+	default:
+		m.finish(*m.pendingAnswer)
+	}
+}
+
 // queryOrFinishUnknown sends another status query, or finishes the request as
 // unknown after maxProbes of them.
 func (m *Machine) queryOrFinishUnknown(at time.Duration, c *call, fence bool) {
@@ -143,7 +171,7 @@
 		m.emit(Action{Kind: Fetch, Key: c.key, Address: c.address, Offset: uint64(len(c.data))})
 	case "unknown":
 		m.transitionCall(c, "fail")
-		m.settleAndFinish(c, tanagerroad.AnswerUnknown, "its sidecar cannot say whether it ran")
+		m.settleUnknown(at, c, "its sidecar cannot say whether it ran")
 	default: // no reply
 		m.emit(Action{Kind: SetTimer, Name: "ask", Key: c.key, At: at + queryInterval})
 	}
--- a/core/request/request.go
+++ b/core/request/request.go
@@ -105,6 +105,7 @@
 	Crashed    bool                   `json:"crashed,omitempty"`    // with Fail: the backend server crashed
 	InputGone  bool                   `json:"input-gone,omitempty"` // with TurnedAway: the referenced input no longer exists
 	State      string                 `json:"state,omitempty"`      // with StatusReply: of the call; with Held: of the claim; with Denied and Settled: the outcome
+	Claim      string                 `json:"claim,omitempty"`      // with Settled: the state in which the claim was recorded before; its answer is in Bytes, Length and Reason
 	Name       string                 `json:"name,omitempty"`       // timer name
 	Load       *tanagerroad.Load      `json:"load,omitempty"`       // reported by the sidecar
 	QueueTime  time.Duration          `json:"waited,omitempty"`     // with End: time in the sidecar's queue
--- a/core/request/request_test.go
+++ b/core/request/request_test.go
@@ -7,6 +7,7 @@
 	"pgregory.net/rapid"
 
 	"tanagerroad"
+	"tanagerroad/core/registry"
 	"tanagerroad/core/request"
 	"tanagerroad/core/schedule"
 	"tanagerroad/core/stage"
@@ -147,3 +148,41 @@
 		}
 	}
 }
+
+// TestRecordedAnswerIsUnknown guards against a resend that is answered unknown although the
+// answer is recorded: it learned that another entry's call runs, that call was answered
+// and recorded, and its sidecar was stopped and started before the resend asked it.
+func TestRecordedAnswerIsUnknown(t *testing.T) {
+	for _, c := range []struct {
+		settled request.Event // the reply to the attempt to record the outcome
+		want    tanagerroad.AnswerKind
+	}{
+		{request.Event{Kind: request.Settled, State: registry.AlreadyClaimed, Claim: "complete", Bytes: []byte("two seats"), Length: 9}, tanagerroad.AnswerComplete},
+		{request.Event{Kind: request.Settled, State: registry.AlreadyClaimed, Claim: "failed", Reason: "no seats"}, tanagerroad.AnswerFailed},
+		{request.Event{Kind: request.Settled, State: registry.AlreadyClaimed, Claim: "complete", Length: 9}, tanagerroad.AnswerUnknown}, // too large to be kept
+		{request.Event{Kind: request.Settled, State: registry.AlreadyClaimed, Claim: "unknown"}, tanagerroad.AnswerUnknown},
+		{request.Event{Kind: request.Settled, State: registry.Accepted}, tanagerroad.AnswerUnknown},
+		{request.Event{Kind: request.Timer, Name: "settle"}, tanagerroad.AnswerUnknown},
+	} {
+		m := request.New(request.Config{ID: "b", Execution: "x1", Workspace: "w", Route: routes[0], Body: []byte("b"), Deadline: deadline, Once: true, Resend: true, ExpectedTimes: make([]time.Duration, 1)})
+		held := tanagerroad.AttemptKey{Request: "x0", Attempt: 1}
+		own := tanagerroad.AttemptKey{Request: "x1", Attempt: 1}
+		var last request.Action
+		for _, e := range []request.Event{
+			{Kind: request.Start},
+			{Kind: request.Picked, Key: own, Server: "s0", Address: "s0", Generation: 1},
+			{Kind: request.Held, Key: held, Server: "s1", Address: "s1", Generation: 1, State: "running"},
+			{Kind: request.StatusReply, Key: held, State: stage.Unknown},
+			c.settled,
+		} {
+			for _, a := range m.Step(time.Second, e) {
+				if a.Kind == request.Finish {
+					last = a
+				}
+			}
+		}
+		if last.Answer == nil || last.Answer.Kind != c.want || c.want == tanagerroad.AnswerComplete && string(last.Answer.Body) != "two seats" {
+			t.Errorf("%+v: answered %+v, want %s", c.settled, last.Answer, c.want)
+		}
+	}
+}
--- a/core/request/simulation_test.go
+++ b/core/request/simulation_test.go
@@ -224,7 +224,12 @@
 		outcome := sim.applyCommand(&wire.Command{Body: &wire.Command_Settle{Settle: &wire.Settle{
 			Request: r.config.ID, Workspace: "w", Kind: a.State, Answer: a.Bytes, Key: wireKey(a.Key),
 		}}})
-		sim.enqueue(pendingEvent{"settle reply", func() { sim.stepMachine(r, request.Event{Kind: request.Settled, State: outcome.GetKind()}) }, func() {}})
+		sim.enqueue(pendingEvent{"settle reply", func() {
+			held := outcome.GetClaim()
+			sim.stepMachine(r, request.Event{
+				Kind: request.Settled, State: outcome.GetKind(), Claim: held.GetKind(), Bytes: held.GetAnswer(), Length: held.GetLength(), Reason: held.GetReason(),
+			})
+		}, func() {}})
 	}, func() {}})
 }
 
--- a/io/caller/run.go
+++ b/io/caller/run.go
@@ -281,7 +281,10 @@
 			Key: peer.KeyToWire(a.Key),
 		}}}
 		if outcome, err := e.control.Propose(ctx, command); err == nil {
-			x.post(request.Event{Kind: request.Settled, State: outcome.GetKind()})
+			claim := outcome.GetClaim()
+			x.post(request.Event{
+				Kind: request.Settled, State: outcome.GetKind(), Claim: claim.GetKind(), Bytes: claim.GetAnswer(), Length: claim.GetLength(), Reason: claim.GetReason(),
+			})
 		}
 	})
 }
