io/backend: a stream that cannot be resumed did run

A model engine's stream that broke off and was answered Not-Run when it was resumed ended as "not run", so that "not run" could be said of a request that ran, and a booking run again. Change: a resumption that did not run leaves the outcome open. Before: TestUnresumedStreamDidNotRun red for a rejected resumption; where nothing listens it was green, since the liveness probe ends the resumptions before. After: green.

--- a/io/backend/client.go
+++ b/io/backend/client.go
@@ -271,6 +271,9 @@
 	result := s.connect(ctx, func(ctx context.Context) (*http.Request, error) { return c.newRequest(ctx, attempt, PathGenerate) })
 	for try := 0; result.kind == indeterminate && !result.serverDown && try < c.maxResumes && ctx.Err() == nil; try++ {
 		result = s.connect(ctx, s.newResumeRequest)
+		if result.kind == notRun { // the resumption was not: the call ran before
+			result.kind = indeterminate
+		}
 	}
 	return result
 }
