core/registry: a refused crash report is not accepted when it is sent again

The id of a report was kept before the limit on fingerprints was checked, so that a refused report counted as known, and its second sending as accepted, though nothing was kept. Change: the id is kept once the report counts. Before: TestRefusedReportIsAccepted red in both of its checks. After: green.

--- a/core/registry/registry.go
+++ b/core/registry/registry.go
@@ -396,7 +396,6 @@
 	if slices.Contains(r.crashReports, c.GetReport()) {
 		return &wire.Outcome{Kind: Accepted}
 	}
-	r.crashReports = keepLast(append(r.crashReports, c.GetReport()), r.config.MaxCrashReports)
 	previous, ok := r.quarantined[c.GetFingerprint()]
 	if !ok {
 		if len(r.quarantined) >= r.config.MaxFingerprints {
@@ -404,6 +403,7 @@
 		}
 		previous = &wire.Conviction{Fingerprint: c.GetFingerprint(), Route: c.GetRoute()}
 	}
+	r.crashReports = keepLast(append(r.crashReports, c.GetReport()), r.config.MaxCrashReports)
 	next := proto.CloneOf(previous)
 	next.Crashes++
 	next.UntilMillis = r.latestMillis + r.config.SuspicionDuration.Milliseconds()
--- a/core/registry/registry_test.go
+++ b/core/registry/registry_test.go
@@ -218,3 +218,24 @@
 		t.Errorf("an operator's lift did not remove the conviction")
 	}
 }
+
+// TestRefusedReportIsAccepted guards against a crash report that is refused because as many
+// fingerprints are kept as may be, and that is said to be accepted when it is sent again.
+func TestRefusedReportIsAccepted(t *testing.T) {
+	config := registry.DefaultConfig()
+	config.MaxFingerprints = 1
+	r := registry.New(config)
+	report := func(fingerprint uint64) *wire.Command {
+		return &wire.Command{AtMillis: 1, Body: &wire.Command_Crash{Crash: &wire.Crash{Fingerprint: fingerprint, Report: fmt.Sprint(fingerprint)}}}
+	}
+	r.Apply(1, report(1))
+	for i := range 2 {
+		if o := r.Apply(uint64(2+i), report(2)); o.GetKind() != registry.LimitReached {
+			t.Errorf("sending %d of a report beyond the limit: %v, want %s", i+1, o, registry.LimitReached)
+		}
+	}
+	r.Apply(4, &wire.Command{AtMillis: 1, Body: &wire.Command_Lift{Lift: &wire.Lift{Fingerprint: 1}}})
+	if o := r.Apply(5, report(2)); o.GetKind() != registry.Accepted || len(r.Quarantine().GetConvictions()) != 1 {
+		t.Errorf("the report, once there is room: %v, and %d fingerprints are kept, want it accepted and kept", o, len(r.Quarantine().GetConvictions()))
+	}
+}
