io/caller: a stop does not wait for an execution that waits for its lock

At the end of a stop's time an entry posted to all executions under its lock. One with eight events waiting that needed the lock for its next step would have blocked both for good. Change: the list is taken under the lock, the events are posted without it. Before: TestEndAllBlocksOnBusyExecution red (blocked for 5 s). After: green.

--- a/io/caller/entry.go
+++ b/io/caller/entry.go
@@ -10,6 +10,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -273,11 +275,12 @@
 // the answer that its state allows. It returns the number of requests.
 func (e *Entry) EndAll() int {
 	e.mu.Lock()
-	defer e.mu.Unlock()
-	for x := range e.executions {
+	executions := slices.Collect(maps.Keys(e.executions))
+	e.mu.Unlock()
+	for _, x := range executions { // post may wait for an execution that waits for the lock
 		x.post(request.Event{Kind: request.Timer, Name: "deadline"})
 	}
-	return len(e.executions)
+	return len(executions)
 }
 
 // serverPlace returns the availability zone and region of a backend server.
