io/quorum: calls do not outlive their instance

Proposals and reads that were queued, or waited for the replica, got no answer when the instance stopped or its disk failed, until their own timeouts: an operator's change or a booking's claim hung there instead of going to another instance. Change: all of them end with the loop, or with the disk: a proposal's outcome is unknown, a read is not confirmed. Before: TestPendingCallsOutliveTheirInstance red, both cases lasted the whole 10 s of their contexts. After: green, with the race detector too.

--- a/io/quorum/quorum.go
+++ b/io/quorum/quorum.go
@@ -7,6 +7,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"slices"
 	"sync"
@@ -116,6 +117,7 @@
 	readRequests chan readRequest
 	leaving      chan struct{} // closed by Leave
 	leaveOnce    sync.Once
+	stopped      chan struct{} // closed when the loop has ended
 
 	// Used by the loop only.
 	waiters       map[uint64]waiter      // by log index
@@ -145,6 +147,7 @@
 		proposals:    make(chan proposal, queueLength),
 		readRequests: make(chan readRequest, queueLength),
 		leaving:      make(chan struct{}),
+		stopped:      make(chan struct{}),
 		changed:      signal.New(),
 		waiters:      map[uint64]waiter{},
 		pendingReads: map[uint64]readRequest{},
@@ -161,13 +164,12 @@
 	}
 	q.transport = newTransport(config.Conns, config.Settings.Peer.AdvertisedAddress(), config.Logger, &q.Counters)
 	ctx, cancel := context.WithCancel(context.Background())
-	done := make(chan struct{})
 	if !empty {
 		q.startReplica(stored)
 	}
 	q.publishView()
 	go func() {
-		defer close(done)
+		defer close(q.stopped)
 		if empty && !q.formCluster(ctx) {
 			return
 		}
@@ -175,7 +177,7 @@
 	}()
 	return q, func() {
 		cancel()
-		<-done
+		<-q.stopped
 		q.transport.close()
 	}, nil
 }
@@ -309,8 +311,19 @@
 		q.replica.Flush()
 		q.processOutput()
 	}
-	for _, w := range q.waiters {
+	q.failPending()
+}
+
+// failPending ends the calls that wait for the replica: whether their commands are applied
+// is unknown, and their reads are not confirmed.
+func (q *Quorum) failPending() {
+	for index, w := range q.waiters {
 		close(w.reply)
+		delete(q.waiters, index)
+	}
+	for token, r := range q.pendingReads {
+		r.done <- false
+		delete(q.pendingReads, token)
 	}
 }
 
@@ -362,6 +375,10 @@
 
 // startRead asks the replica to confirm that this instance leads.
 func (q *Quorum) startRead(r readRequest) {
+	if q.diskFailed {
+		r.done <- false
+		return
+	}
 	q.lastReadToken++
 	q.pendingReads[q.lastReadToken] = r
 	q.replica.Read(q.lastReadToken)
@@ -421,6 +438,7 @@
 func (q *Quorum) onDiskFailure(err error) {
 	q.diskFailed = true
 	event.DiskFailed.Log(q.config.Logger, zap.Error(err))
+	q.failPending()
 	q.publishView()
 }
 
@@ -479,7 +497,10 @@
 // finishReads serves the reads that were confirmed, or fails the others.
 func (q *Quorum) finishReads(tokens []uint64, ok bool) {
 	for _, token := range tokens {
-		r := q.pendingReads[token]
+		r, pending := q.pendingReads[token]
+		if !pending {
+			continue // failed with the disk
+		}
 		delete(q.pendingReads, token)
 		if ok {
 			r.serve(q.registry)
@@ -566,6 +587,8 @@
 	}
 }
 
+var errOutcomeUnknown = errors.New("propose: the instance stopped, or its disk failed, before the command's outcome was known")
+
 // Propose appends a command to the replicated log and returns its outcome. It
 // returns an error only if it is unknown whether the command was applied.
 func (q *Quorum) Propose(ctx context.Context, command *wire.Command) (*wire.Outcome, error) {
@@ -581,9 +604,18 @@
 	select {
 	case outcome, ok := <-reply:
 		if !ok {
-			return nil, fmt.Errorf("propose: the instance stopped before the command's outcome was known")
+			return nil, errOutcomeUnknown
 		}
 		return outcome, nil
+	case <-q.stopped:
+		select {
+		case outcome, ok := <-reply:
+			if ok {
+				return outcome, nil
+			}
+		default:
+		}
+		return nil, errOutcomeUnknown
 	case <-ctx.Done():
 		return nil, fmt.Errorf("propose: %w", ctx.Err())
 	}
@@ -599,12 +631,21 @@
 	r := readRequest{serve, make(chan bool, 1)}
 	select {
 	case q.readRequests <- r:
+	case <-q.stopped:
+		return false
 	case <-ctx.Done():
 		return false
 	}
 	select {
 	case ok := <-r.done:
 		return ok
+	case <-q.stopped:
+		select {
+		case ok := <-r.done:
+			return ok
+		default:
+			return false
+		}
 	case <-ctx.Done():
 		return false
 	}
--- a/io/quorum/quorum_test.go
+++ b/io/quorum/quorum_test.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"os"
 	"path/filepath"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -125,6 +127,41 @@
 	}
 }
 
+// TestPendingCallsOutliveTheirInstance guards against proposals and reads that wait for
+// their own timeouts although the instance has stopped, or its disk has failed.
+func TestPendingCallsOutliveTheirInstance(t *testing.T) {
+	for name, end := range map[string]func(f *failingDisk, stop func()){
+		"stopped":     func(_ *failingDisk, stop func()) { stop() },
+		"failed disk": func(f *failingDisk, _ func()) { f.failAppends.Store(true) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			q, f, stop := startSingle(t, t.TempDir())
+			stopOnce := sync.OnceFunc(stop)
+			defer stopOnce()
+			ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+			defer cancel()
+			started := time.Now()
+			var group sync.WaitGroup
+			for i := range 50 {
+				group.Go(func() {
+					for n := 0; time.Since(started) < 500*time.Millisecond; n++ {
+						_, _ = q.Propose(ctx, &wire.Command{Body: &wire.Command_Claim{Claim: &wire.Claim{
+							Request: fmt.Sprint(i, "-", n), Workspace: "w", Key: &wire.Key{Request: fmt.Sprint(i, "-", n), Attempt: 1},
+						}}})
+						q.Read(ctx, func(*registry.Registry) {})
+					}
+				})
+			}
+			time.Sleep(100 * time.Millisecond)
+			end(f, stopOnce)
+			group.Wait()
+			if took := time.Since(started); took > 3*time.Second {
+				t.Errorf("the last call ended after %v, want it when the instance had ended", took)
+			}
+		})
+	}
+}
+
 // TestDamagedJournals checks that an incomplete record at the end of the journal is
 // cut off, that a corrupt record in the middle is an error that states its offset, and
 // that a second process cannot open the same directory.
