--- a/io/caller/endall_test.go
+++ b/io/caller/endall_test.go
@@ -20,7 +20,7 @@
 	go func() {
 		<-busy
 		time.Sleep(50 * time.Millisecond) // EndAll has begun
-		e.serverPlace("s") // takes the lock, as steps of executions do
+		e.serverPlace("s")                // takes the lock, as steps of executions do
 		<-x.events
 	}()
 	done := make(chan int)
