io/operator, io/command: a denied change says so, and one file is not sent for both tables

A change without a valid token was sent again for 30 s and ended with an empty outcome; one file named for both tables replaced only one of them.

--- a/io/command/commands.go
+++ b/io/command/commands.go
@@ -452,18 +452,24 @@
 	if f.routesFile+f.poolsFile == "" {
 		return change, &usageError{"missing flag: --routes FILE, --pools FILE or both"}
 	}
-	for file, target := range map[string]*json.RawMessage{f.routesFile: &change.Routes, f.poolsFile: &change.Pools} {
-		if file == "" {
+	if f.routesFile == f.poolsFile {
+		return change, &usageError{"--routes and --pools name the same file; each table has its own"}
+	}
+	for _, t := range []struct {
+		file   string
+		target *json.RawMessage
+	}{{f.routesFile, &change.Routes}, {f.poolsFile, &change.Pools}} {
+		if t.file == "" {
 			continue
 		}
-		data, err := readFile(file)
+		data, err := readFile(t.file)
 		if err != nil {
 			return change, err
 		}
 		if !json.Valid(data) {
-			return change, settings.Check(file, data)
+			return change, settings.Check(t.file, data)
 		}
-		*target = data
+		*t.target = data
 	}
 	return change, nil
 }
@@ -483,6 +489,8 @@
 			return reply.Findings
 		}
 		return &usageError{reply.Reason}
+	case operator.Denied:
+		return &usageError{"denied: " + reply.Reason + "; name a file that holds it with --token-file"}
 	case "conflict":
 		return fmt.Errorf("conflict: %s, by %s\n  %s", reply.Reason, reply.CurrentOperator, strings.Join(reply.Difference, "\n  "))
 	}
--- a/io/operator/client.go
+++ b/io/operator/client.go
@@ -39,10 +39,20 @@
 	return response.StatusCode, nil
 }
 
+// Denied is the Outcome of a change that was sent without a valid token.
+const Denied = "denied"
+
 // PutTables sends a change of the tables to the operator address of a control
-// instance. A rejected change is not an error: see Outcome in the reply.
+// instance. A rejected change is not an error: see Outcome in the reply. A reply
+// without one is.
 func PutTables(ctx context.Context, client *http.Client, address, token string, change TableChange) (TableChangeReply, error) {
 	var reply TableChangeReply
-	_, err := Call(ctx, client, http.MethodPut, address, "/tables", token, change, &reply)
+	status, err := Call(ctx, client, http.MethodPut, address, "/tables", token, change, &reply)
+	switch {
+	case status == http.StatusUnauthorized:
+		reply.Outcome = Denied
+	case err == nil && reply.Outcome == "":
+		err = fmt.Errorf("operator: PUT /tables: status %d without an outcome", status)
+	}
 	return reply, err
 }
