core/catalog: two pools of one name that differ are a fault

A configuration with two pools of one name was accepted, and which of the two was in force was chance of their order. Change: refused with the place of the second, unless both are alike; a pool without a name is refused. Before: TestCheckReportsAllFaults red for both. After: green.

--- a/core/catalog/catalog.go
+++ b/core/catalog/catalog.go
@@ -6,6 +6,7 @@
 	"cmp"
 	"fmt"
 	"net"
+	"reflect"
 	"slices"
 	"strconv"
 	"strings"
@@ -21,7 +22,15 @@
 		out = append(out, tanagerroad.Finding{File: file, Path: path, Found: found, Want: want})
 	}
 	pools := map[string]bool{}
-	for _, p := range c.Pools {
+	for i, p := range c.Pools {
+		path := fmt.Sprintf("pools[%d].name", i)
+		first := slices.IndexFunc(c.Pools, func(other tanagerroad.CatalogPool) bool { return other.Name == p.Name })
+		switch {
+		case p.Name == "":
+			fault(path, strconv.Quote(p.Name), "a name")
+		case !reflect.DeepEqual(p, c.Pools[first]):
+			fault(path, strconv.Quote(p.Name), "a name that pools["+strconv.Itoa(first)+"], which differs, does not have")
+		}
 		pools[p.Name] = true
 	}
 	type routePattern struct{ host, prefix string }
--- a/core/catalog/catalog_test.go
+++ b/core/catalog/catalog_test.go
@@ -63,12 +63,16 @@
 	c.Routes[2].Targets[0].Pool = "nowhere"
 	c.Routes[2].Stages = []tanagerroad.CatalogStage{{Pool: "lost", After: []int{4}}}
 	c.Workspaces[1].APIKeys = []string{"k1"}
+	c.Pools = append(c.Pools, tanagerroad.CatalogPool{Name: "models", MaxConns: 7}, tanagerroad.CatalogPool{Name: "spare"}, tanagerroad.CatalogPool{})
 	text := catalog.Check("c", c).Error()
-	for _, want := range []string{"routes[0].timeout", "routes[1]: found a.example/x/", "routes[1].weight", "routes[2].pool", "routes[2].stages[0].pool", "routes[2].stages[0].after", "workspaces[1].keys"} {
+	for _, want := range []string{"routes[0].timeout", "routes[1]: found a.example/x/", "routes[1].weight", "routes[2].pool", "routes[2].stages[0].pool", "routes[2].stages[0].after", "workspaces[1].keys", "pools[2].name", "pools[4].name"} {
 		if !strings.Contains(text, want) {
 			t.Errorf("no finding contains %q in:\n%s", want, text)
 		}
 	}
+	if strings.Contains(text, "pools[3]") {
+		t.Errorf("a pool that is listed twice alike is a fault:\n%s", text)
+	}
 }
 
 // TestStagesInACircleAreAccepted guards against a route whose stages wait for each other,
