io/gateway: an earlier answer is not written behind a stream

What callers would have seen: a stream that broke off ended as complete, with the body of a failure of another backend server behind its events. Change: an earlier attempt's answer is delivered only in place of a failure or refusal of ours, and only if nothing was written yet. A request that is told to wait for a pool waits. Before: TestEarlierAnswerBehindStream red, the body "failed" behind event 1 and no error. After: green; platform green.

--- a/io/gateway/exchange.go
+++ b/io/gateway/exchange.go
@@ -94,7 +94,7 @@
 	exclude     []string        // ids of the backend servers tried so far
 	committed   bool            // the answer's header has been written
 	status      int             // of the committed answer
-	buffered    *bufferedAnswer // nil if none
+	buffered    *bufferedAnswer // the latest that an attempt ended with; nil if none
 	splitter    sse.Splitter
 	version     string             // of the model weights that the stream started with
 	server      string             // id of the backend server of the latest attempt; empty: none was chosen
@@ -281,7 +281,9 @@
 				zap.String("server", x.server), zap.String("progress", string(x.progress)), zap.Strings("parts", x.partIDs()))...)
 			x.g.meters.count("attempts." + string(end) + "." + string(x.progress))
 		}
-		if x.buffered != nil && action != attempt.Retry {
+		// A failure that an earlier attempt was answered with says more than one of ours.
+		ends := action == attempt.Deliver || action == attempt.Refuse || action == attempt.Fail
+		if x.buffered != nil && ends && !x.committed {
 			x.writeHeader(x.buffered.res, int64(len(x.buffered.body)))
 			_, _ = x.w.Write(x.buffered.body) // the caller may have disconnected
 			x.logAnswered(x.status)
