core/fleet: a test of misplaced backend servers

Shown to be no fault: a backend server that is gone is silent, and leaves the roster after 5 s, before its ejection ends; a new start clears the ejection.

--- a/core/fleet/fleet_test.go
+++ b/core/fleet/fleet_test.go
@@ -10,6 +10,7 @@
 
 	"tanagerroad"
 	"tanagerroad/core/fleet"
+	"tanagerroad/core/roster"
 )
 
 var regions = map[string]string{"z1": "north", "z2": "north", "z3": "south"}
@@ -139,3 +140,31 @@
 		}
 	}
 }
+
+// TestMisplacedServerIsUsedAgain guards against requests to a backend server at whose
+// address another one answers: it must be passed over until its silence has ended it in
+// the roster, if it does not start again.
+func TestMisplacedServerIsUsedAgain(t *testing.T) {
+	servers := []tanagerroad.Announcement{{ID: "gone", Pool: "p", Address: "x:1", Zone: "z1", Slots: 8, StartMillis: 1}, {ID: "far", Pool: "p", Address: "y:1", Zone: "z3", Slots: 8}}
+	f := fleet.New(regions)
+	f.Update(servers)
+	pick := func(at time.Duration) string {
+		choice, _ := f.Pick(at, fleet.Request{Pool: "p", From: tanagerroad.Place{Zone: "z1", Region: "north"}})
+		f.RecordEnd(at, choice.ID, fleet.Outcome{})
+		return choice.ID
+	}
+	if got := pick(0); got != "gone" {
+		t.Fatalf("picked %s, want the near one", got)
+	}
+	f.RecordMisplaced(0, "gone")
+	for at := time.Duration(0); at <= roster.DefaultConfig().SilenceTimeout+time.Second; at += 100 * time.Millisecond {
+		if got := pick(at); got != "far" {
+			t.Fatalf("picked %s %v after another server answered at its address, want far", got, at)
+		}
+	}
+	servers[0].StartMillis = 2
+	f.Update(servers)
+	if got := pick(6 * time.Second); got != "gone" {
+		t.Errorf("picked %s after the next start of the near one", got)
+	}
+}
