core/pick: a load that came with an answer is not overwritten by an older one

Each change in the directory, of any server, put back the load that the directory held of all others, as if it were as fresh as the answer that had brought the latest. Change: a server that is not announced anew keeps its load. Before: TestObserveKeepsFresherLoad red, the full server picked at the first seed. After: green; core/router green.

--- a/core/pick/pick_test.go
+++ b/core/pick/pick_test.go
@@ -157,3 +157,29 @@
 		t.Errorf("picked %[2]s, but %[1]s has the prefix cached", first.Server, again.Server)
 	}
 }
+
+// TestObserveKeepsFresherLoad guards against a load that came with an answer and is
+// overwritten by the directory's older one when any other server changes.
+func TestObserveKeepsFresherLoad(t *testing.T) {
+	p, err := pick.New("scored", func(string) pick.Price { return pick.Price{} })
+	if err != nil {
+		t.Fatal(err)
+	}
+	servers := []tanagerroad.Server{
+		{ID: "a", Pool: "p", Capacity: 4, Generation: 1, Sequence: 1, State: tanagerroad.Serving, Load: tanagerroad.Load{Limit: 4}},
+		{ID: "b", Pool: "p", Capacity: 4, Generation: 1, Sequence: 1, State: tanagerroad.Serving, Load: tanagerroad.Load{Limit: 4}},
+	}
+	p.Observe(0, servers)
+	const warm = time.Minute
+	full := tanagerroad.Load{InFlight: 4, Queued: 40, Limit: 4}
+	p.Pick(warm, tanagerroad.PickRequest{Pool: "p", Exclude: []string{"b"}})
+	p.Done(warm, tanagerroad.AttemptResult{Server: "a", Pool: "p", ServiceTime: 50 * time.Millisecond, OK: true, Load: &full})
+	for seed := range uint64(20) {
+		p.Observe(warm, servers) // as of before the answer
+		choice := p.Pick(warm, tanagerroad.PickRequest{Pool: "p", Seed: seed})
+		p.Done(warm, tanagerroad.AttemptResult{Server: choice.Server, Pool: "p", ServiceTime: 50 * time.Millisecond, OK: true})
+		if choice.Server != "b" {
+			t.Fatalf("seed %d: picked %s, whose queue is full, want b", seed, choice.Server)
+		}
+	}
+}
--- a/core/pick/scored.go
+++ b/core/pick/scored.go
@@ -91,6 +91,8 @@
 		}
 		if !ok || s.Newer(st.server) {
 			st.reportedAt, st.ownAtReport = at, st.ownInFlight
+		} else {
+			s.Load = st.server.Load // an answer may have brought a later one
 		}
 		st.server = s
 	}
