io/caller: places of gone servers are not kept for good

An entry kept the place of every backend server that was ever listed, so that its memory grew with each start under a new id. Change: of those that are gone the latest 1,024 are kept, for calls in flight there.

--- a/io/caller/entry.go
+++ b/io/caller/entry.go
@@ -9,6 +9,7 @@
 package caller
 
 import (
+	"cmp"
 	"context"
 	"maps"
 	"slices"
@@ -53,13 +54,14 @@
 	mu              sync.Mutex // guards the fields below
 	router          *router.Router
 	view            *directory.View
-	places          map[string]tanagerroad.Place // of backend servers, by id; removed servers stay
-	costPerSecond   map[string]float64           // of running a call, by pool
-	revision        uint64                       // of the tables in force
-	index           uint64                       // of the quorum's log entry for that revision
-	revisionChecked bool                         // a majority reported its newest revision, or pollStartTimeout has passed
-	executions      map[*execution]bool          // in flight
-	draining        bool                         // the entry reports that it is not ready
+	places          map[string]listedPlace // of backend servers, by id; of those that were removed the latest stay
+	updates         uint64                 // directory updates so far
+	costPerSecond   map[string]float64     // of running a call, by pool
+	revision        uint64                 // of the tables in force
+	index           uint64                 // of the quorum's log entry for that revision
+	revisionChecked bool                   // a majority reported its newest revision, or pollStartTimeout has passed
+	executions      map[*execution]bool    // in flight
+	draining        bool                   // the entry reports that it is not ready
 }
 
 // New starts an entry. The returned function stops its background goroutines and
@@ -79,7 +81,7 @@
 	e := &Entry{
 		config: config, noticeDue: signal.New(), ctx: ctx,
 		control: control.NewClient(config.Conns, config.Settings.Control, config.Logger),
-		router:  entryRouter, view: directory.NewView(), places: map[string]tanagerroad.Place{},
+		router:  entryRouter, view: directory.NewView(), places: map[string]listedPlace{},
 		costPerSecond: map[string]float64{}, executions: map[*execution]bool{},
 	}
 	watcher := control.Watcher{
@@ -192,13 +194,38 @@
 	e.noticeDue.Broadcast()
 }
 
+// listedPlace is the place of a backend server and the number of the directory update that
+// listed it last.
+type listedPlace struct {
+	tanagerroad.Place
+	listed uint64
+}
+
+// maxGonePlaces is how many places of removed backend servers are kept for calls that are
+// still in flight there.
+const maxGonePlaces = 1024
+
+// recordPlaces records the places of the listed backend servers, and drops those of the
+// servers that have been gone for longest. e.mu must be held.
+func (e *Entry) recordPlaces(servers []tanagerroad.Server) {
+	e.updates++
+	for _, s := range servers {
+		e.places[s.ID] = listedPlace{s.Place, e.updates}
+	}
+	if len(e.places) <= len(servers)+maxGonePlaces {
+		return
+	}
+	ids := slices.SortedFunc(maps.Keys(e.places), func(a, b string) int { return cmp.Compare(e.places[a].listed, e.places[b].listed) })
+	for _, id := range ids[:maxGonePlaces/2] {
+		delete(e.places, id)
+	}
+}
+
 // applyDirectory applies the directory part of an update. e.mu must be held.
 func (e *Entry) applyDirectory(u *wire.Update) {
 	e.view.Apply(peer.DeltaFromWire(u))
 	servers := e.view.Servers()
-	for _, s := range servers {
-		e.places[s.ID] = s.Place
-	}
+	e.recordPlaces(servers)
 	e.stepRouterLocked(router.Event{Kind: router.Servers, Servers: servers})
 	if len(u.GetServers())+len(u.GetRemoved()) == 0 {
 		return
@@ -287,7 +314,7 @@
 func (e *Entry) serverPlace(server string) tanagerroad.Place {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.places[server]
+	return e.places[server].Place
 }
 
 // countRequest counts a request by route, workspace and outcome. Callers may send
