--- a/core/router/fake_test.go
+++ b/core/router/fake_test.go
@@ -169,7 +169,7 @@
 		routerPolicy = "least-in-flight"
 	}
 	for i := range 3 {
-		r, err := router.New(router.Config{Place: d.places[2*i], Policy: routerPolicy, MaxInFlight: 1024, RetryRatio: 0.1, RetryBurst: 20})
+		r, err := router.New(router.Config{Policy: routerPolicy, MaxInFlight: 1024, RetryRatio: 0.1, RetryBurst: 20})
 		if err != nil {
 			panic(err)
 		}
@@ -335,7 +335,7 @@
 	}
 	r.attempts++
 	e := router.Event{
-		Kind: router.Pick, Route: r.route.Name, Stage: r.stage, Remaining: r.deadline - s.now, InputBytes: bodyBytes, PrefixDigest: r.prefix,
+		Kind: router.Pick, Route: r.route.Name, Stage: r.stage, InputBytes: bodyBytes, PrefixDigest: r.prefix,
 		InputPlace: r.entry.place, Exclude: r.exclude, UseRetryBudget: useRetryBudget, Seed: uint64(r.id)*97 + uint64(r.attempts),
 	}
 	chosen := ""
--- a/core/router/router.go
+++ b/core/router/router.go
@@ -20,11 +20,10 @@
 
 // Config holds the settings of a router.
 type Config struct {
-	Place       tanagerroad.Place `json:"place"`         // where the entry runs
-	Policy      string            `json:"policy"`        // one of pick.Policies
-	MaxInFlight int               `json:"max-in-flight"` // requests admitted and not ended
-	RetryRatio  float64           `json:"retry-ratio"`   // retries and hedges allowed for each first attempt
-	RetryBurst  float64           `json:"retry-burst"`   // size of the retry budget: retries and hedges it allows at once
+	Policy      string  `json:"policy"`        // one of pick.Policies
+	MaxInFlight int     `json:"max-in-flight"` // requests admitted and not ended
+	RetryRatio  float64 `json:"retry-ratio"`   // retries and hedges allowed for each first attempt
+	RetryBurst  float64 `json:"retry-burst"`   // size of the retry budget: retries and hedges it allows at once
 }
 
 // Event kinds.
@@ -55,7 +54,7 @@
 	Route             string                     `json:"route,omitempty"`
 	Workspace         string                     `json:"workspace,omitempty"`
 	Stage             int                        `json:"stage,omitempty"`   // index in the route
-	Remaining         time.Duration              `json:"left,omitempty"`    // until the deadline
+	Remaining         time.Duration              `json:"left,omitempty"`    // Admit: until the deadline
 	InputBytes        int                        `json:"bytes,omitempty"`   // size of the input
 	PrefixDigest      uint64                     `json:"prefix,omitempty"`  // result of the function PrefixDigest; 0: none
 	InputPlace        tanagerroad.Place          `json:"from,omitzero"`     // where the input is stored
@@ -229,7 +228,7 @@
 	stage := route.Stages[e.Stage]
 	req := tanagerroad.PickRequest{
 		Pool: stage.Pool, Model: stage.Model, PrefixDigest: e.PrefixDigest, InputPlace: e.InputPlace, InputBytes: e.InputBytes,
-		Remaining: e.Remaining, Exclude: e.Exclude, Seed: e.Seed,
+		Exclude: e.Exclude, Seed: e.Seed,
 	}
 	choice := r.picker.Pick(at, req)
 	if choice.Server == "" {
--- a/io/caller/entry.go
+++ b/io/caller/entry.go
@@ -69,7 +69,7 @@
 func New(config Config) (*Entry, func(), error) {
 	r := config.Settings.Routing
 	routerConfig := router.Config{
-		Place: config.Settings.Place(), Policy: r.Policy, MaxInFlight: config.Settings.Caller.MaxInFlight,
+		Policy: r.Policy, MaxInFlight: config.Settings.Caller.MaxInFlight,
 		RetryRatio: r.RetryRatio, RetryBurst: r.RetryBurst,
 	}
 	entryRouter, err := router.New(routerConfig)
--- a/io/caller/run.go
+++ b/io/caller/run.go
@@ -190,7 +190,7 @@
 // pick has the router choose a backend server for a call.
 func (x *execution) pick(now time.Duration, a request.Action) {
 	verdict := x.entry.stepRouter(router.Event{
-		Kind: router.Pick, Route: x.config.Route.Name, Stage: a.Key.Stage, Remaining: x.config.Deadline - now,
+		Kind: router.Pick, Route: x.config.Route.Name, Stage: a.Key.Stage,
 		InputBytes: x.inputSize, PrefixDigest: router.PrefixDigest(x.config.Body), InputPlace: x.inputPlace, Exclude: a.Exclude, UseRetryBudget: a.UseRetryBudget,
 		Seed: xxhash.Sum64String(a.Key.String()) ^ x.seed,
 	})
@@ -455,8 +455,7 @@
 }
 
 // eventFromPart converts a part of a result to an event, and reports whether it is
-// the stream's last part. A heartbeat (Beat) or a Started part gives an event
-// without a kind. Other events have the part's own key, so that the state machine
+// the stream's last part. A heartbeat (Beat) gives an event without a kind. Other events have the part's own key, so that the state machine
 // can discard a part of another attempt.
 func eventFromPart(part *wire.Part) (ev request.Event, last bool) {
 	ev.Key = peer.KeyFromWire(part.GetKey())
--- a/picker.go
+++ b/picker.go
@@ -9,14 +9,13 @@
 
 // PickRequest holds the requirements of a stage, for choosing a backend server.
 type PickRequest struct {
-	Pool         string        `json:"pool"`
-	Model        string        `json:"model,omitempty"`
-	PrefixDigest uint64        `json:"prefix,omitempty"` // digest of the input's first bytes, for cache affinity
-	InputPlace   Place         `json:"from"`             // where the input is stored
-	InputBytes   int           `json:"bytes"`            // size of the input
-	Remaining    time.Duration `json:"left"`             // until the request's deadline
-	Exclude      []string      `json:"exclude,omitempty"`
-	Seed         uint64        `json:"seed"` // the picker's only source of randomness
+	Pool         string   `json:"pool"`
+	Model        string   `json:"model,omitempty"`
+	PrefixDigest uint64   `json:"prefix,omitempty"` // digest of the input's first bytes, for cache affinity
+	InputPlace   Place    `json:"from"`             // where the input is stored
+	InputBytes   int      `json:"bytes"`            // size of the input
+	Exclude      []string `json:"exclude,omitempty"`
+	Seed         uint64   `json:"seed"` // the picker's only source of randomness
 }
 
 // Choice is the outcome of a pick and the reason for it.
