core/settings: settings that cannot serve are found

values that only make sense above zero, or not below it, are checked; so are listeners against each other (also with an unspecified address), the renewal against the lease, ports, zones listed twice, a zone in another region. `tanagerroad check` with the files of several processes compares a sidecar's keep-once with the control instances' retention, and those with each other.

--- a/core/settings/settings.go
+++ b/core/settings/settings.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"tanagerroad"
+	"tanagerroad/core/directory"
 	"tanagerroad/core/document"
 	"tanagerroad/core/pick"
 	"tanagerroad/core/table"
@@ -218,6 +219,8 @@
 const (
 	kib = 1 << 10
 	mib = 1 << 20
+
+	maxPort = 65535
 )
 
 func duration(d time.Duration) tanagerroad.Duration { return tanagerroad.Duration(d) }
@@ -302,12 +305,14 @@
 	s := DefaultEntry()
 	c := decode(file, data, &s)
 	c.checkRole(s.Role, RoleEntry)
-	c.checkCommon(s.Common, s.Operator, s.Record)
+	c.checkCommon(s.Common, s.Operator, s.Record, s.Stop)
 	c.checkHTTPListener("caller", s.Caller)
-	c.checkDistinct("operator.address", s.Operator.Address, s.Caller.Address)
+	c.checkListeners([]listener{{"caller.address", s.Caller.Address}, {"operator.address", s.Operator.Address}})
 	c.checkAddresses("control", s.Control)
 	c.checkPolicy(s.Routing.Policy)
 	c.checkPositive("routing.silence", int64(s.Routing.SilenceTimeout))
+	c.checkNotNegative("routing.retry-ratio", s.Routing.RetryRatio)
+	c.checkNotNegative("routing.retry-burst", s.Routing.RetryBurst)
 	return s, c.findings
 }
 
@@ -316,15 +321,25 @@
 	s := DefaultSidecar()
 	c := decode(file, data, &s)
 	c.checkRole(s.Role, RoleSidecar)
-	c.checkCommon(s.Common, s.Operator, s.Record)
+	c.checkCommon(s.Common, s.Operator, s.Record, s.Stop)
 	c.checkPeer(s.Peer)
 	c.checkAddress("backend.address", s.Backend.Address)
 	c.checkLoopback("backend.address", s.Backend.Address)
-	c.checkDistinct("operator.address", s.Operator.Address, s.Backend.Address)
+	c.checkListeners([]listener{{"peer.address", s.Peer.Address}, {"backend.address", s.Backend.Address}, {"operator.address", s.Operator.Address}})
 	c.checkAddresses("control", s.Control)
 	c.checkPositive("queue.length", int64(s.Queue.MaxQueued))
+	c.checkPositive("queue.keep", int64(s.Queue.Retention))
+	c.checkPositive("queue.keep-once", int64(s.Queue.OnceRetention))
+	c.checkPositive("queue.kept-bytes", int64(s.Queue.MaxRetainedBytes))
+	c.checkPositive("queue.kept-once", int64(s.Queue.MaxRetainedOnce))
 	c.checkPositive("renew", int64(s.RenewInterval))
+	if lease := directory.DefaultConfig().Lease; s.RenewInterval.Std() > lease/2 {
+		c.addFinding("renew", s.RenewInterval.Std().String(), fmt.Sprintf("at most %s, half of the lease", lease/2))
+	}
 	c.checkPositive("backend.lease", int64(s.Backend.AnnouncementTimeout))
+	c.checkPositive("backend.silence", int64(s.Backend.SilenceTimeout))
+	c.checkPositive("backend.max-body", int64(s.Backend.MaxBody))
+	c.checkNotNegative("backend.resume", float64(s.Backend.MaxResumes))
 	return s, c.findings
 }
 
@@ -333,9 +348,11 @@
 	s := DefaultControl()
 	c := decode(file, data, &s)
 	c.checkRole(s.Role, RoleControl)
-	c.checkCommon(s.Common, s.Operator, s.Record)
+	c.checkCommon(s.Common, s.Operator, s.Record, s.Stop)
 	c.checkPeer(s.Peer)
+	c.checkListeners([]listener{{"peer.address", s.Peer.Address}, {"registrar.address", s.Registrar.Address}, {"operator.address", s.Operator.Address}})
 	c.checkAddresses("instances", s.Instances)
+	c.checkPort("control-port", s.ControlPort)
 	s.Instances = withPort(s.Instances, s.ControlPort)
 	if n := len(s.Instances); !s.OpenMembership && (n > 7 || n%2 == 0) {
 		c.addFinding("instances", fmt.Sprintf("%d addresses", n), "1, 3, 5 or 7 addresses")
@@ -349,6 +366,8 @@
 	if s.DataDir == "" {
 		c.addFinding("data", `""`, "a directory")
 	}
+	c.checkPositive("compact", int64(s.CompactAtSize))
+	c.checkPositive("retention", int64(s.Retention))
 	c.checkPositive("beat", int64(s.HeartbeatInterval))
 	if s.ElectionTimeout < 3*s.HeartbeatInterval {
 		c.addFinding("election", s.ElectionTimeout.Std().String(), "at least three times the value of beat")
@@ -356,9 +375,10 @@
 	return s, c.findings
 }
 
-// withPort replaces the port of all addresses. A port of 0 leaves them unchanged.
+// withPort replaces the port of all addresses. A port of 0, or one that is not a port,
+// leaves them unchanged.
 func withPort(addresses []string, port int) []string {
-	if port == 0 {
+	if port <= 0 || port > maxPort {
 		return addresses
 	}
 	out := make([]string, len(addresses))
@@ -374,17 +394,19 @@
 	s := DefaultGateway()
 	c := decode(file, data, &s)
 	c.checkRole(s.Role, RoleGateway)
-	c.checkCommon(s.Common, s.Operator, s.Record)
+	c.checkCommon(s.Common, s.Operator, s.Record, s.Stop)
 	c.checkHTTPListener("caller", s.Caller)
 	c.checkAddress("ready", s.ReadyAddress)
 	c.checkPeer(s.Peer)
+	c.checkListeners([]listener{{"ready", s.ReadyAddress}, {"caller.address", s.Caller.Address}, {"peer.address", s.Peer.Address}, {"operator.address", s.Operator.Address}})
+	c.checkZones(s.Zones, s.Common)
 	c.checkAddresses("control", s.Control)
+	c.checkPort("control-port", s.ControlPort)
 	s.Control = withPort(s.Control, s.ControlPort)
 	c.checkPositive("memory", int64(s.MemoryLimit))
 	c.checkPositive("silence", int64(s.SourceTimeout))
-	if s.RetryLimits.RetryRatio < 0 || s.RetryLimits.RetrySlack < 0 {
-		c.addFinding("placing", "a negative retry-ratio or retry-slack", "values of zero or more")
-	}
+	c.checkNotNegative("placing.retry-ratio", s.RetryLimits.RetryRatio)
+	c.checkNotNegative("placing.retry-slack", s.RetryLimits.RetrySlack)
 	return s, c.findings
 }
 
@@ -393,15 +415,24 @@
 	s := DefaultStandIn()
 	c := decode(file, data, &s)
 	c.checkRole(s.Role, RoleStandIn)
-	c.checkCommon(s.Common, s.Operator, s.Record)
+	c.checkCommon(s.Common, s.Operator, s.Record, s.Stop)
+	if len(s.Servers) == 0 {
+		c.addFinding("servers", "none", "at least one server")
+	}
+	listeners := []listener{{"operator.address", s.Operator.Address}}
 	for i, server := range s.Servers {
 		path := fmt.Sprintf("servers[%d]", i)
+		listeners = append(listeners, listener{path + ".address", server.Address})
+		c.checkNotNegative(path+".capacity", float64(server.Capacity))
+		c.checkNotNegative(path+".tokens", float64(server.Tokens))
+		c.checkNotNegative(path+".limit", server.Limit)
 		c.checkAddress(path+".announce", server.Announce)
 		c.checkAddress(path+".address", server.Address)
 		if server.Kind != table.ModelEngine && server.Kind != table.Service {
 			c.addFinding(path+".kind", strconv.Quote(server.Kind), "model-engine or service")
 		}
 	}
+	c.checkListeners(listeners)
 	return s, c.findings
 }
 
@@ -433,6 +464,45 @@
 	return tanagerroad.Findings{{File: file, Line: 1, Path: "role", Found: strconv.Quote(head.Role), Want: "entry, sidecar, control, gateway or stand-in"}}
 }
 
+// File is a settings file and its content.
+type File struct {
+	Name string
+	Data []byte
+}
+
+// CheckTogether returns the findings that only show when the settings files of one
+// system are compared, and not those of Check.
+func CheckTogether(files []File) tanagerroad.Findings {
+	var out tanagerroad.Findings
+	add := func(file, path, found, want string) {
+		out = append(out, tanagerroad.Finding{File: file, Line: 1, Path: path, Found: found, Want: want})
+	}
+	var first string // the first file of a control instance
+	var retention, longest tanagerroad.Duration
+	for _, f := range files {
+		if RoleOf(f.Data) != RoleControl {
+			continue
+		}
+		s, _ := ParseControl(f.Name, f.Data)
+		if first == "" {
+			first, retention = f.Name, s.Retention
+		}
+		if s.Retention != retention {
+			add(f.Name, "retention", s.Retention.Std().String(), fmt.Sprintf("%s as in %s", retention.Std(), first))
+		}
+		longest = max(longest, s.Retention)
+	}
+	for _, f := range files {
+		if RoleOf(f.Data) != RoleSidecar {
+			continue
+		}
+		if s, _ := ParseSidecar(f.Name, f.Data); s.Queue.OnceRetention < longest {
+			add(f.Name, "queue.keep-once", s.Queue.OnceRetention.Std().String(), fmt.Sprintf("at least %s, the retention of claims at the control instances", longest.Std()))
+		}
+	}
+	return out
+}
+
 // checker validates one settings file and collects the findings.
 type checker struct {
 	file     string
@@ -455,7 +525,7 @@
 	}
 }
 
-func (c *checker) checkCommon(common Common, operator Operator, record Diagnostics) {
+func (c *checker) checkCommon(common Common, operator Operator, record Diagnostics, stop Shutdown) {
 	for path, name := range map[string]string{"process": common.Process, "zone": common.Zone, "region": common.Region} {
 		if !table.ValidName(name) {
 			c.addFinding(path, strconv.Quote(name), "a name of 1 to 64 lower-case letters, digits and hyphens")
@@ -467,6 +537,7 @@
 	if !slices.Contains([]string{"debug", "info", "warn", "error"}, record.Level) {
 		c.addFinding("record.level", strconv.Quote(record.Level), "debug, info, warn or error")
 	}
+	c.checkPositive("stop.bound", int64(stop.Timeout))
 	// The loop over the map adds findings in random order.
 	slices.SortFunc(c.findings, func(a, b tanagerroad.Finding) int { return a.Line - b.Line })
 }
@@ -474,7 +545,7 @@
 func (c *checker) checkAddress(path, address string) {
 	host, port, err := net.SplitHostPort(address)
 	number, portErr := strconv.Atoi(port)
-	if err != nil || portErr != nil || net.ParseIP(host) == nil || number < 0 || number > 65535 {
+	if err != nil || portErr != nil || net.ParseIP(host) == nil || number < 0 || number > maxPort {
 		c.addFinding(path, strconv.Quote(address), "an IP number and a port, such as 127.0.0.1:7000")
 	}
 }
@@ -504,9 +575,50 @@
 	}
 }
 
-func (c *checker) checkDistinct(path, a, b string) {
-	if a != "" && a == b {
-		c.addFinding(path, strconv.Quote(a), "an address that no other listener uses")
+// listener is a listener's path in the file and its address; no address: no listener.
+type listener struct {
+	path, address string
+}
+
+// checkListeners checks that no listener has the address of an earlier one.
+func (c *checker) checkListeners(listeners []listener) {
+	for i, l := range listeners {
+		if slices.ContainsFunc(listeners[:i], func(earlier listener) bool { return sameAddress(l.address, earlier.address) }) {
+			c.addFinding(l.path, strconv.Quote(l.address), "an address that no other listener uses")
+		}
+	}
+}
+
+// sameAddress reports whether only one of two listeners can have its address. Port 0
+// stands for any free port.
+func sameAddress(a, b string) bool {
+	hostA, portA, errA := net.SplitHostPort(a)
+	hostB, portB, errB := net.SplitHostPort(b)
+	ipA, ipB := net.ParseIP(hostA), net.ParseIP(hostB)
+	if errA != nil || errB != nil || ipA == nil || ipB == nil || portA != portB || portA == "0" {
+		return false
+	}
+	return ipA.Equal(ipB) || ipA.IsUnspecified() || ipB.IsUnspecified()
+}
+
+// checkZones checks that a zone is listed once, and the process's own with its region.
+func (c *checker) checkZones(zones []ZoneRegion, own Common) {
+	regions := map[string]string{}
+	for i, z := range zones {
+		if _, listed := regions[z.Zone]; listed {
+			c.addFinding(fmt.Sprintf("zones[%d].zone", i), strconv.Quote(z.Zone), "a zone that is not listed yet")
+			continue
+		}
+		regions[z.Zone] = z.Region
+	}
+	if region, listed := regions[own.Zone]; listed && region != own.Region {
+		c.addFinding("region", strconv.Quote(own.Region), strconv.Quote(region)+" as listed in zones")
+	}
+}
+
+func (c *checker) checkPort(path string, port int) {
+	if port < 0 || port > maxPort {
+		c.addFinding(path, fmt.Sprint(port), fmt.Sprintf("a port of at most %d, or 0", maxPort))
 	}
 }
 
@@ -514,6 +626,7 @@
 	c.checkAddress(path+".address", l.Address)
 	c.checkPositive(path+".max-body", int64(l.MaxBody))
 	c.checkPositive(path+".max-header", int64(l.MaxHeader))
+	c.checkPositive(path+".header-timeout", int64(l.HeaderTimeout))
 	c.checkPositive(path+".max-in-flight", int64(l.MaxInFlight))
 }
 
@@ -523,6 +636,12 @@
 	}
 }
 
+func (c *checker) checkNotNegative(path string, n float64) {
+	if n < 0 {
+		c.addFinding(path, fmt.Sprint(n), "a value of zero or more")
+	}
+}
+
 func (c *checker) checkPolicy(policy string) {
 	if !slices.Contains(pick.Policies, policy) {
 		c.addFinding("routing.policy", strconv.Quote(policy), strings.Join(pick.Policies, ", "))
--- a/io/command/commands.go
+++ b/io/command/commands.go
@@ -171,11 +171,12 @@
 	}
 }
 
-// checkFiles checks each settings file on its own. If both tables are among the
-// files, it checks them against each other.
+// checkFiles checks each settings file on its own and against the others. If both tables
+// are among the files, it checks them against each other.
 func checkFiles(files []string) (tanagerroad.Findings, error) {
 	var findings tanagerroad.Findings
 	var routes, pools string
+	var settingsFiles []settings.File
 	contents := map[string][]byte{}
 	for _, file := range files {
 		data, err := readFile(file)
@@ -190,8 +191,10 @@
 			pools = file
 		default:
 			findings = append(findings, settings.Check(file, data)...)
+			settingsFiles = append(settingsFiles, settings.File{Name: file, Data: data})
 		}
 	}
+	findings = append(findings, settings.CheckTogether(settingsFiles)...)
 	if routes+pools != "" {
 		findings = append(findings, checkTables(routes, contents[routes], pools, contents[pools])...)
 	}
