core/registry: all instances drop the same claims, whatever their retention

callers could have seen a request that must not be repeated run twice: each control instance dropped settled claims by its own `retention`. with different values, as in the middle of a change of that setting, an instance that became the leader did not know a claim which the leader before it still held, and granted it again.

found while the settings' checks were written. the leader now puts its retention into each command, beside its time, and all instances use that; a command without it, from an older version, uses the instance's own.

--- a/core/registry/registry.go
+++ b/core/registry/registry.go
@@ -143,6 +143,9 @@
 // the outcome Invalid.
 func (r *Registry) Apply(index uint64, command *wire.Command) *wire.Outcome {
 	r.latestMillis = max(r.latestMillis, command.GetAtMillis())
+	if millis := command.GetRetentionMillis(); millis > 0 {
+		r.config.ClaimRetention = time.Duration(millis) * time.Millisecond
+	}
 	r.expire()
 	switch body := command.GetBody().(type) {
 	case *wire.Command_PutTables:
--- a/io/quorum/quorum.go
+++ b/io/quorum/quorum.go
@@ -352,6 +352,7 @@
 		return
 	}
 	p.command.AtMillis = q.config.Clock.Wall().UnixMilli()
+	p.command.RetentionMillis = q.config.Registry.ClaimRetention.Milliseconds()
 	data, err := proto.Marshal(p.command)
 	if err != nil {
 		p.reply <- &wire.Outcome{Kind: registry.Invalid, Reason: err.Error()}
