core/stage, io/backend: attempts are kept for as long as their claims

callers could have seen a request that must not be repeated run twice: a sidecar with a keep-once below the control instances' retention forgot a finished attempt while its claim was still vouched for, and took a late duplicate of it for a new one (same start of the sidecar).

control instances say in their updates how long they keep claims; a sidecar that keeps attempts for less raises its own time, never lowers it, and says so in retention-raised (306).

TestAttemptsAreForgottenBeforeTheirClaims: red without the change (the attempt started again), green with it.

--- a/core/event/event.go
+++ b/core/event/event.go
@@ -85,6 +85,7 @@
 	AttemptEndedAtSidecar  = define(302, zap.DebugLevel, "attempt-ended", "An attempt on this sidecar's backend server ended.")
 	BackendSilent          = define(303, zap.WarnLevel, "backend-silent", "The backend server stopped announcing itself.")
 	BackendCrashed         = define(304, zap.ErrorLevel, "backend-crashed", "The backend server crashed with attempts in flight; their fingerprints were reported.")
+	RetentionRaised        = define(306, zap.WarnLevel, "retention-raised", "The control instances keep claims for longer than this sidecar keeps attempts that must not be repeated (queue.keep-once); it keeps them as long.")
 	Sealed                 = define(305, zap.InfoLevel, "sealed", "A sidecar that stops asked the quorum to bind no more claims to it; bound is the number of claims that still are, which it waits for.")
 	RoleChanged            = define(400, zap.InfoLevel, "replica-role", "A control instance changed its role, or learned of a different leader.")
 	NoQuorum               = define(401, zap.WarnLevel, "no-quorum", "A leader lost contact with the quorum and stepped down.")
--- a/core/registry/registry.go
+++ b/core/registry/registry.go
@@ -176,6 +176,9 @@
 	return &wire.Outcome{Kind: Invalid, Reason: "an unknown command"}
 }
 
+// ClaimRetention returns how long settled claims are kept at present.
+func (r *Registry) ClaimRetention() time.Duration { return r.config.ClaimRetention }
+
 // CurrentRevision returns the current revision of both tables.
 func (r *Registry) CurrentRevision() *wire.Revision { return r.current }
 
--- a/core/stage/stage.go
+++ b/core/stage/stage.go
@@ -66,6 +66,7 @@
 	Tick        = "tick"     // time passed
 	Stop        = "stop"     // the sidecar must shut down
 	SetLimit    = "limit"    // the backend server named how many attempts a second it takes
+	Retain      = "retain"   // the control instances named how long they keep a settled claim
 )
 
 // Event is an input to the scheduler. Which fields are set depends on Kind.
@@ -84,6 +85,7 @@
 	State       tanagerroad.ServerState `json:"state,omitempty"`       // announced state
 	Bytes       int                     `json:"bytes,omitempty"`       // size of the result
 	PerSecond   float64                 `json:"per-second,omitempty"`  // with SetLimit; 0: any number
+	Retention   time.Duration           `json:"retention,omitempty"`   // with Retain
 }
 
 // Action kinds.
@@ -201,6 +203,8 @@
 	case SetLimit:
 		s.rate.Set(at, e.PerSecond)
 		s.startsPerSecond = e.PerSecond
+	case Retain:
+		s.config.OnceRetention = max(s.config.OnceRetention, e.Retention)
 	case Stop:
 		s.stopping = true
 		out = s.rejectQueued(at, "the sidecar is stopping")
--- a/core/stage/stage_test.go
+++ b/core/stage/stage_test.go
@@ -158,3 +158,23 @@
 		t.Error("a result was kept after its retention expired")
 	}
 }
+
+// TestAttemptsAreForgottenBeforeTheirClaims guards against a second run of a request that
+// must not be repeated, at a sidecar that keeps its attempts for less than claims are kept.
+func TestAttemptsAreForgottenBeforeTheirClaims(t *testing.T) {
+	s := newScheduler(1, 1)
+	once := submit("once", 2*time.Hour)
+	once.Once, once.Generation = true, 7
+	s.Step(0, stage.Event{Kind: stage.Retain, Retention: time.Hour})
+	s.Step(0, once)
+	s.Step(1, stage.Event{Kind: stage.Finish, Key: once.Key})
+	s.Step(30*time.Minute, stage.Event{Kind: stage.Tick})
+	if out := s.Step(30*time.Minute, once); has(out, "once", stage.Start) {
+		t.Errorf("it runs again within its claim's retention: %v", out)
+	}
+	s.Step(30*time.Minute, stage.Event{Kind: stage.Retain, Retention: time.Second})
+	s.Step(59*time.Minute, stage.Event{Kind: stage.Tick})
+	if out := s.Step(59*time.Minute, once); has(out, "once", stage.Start) {
+		t.Errorf("it runs again after an instance named a shorter retention: %v", out)
+	}
+}
--- a/io/backend/sidecar.go
+++ b/io/backend/sidecar.go
@@ -85,6 +85,7 @@
 	index            uint64                      // log index of the revision
 	quarantine       map[uint64]*wire.Conviction // by fingerprint
 	limit            float64                     // attempts a second that the backend server takes; 0: any number
+	onceRetention    time.Duration               // of attempts that must not be repeated
 }
 
 // New starts a sidecar. The returned function stops it and aborts the calls that
@@ -103,7 +104,7 @@
 		config: config, generation: generation, noticeDue: signal.New(), idle: make(chan struct{}), ctx: ctx,
 		control:   control.NewClient(config.Conns, config.Settings.Control, config.Logger),
 		scheduler: stage.NewScheduler(schedulerConfig), records: map[tanagerroad.AttemptKey]*record{},
-		quarantine: map[uint64]*wire.Conviction{},
+		quarantine: map[uint64]*wire.Conviction{}, onceRetention: schedulerConfig.OnceRetention,
 	}
 	config.Trace.Begin(trace.Stage, config.Settings.Process, schedulerConfig)
 	err := errors.Join(bus.Subscribe(config.Bus, TopicAnnounced, s.applyAnnouncement), bus.Subscribe(config.Bus, TopicCrash, s.reportCrash))
@@ -168,6 +169,11 @@
 		event.RevisionInForce.Log(s.config.Logger, zap.Uint64("revision", s.revision))
 		s.noticeDue.Broadcast()
 	}
+	if retention := time.Duration(u.GetRetentionMillis()) * time.Millisecond; retention > s.onceRetention {
+		event.RetentionRaised.Log(s.config.Logger, zap.Duration("from", s.onceRetention), zap.Duration("to", retention))
+		s.onceRetention = retention
+		s.step(stage.Event{Kind: stage.Retain, Retention: retention})
+	}
 	if u.GetQuarantine() != nil {
 		clear(s.quarantine)
 		for _, c := range u.GetQuarantine().GetConvictions() {
--- a/io/control/service.go
+++ b/io/control/service.go
@@ -380,7 +380,7 @@
 	view := s.quorum.View()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	update := &wire.Update{Leader: view.Leader, Sequence: s.directory.Sequence()}
+	update := &wire.Update{Leader: view.Leader, Sequence: s.directory.Sequence(), RetentionMillis: view.Retention.Milliseconds()}
 	if view.Revision.GetNumber() > w.revisionNumber {
 		update.Revision = view.Revision
 		w.revisionNumber = view.Revision.GetNumber()
--- a/io/quorum/quorum.go
+++ b/io/quorum/quorum.go
@@ -72,7 +72,8 @@
 	LogEntries int // number of log entries after the snapshot
 	DiskFailed bool
 	Catalog    *wire.Catalog
-	Instances  []string // peer addresses of the members, sorted
+	Instances  []string      // peer addresses of the members, sorted
+	Retention  time.Duration // of settled claims
 }
 
 // proposal is a command and the channel for its outcome. The channel is closed
@@ -532,7 +533,7 @@
 // publishView stores a new View, logs changes of role and leader, and announces
 // changes of the revision, catalog or quarantine.
 func (q *Quorum) publishView() {
-	v := View{ID: q.id, Revision: q.registry.CurrentRevision(), Quarantine: q.registry.Quarantine(), DiskFailed: q.diskFailed, Catalog: q.registry.Catalog()}
+	v := View{ID: q.id, Revision: q.registry.CurrentRevision(), Quarantine: q.registry.Quarantine(), DiskFailed: q.diskFailed, Catalog: q.registry.Catalog(), Retention: q.registry.ClaimRetention()}
 	v.Claims, v.ClaimBytes = q.registry.ClaimStats()
 	if q.replica != nil {
 		v.Role, v.Term, v.Commit = q.replica.Role(), q.replica.Term(), q.replica.CommitIndex()
