core/stage, io/backend: what a backend server says in its answers is heeded by sidecars

the adapter decodes both once; core/stage decides. a leaving mark holds for the backend server's generation, against announcements that are late or still say that it serves, and late answers of another start change nothing. during a pause, of one minute at most, nothing is started. what is queued when it begins is turned away, since another server may be free; the entry does not exclude the server for that, and the picker counts the rest of the pause as a wait, so that a request goes elsewhere, or waits where its deadline allows, or is refused at once with the time that is left. sidecars report a pause in their load, and the directory passes it on at once. answers to cancellations count for leaving only.

--- a/core/directory/directory.go
+++ b/core/directory/directory.go
@@ -155,10 +155,11 @@
 }
 
 // serverChanged reports whether two announcements of a server differ in more than
-// its load.
+// its load, or in whether or how long it is paused.
 func serverChanged(a, b tanagerroad.Server) bool {
 	return a.State != b.State || a.Generation != b.Generation || a.Address != b.Address ||
-		a.Capacity != b.Capacity || !slices.Equal(a.Models, b.Models)
+		a.Capacity != b.Capacity || !slices.Equal(a.Models, b.Models) ||
+		(a.Load.Pause > 0) != (b.Load.Pause > 0) || b.Load.Pause > a.Load.Pause
 }
 
 // Expire marks the servers whose lease has run out by time at as lapsed and
--- a/core/directory/directory_test.go
+++ b/core/directory/directory_test.go
@@ -187,3 +187,19 @@
 		t.Errorf("the watcher got %d load reports in %s, want at most %d", reports, span, limit)
 	}
 }
+
+// TestPauseIsNotReported guards against entries that learn late that a backend server asked
+// for time, or that the time is over.
+func TestPauseIsNotReported(t *testing.T) {
+	d := directory.New(directory.DefaultConfig())
+	for i, c := range []struct {
+		pause time.Duration
+		want  bool
+	}{{0, true}, {0, false}, {3 * time.Second, true}, {2 * time.Second, false}, {5 * time.Second, true}, {0, true}} {
+		s := server(1, tanagerroad.Serving, uint64(i+1))
+		s.Load.Pause = c.pause
+		if got := d.Renew(time.Millisecond*time.Duration(i), s); got != c.want {
+			t.Errorf("announcement %d, with a pause of %s: reported %v", i+1, c.pause, got)
+		}
+	}
+}
--- a/core/pick/pick_test.go
+++ b/core/pick/pick_test.go
@@ -183,3 +183,27 @@
 		}
 	}
 }
+
+// TestPausedServerIsPicked guards against attempts that wait for the end of a server's pause
+// while another server is free, or for a later one than they need.
+func TestPausedServerIsPicked(t *testing.T) {
+	p, err := pick.New("scored", func(string) pick.Price { return pick.Price{} })
+	if err != nil {
+		t.Fatal(err)
+	}
+	var servers []tanagerroad.Server
+	for i, pause := range []time.Duration{20 * time.Second, 5 * time.Second, 0} {
+		servers = append(servers, tanagerroad.Server{
+			ID: string(rune('a' + i)), Pool: "p", Capacity: 4, Generation: 1, Sequence: 1, State: tanagerroad.Serving, Load: tanagerroad.Load{Limit: 4, Pause: pause},
+		})
+	}
+	p.Observe(0, servers)
+	for seed := range uint64(8) {
+		if got := p.Pick(time.Second, tanagerroad.PickRequest{Pool: "p", Seed: seed}); got.Server != "c" {
+			t.Errorf("seed %d: picked %s, which is paused: %s", seed, got.Server, got.Reason)
+		}
+		if got := p.Pick(time.Second, tanagerroad.PickRequest{Pool: "p", Seed: seed, Exclude: []string{"c"}}); got.Server != "b" {
+			t.Errorf("seed %d: picked %s, want b, whose pause ends first: %s", seed, got.Server, got.Reason)
+		}
+	}
+}
--- a/core/pick/scored.go
+++ b/core/pick/scored.go
@@ -213,6 +213,7 @@
 	if load >= 1 {
 		wait = time.Duration(float64(service) * (inFlight + 1.5 - slots) / slots)
 	}
+	wait += max(0, st.reportedAt+st.server.Load.Pause-at)
 	return score{work, wait, crossingPrice(st.server.Place, req, price)}
 }
 
--- a/core/request/parts.go
+++ b/core/request/parts.go
@@ -158,7 +158,9 @@
 	m.refusals++
 	m.runs--
 	m.maybeRan = m.mayHaveRun()
-	m.exclude = append(m.exclude, c.server)
+	if !e.Paused {
+		m.exclude = append(m.exclude, c.server)
+	}
 	if e.InputGone && m.stage > 0 && !m.config.Once {
 		m.rerunPreviousStage(at)
 		return
--- a/core/request/request.go
+++ b/core/request/request.go
@@ -104,6 +104,7 @@
 	MayHaveRun bool                   `json:"unknown,omitempty"`    // with Fail: whether it ran is not known, or its result is lost
 	Crashed    bool                   `json:"crashed,omitempty"`    // with Fail: the backend server crashed
 	InputGone  bool                   `json:"input-gone,omitempty"` // with TurnedAway: the referenced input no longer exists
+	Paused     bool                   `json:"paused,omitempty"`     // with TurnedAway: the sidecar takes it again and has it wait for the end of a pause
 	State      string                 `json:"state,omitempty"`      // with StatusReply: of the call; with Held: of the claim; with Denied and Settled: the outcome
 	Claim      string                 `json:"claim,omitempty"`      // with Settled: the state in which the claim was recorded before; its answer is in Bytes, Length and Reason
 	Name       string                 `json:"name,omitempty"`       // timer name
--- a/core/request/request_test.go
+++ b/core/request/request_test.go
@@ -233,3 +233,28 @@
 		}
 	})
 }
+
+// TestPausedServerIsExcluded guards against a request that is refused because the only
+// server of its pool asked for time, although the request could wait.
+func TestPausedServerIsExcluded(t *testing.T) {
+	for _, paused := range []bool{true, false} {
+		m := request.New(request.Config{ID: "l", Execution: "x", Workspace: "w", Route: routes[3], Body: []byte("l"), Deadline: deadline, ExpectedTimes: make([]time.Duration, 1)})
+		key := tanagerroad.AttemptKey{Request: "x", Attempt: 1}
+		var exclude []string
+		picked := false
+		for _, e := range []request.Event{
+			{Kind: request.Start},
+			{Kind: request.Picked, Key: key, Server: "s0", Address: "s0", Generation: 1},
+			{Kind: request.TurnedAway, Key: key, Reason: "the backend server asks for time", RetryAfter: time.Second, Paused: paused},
+		} {
+			for _, a := range m.Step(time.Second, e) {
+				if a.Kind == request.Pick {
+					picked, exclude = a.Key.Attempt == 2, a.Exclude
+				}
+			}
+		}
+		if !picked || (len(exclude) == 0) != paused {
+			t.Errorf("paused %v: picked again %v, without %v", paused, picked, exclude)
+		}
+	}
+}
--- a/core/request/simulation_test.go
+++ b/core/request/simulation_test.go
@@ -26,6 +26,7 @@
 	records    map[tanagerroad.AttemptKey]*record
 	up         bool
 	stopping   bool // a planned stop has begun
+	start      int  // generation of the backend server
 }
 
 // record is an attempt and its result at a sidecar.
@@ -102,7 +103,23 @@
 		Generation: s.generation, MaxQueued: 4, Retention: time.Minute, OnceRetention: time.Hour, MaxRetainedBytes: 1 << 20, MaxRetainedOnce: 100,
 	})
 	s.records, s.up, s.stopping = map[tanagerroad.AttemptKey]*record{}, true, false
-	sim.stepSidecar(s, stage.Event{Kind: stage.Announce, Capacity: 2, State: tanagerroad.Serving})
+	sim.announce(s)
+}
+
+func (sim *simulation) announce(s *sidecar) {
+	sim.stepSidecar(s, stage.Event{Kind: stage.Announce, Capacity: 2, State: tanagerroad.Serving, Start: s.start})
+}
+
+// leave has the backend server say in an answer that it leaves. It goes on announcing that
+// it serves, and starts again at some time.
+func (sim *simulation) leave(s *sidecar) {
+	sim.stepSidecar(s, stage.Event{Kind: stage.Leave, Start: s.start})
+	sim.announce(s)
+	sim.enqueue(pendingEvent{"next start", func() {
+		s.start++
+		sim.stepSidecar(s, stage.Event{Kind: stage.Crash})
+		sim.announce(s)
+	}, nil})
 }
 
 // stopAsPlanned begins a planned stop of a sidecar. It ends, and the sidecar starts again,
@@ -122,7 +139,7 @@
 	sim.enqueue(pendingEvent{"seal", func() {
 		outcome := sim.applyCommand(&wire.Command{Body: &wire.Command_Seal{Seal: &wire.Seal{Server: s.id, Generation: s.generation}}})
 		sim.enqueue(pendingEvent{"seal reply", func() {
-			load := s.scheduler.Load()
+			load := s.scheduler.Load(0)
 			if load.InFlight+load.Queued+len(outcome.GetBound()) > 0 && sim.now < until {
 				sim.seals = append(sim.seals, func() { sim.seal(s, until) })
 				return
@@ -325,7 +342,7 @@
 		case stage.Start:
 			sim.runAtBackend(s, a.Key)
 		case stage.Reject:
-			sim.endRecord(s, a.Key, request.Event{Kind: request.TurnedAway, Key: a.Key, Reason: a.Reason, RetryAfter: a.RetryAfter})
+			sim.endRecord(s, a.Key, request.Event{Kind: request.TurnedAway, Key: a.Key, Reason: a.Reason, RetryAfter: a.RetryAfter, Paused: a.Paused})
 		case stage.ReportOutcome:
 			sim.endRecord(s, a.Key, request.Event{Kind: request.Fail, Key: a.Key, MayHaveRun: a.State == stage.Unknown, Crashed: a.Reason == "crashed"})
 		case stage.Unexpected:
@@ -349,6 +366,9 @@
 				rec.data = answer(rec.input)
 				sim.stepSidecar(s, stage.Event{Kind: stage.Finish, Key: key, Bytes: len(rec.data)})
 				sim.endRecord(s, key, request.Event{Kind: request.End, Key: key, Length: uint64(len(rec.data)), Digest: xxhash.Sum64(rec.data)})
+				if sim.fault(10, "leave") {
+					sim.leave(s)
+				}
 			}
 		}, func() {
 			if alive() {
@@ -361,6 +381,10 @@
 		}})
 	}, func() {
 		if alive() {
+			if sim.fault(2, "pause") {
+				pause := time.Duration(rapid.IntRange(1, 3000).Draw(sim.t, "pause ms")) * time.Millisecond
+				sim.stepSidecar(s, stage.Event{Kind: stage.Pause, Start: s.start, Pause: pause})
+			}
 			sim.stepSidecar(s, stage.Event{Kind: stage.Refuse, Key: key})
 		}
 	}})
--- a/core/router/fake_test.go
+++ b/core/router/fake_test.go
@@ -270,7 +270,7 @@
 			continue
 		}
 		srv.server.Sequence++
-		srv.server.Load = srv.scheduler.Load()
+		srv.server.Load = srv.scheduler.Load(s.now)
 		servers = append(servers, srv.server)
 	}
 	for _, e := range s.entries {
@@ -359,7 +359,7 @@
 		if srv.server.Pool != r.route.Stages[r.stage].Pool || srv.lost || slices.Contains(r.exclude, srv.server.ID) {
 			continue
 		}
-		load := srv.scheduler.Load()
+		load := srv.scheduler.Load(s.now)
 		latency := s.deployment.latency[r.entry.place.DistanceTo(srv.server.Place)]
 		wait := max(0, float64(load.InFlight+load.Queued+1-srv.pool.slots)) / float64(srv.pool.slots)
 		score := float64(s.serviceTime(srv, r.prefix))*(1+wait) + 2*float64(latency)
@@ -461,7 +461,7 @@
 	}
 	a.ended = true
 	r := a.request
-	load := a.server.scheduler.Load()
+	load := a.server.scheduler.Load(s.now)
 	result := &tanagerroad.AttemptResult{
 		Server: a.server.server.ID, Pool: a.server.server.Pool, PrefixDigest: r.prefix, ServiceTime: s.now - a.sentAt, QueueTime: a.queueTime, OK: ok, Refused: refused,
 	}
--- a/core/stage/stage.go
+++ b/core/stage/stage.go
@@ -67,6 +67,8 @@
 	Stop        = "stop"     // the sidecar must shut down
 	SetLimit    = "limit"    // the backend server named how many attempts a second it takes
 	Retain      = "retain"   // the control instances named how long they keep a settled claim
+	Leave       = "leave"    // the backend server said in an answer that it takes no new work
+	Pause       = "pause"    // the backend server asked in an answer for no new work for a time
 )
 
 // Event is an input to the scheduler. Which fields are set depends on Kind.
@@ -86,6 +88,8 @@
 	Bytes       int                     `json:"bytes,omitempty"`       // size of the result
 	PerSecond   float64                 `json:"per-second,omitempty"`  // with SetLimit; 0: any number
 	Retention   time.Duration           `json:"retention,omitempty"`   // with Retain
+	Start       int                     `json:"start,omitempty"`       // with Announce, Leave and Pause: generation of the backend server
+	Pause       time.Duration           `json:"pause,omitempty"`       // with Pause; maxPause counts at most
 }
 
 // Action kinds.
@@ -114,6 +118,7 @@
 	Fingerprint uint64                 `json:"fingerprint,omitempty"`
 	Alone       bool                   `json:"alone,omitempty"`  // nothing else ran at the same time
 	QueueTime   time.Duration          `json:"waited,omitempty"` // time spent in the queue
+	Paused      bool                   `json:"paused,omitempty"` // with Reject: only because of a pause; sent again, it waits for the pause's end
 }
 
 // attempt is a submitted or fenced attempt and its current state.
@@ -146,8 +151,16 @@
 	onceCount          int                      // non-repeatable attempts in the attempts map
 	rate               limit.Rate               // of starts
 	startsPerSecond    float64                  // that rate; 0: unlimited
+	start              int                      // generation of the backend server
+	left               bool                     // leftStart is set
+	leftStart          int                      // generation that has said that it leaves
+	pausedUntil        time.Duration            // nothing is started before
 }
 
+// maxPause is the longest time for which a backend server may ask for no new work. A
+// longer one would be an error, and the server would be idle for as long.
+const maxPause = time.Minute
+
 // NewScheduler returns a scheduler whose backend server counts as down until it
 // announces itself.
 func NewScheduler(config Config) *Scheduler {
@@ -155,10 +168,13 @@
 }
 
 // Load returns the sidecar's current load, as reported to entries.
-func (s *Scheduler) Load() tanagerroad.Load {
-	return tanagerroad.Load{InFlight: s.running, Queued: len(s.queue), Limit: s.limit(), Latency: s.meanService}
+func (s *Scheduler) Load(at time.Duration) tanagerroad.Load {
+	return tanagerroad.Load{InFlight: s.running, Queued: len(s.queue), Limit: s.limit(), Latency: s.meanService, Pause: s.pause(at)}
 }
 
+// pause returns the time for which nothing is started.
+func (s *Scheduler) pause(at time.Duration) time.Duration { return max(0, s.pausedUntil-at) }
+
 // State returns the backend server's state as reported to entries: a serving
 // one counts as leaving while the sidecar shuts down.
 func (s *Scheduler) State() tanagerroad.ServerState {
@@ -203,11 +219,15 @@
 	case SetLimit:
 		s.rate.Set(at, e.PerSecond)
 		s.startsPerSecond = e.PerSecond
+	case Leave:
+		out = s.leave(at, e)
+	case Pause:
+		out = s.recordPause(at, e)
 	case Retain:
 		s.config.OnceRetention = max(s.config.OnceRetention, e.Retention)
 	case Stop:
 		s.stopping = true
-		out = s.rejectQueued(at, "the sidecar is stopping")
+		out = s.rejectQueued(at, "the sidecar is stopping", 0)
 	}
 	out = append(out, s.evictExpired(at)...)
 	out = append(out, s.startQueued(at)...)
@@ -239,18 +259,49 @@
 		s.capacity = e.Capacity
 		s.adaptive = limit.NewAdaptive(e.Capacity, e.Capacity)
 	}
-	s.state = e.State
-	if e.State == tanagerroad.Serving {
+	s.state, s.start = e.State, e.Start
+	if s.left && s.leftStart == e.Start && e.State == tanagerroad.Serving {
+		s.state = tanagerroad.Leaving // what it said in an answer outlives its announcements
+	}
+	if s.state == tanagerroad.Serving {
+		return nil
+	}
+	return s.rejectQueued(at, "the backend server is "+string(s.state), 0)
+}
+
+// leave marks the backend server as leaving until its next start.
+func (s *Scheduler) leave(at time.Duration, e Event) []Action {
+	if e.Start != s.start || s.left && s.leftStart == e.Start {
+		return nil
+	}
+	s.left, s.leftStart = true, e.Start
+	if s.state != tanagerroad.Serving {
+		return nil
+	}
+	return s.announce(at, Event{State: tanagerroad.Leaving, Start: e.Start})
+}
+
+// recordPause starts nothing until the pause is over. It rejects what is queued: another
+// server may be free, and else the attempts come back and wait here.
+func (s *Scheduler) recordPause(at time.Duration, e Event) []Action {
+	if e.Start != s.start {
 		return nil
 	}
-	return s.rejectQueued(at, "the backend server is "+string(e.State))
+	s.pausedUntil = max(s.pausedUntil, at+min(e.Pause, maxPause))
+	out := s.rejectQueued(at, reasonPaused, s.pause(at))
+	for i := range out {
+		out[i].Paused = out[i].Kind == Reject
+	}
+	return out
 }
 
-// rejectQueued rejects all queued attempts and empties the queue.
-func (s *Scheduler) rejectQueued(at time.Duration, reason string) []Action {
+const reasonPaused = "the backend server asks for time"
+
+// rejectQueued rejects all queued attempts and empties the queue. wait is when to retry.
+func (s *Scheduler) rejectQueued(at time.Duration, reason string, wait time.Duration) []Action {
 	var out []Action
 	for _, a := range s.queue {
-		out = append(out, s.reject(at, a, reason, 0))
+		out = append(out, s.reject(at, a, reason, wait))
 	}
 	s.queue = nil
 	return out
@@ -333,14 +384,14 @@
 		queued := time.Duration(float64(len(s.queue)) / s.startsPerSecond * float64(time.Second))
 		wait = max(wait, s.rate.Wait(at)+queued)
 	}
-	return wait
+	return max(wait, s.pause(at))
 }
 
 // startQueued starts queued attempts while the concurrency limit allows, earliest
 // deadline first, and rejects those that can no longer meet their deadline.
 func (s *Scheduler) startQueued(at time.Duration) []Action {
 	var out []Action
-	for len(s.queue) > 0 && s.running < s.limit() && !s.exclusive && s.rate.Wait(at) == 0 {
+	for len(s.queue) > 0 && s.running < s.limit() && !s.exclusive && s.rate.Wait(at) == 0 && s.pause(at) == 0 {
 		a := s.queue[0]
 		if a.Alone && s.running > 0 {
 			break // wait until nothing runs; later attempts must not overtake it
@@ -395,8 +446,8 @@
 	a.resultBytes = e.Bytes
 	s.retainedBytes += e.Bytes
 	if e.Kind == Refuse {
-		retry := limit.RetryAfter(s.meanService, a.Fingerprint+uint64(a.Key.Attempt))
-		return []Action{{Kind: Reject, Key: a.Key, Reason: "the backend server refused it", RetryAfter: retry}}
+		retry := limit.RetryAfter(max(s.meanService, s.pause(at)), a.Fingerprint+uint64(a.Key.Attempt))
+		return []Action{{Kind: Reject, Key: a.Key, Reason: "the backend server refused it", RetryAfter: retry, Paused: s.pause(at) > 0}}
 	}
 	if e.Kind != Finish {
 		return []Action{{Kind: ReportOutcome, Key: a.Key, State: a.state}}
@@ -425,7 +476,7 @@
 // fingerprint is reported as alone only if the attempt was required to run alone
 // and nothing else ran at any time during it.
 func (s *Scheduler) crash(at time.Duration) []Action {
-	s.state = tanagerroad.Down
+	s.state, s.pausedUntil = tanagerroad.Down, 0
 	var keys []tanagerroad.AttemptKey
 	for key, a := range s.attempts {
 		if a.state == Running {
@@ -449,7 +500,7 @@
 			Action{Kind: ReportCrash, Key: key, Fingerprint: a.Fingerprint, Alone: a.Alone && !a.overlapped},
 			Action{Kind: ReportOutcome, Key: key, State: a.state, Reason: "crashed"})
 	}
-	return append(out, s.rejectQueued(at, "the backend server is down")...)
+	return append(out, s.rejectQueued(at, "the backend server is down", 0)...)
 }
 
 func (s *Scheduler) cancel(at time.Duration, e Event) []Action {
--- a/io/backend/announce.go
+++ b/io/backend/announce.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"slices"
 	"strconv"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -106,11 +107,11 @@
 		}
 		b := s.config.Settings.Backend
 		s.client = newClient(a.Address, b.SilenceTimeout.Std(), int64(b.MaxBody), b.MaxResumes)
-		s.client.handleHeader = s.handleLimit
+		s.client.handleAnswer = s.handleAnswer
 	}
 	s.announced, s.announcedAt = a, s.config.Clock.Now()
 	previousState := s.scheduler.State()
-	s.step(stage.Event{Kind: stage.Announce, Capacity: a.Capacity, State: tanagerroad.ServerState(a.State)})
+	s.step(stage.Event{Kind: stage.Announce, Capacity: a.Capacity, State: tanagerroad.ServerState(a.State), Start: a.Generation})
 	if !equalAnnouncements(a, previous) || previousState != s.scheduler.State() {
 		event.Announced.Log(s.config.Logger, zap.String("pool", a.Pool), zap.Strings("models", a.Models),
 			zap.Int("capacity", a.Capacity), zap.String("state", a.State), zap.Int("generation", a.Generation))
@@ -118,10 +119,55 @@
 	}
 }
 
-// handleLimit applies the limit in the header of a response of the backend server, or that
-// it named none.
-func (s *Sidecar) handleLimit(h http.Header) {
-	text := h.Get(HeaderLimit)
+// handleAnswer applies what the backend server says about itself in the header of an
+// answer to a call. start is the generation that the call was sent to.
+func (s *Sidecar) handleAnswer(start int, answer *http.Response) {
+	s.handleLeaving(start, answer.Header)
+	if answer.Request.Method == http.MethodDelete {
+		return // the answer to a cancellation says nothing about new work
+	}
+	if answer.StatusCode == http.StatusServiceUnavailable {
+		s.handleRetryAfter(start, answer.Header.Get(HeaderRetryAfter))
+	}
+	s.handleLimit(answer.Header.Get(HeaderLimit))
+}
+
+// handleLeaving marks the backend server as leaving if the header says so.
+func (s *Sidecar) handleLeaving(start int, h http.Header) {
+	if h.Get(HeaderLeaving) != "1" {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	previous := s.scheduler.State()
+	s.step(stage.Event{Kind: stage.Leave, Start: start})
+	if s.scheduler.State() != previous {
+		event.ServerDeparting.Log(s.config.Logger, zap.String("server", s.config.Settings.Process), zap.String("pool", s.announced.Pool), zap.Int("start", start))
+		s.noticeDue.Broadcast()
+	}
+}
+
+// handleRetryAfter pauses the backend server, if it names a time.
+func (s *Sidecar) handleRetryAfter(start int, text string) {
+	if text == "" {
+		return
+	}
+	seconds, err := strconv.ParseFloat(text, 64)
+	if err != nil || !(seconds >= 0) || math.IsInf(seconds, 0) {
+		event.ServerPaused.Log(s.config.Logger, zap.String("server", s.config.Settings.Process), zap.String("invalid", text))
+		return
+	}
+	asked := time.Duration(min(seconds, math.MaxInt32) * float64(time.Second))
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.step(stage.Event{Kind: stage.Pause, Start: start, Pause: asked})
+	event.ServerPaused.Log(s.config.Logger, zap.String("server", s.config.Settings.Process), zap.String("pool", s.announced.Pool),
+		zap.Duration("asked", asked), zap.Duration("until-end", s.scheduler.Load(s.config.Clock.Now()).Pause))
+	s.noticeDue.Broadcast()
+}
+
+// handleLimit applies the limit in an answer of the backend server, or that it named none.
+func (s *Sidecar) handleLimit(text string) {
 	perSecond, err := strconv.ParseFloat(text, 64)
 	if text != "" && (err != nil || !(perSecond > 0) || math.IsInf(perSecond, 0)) {
 		event.ServerLimited.Log(s.config.Logger, zap.String("server", s.config.Settings.Process), zap.String("invalid", text))
--- a/io/backend/client.go
+++ b/io/backend/client.go
@@ -42,6 +42,9 @@
 	HeaderNotRun    = "Not-Run"       // "true" on an error response: the call did not run
 	HeaderDigest    = "Result-Digest" // xxhash64 of the result, in hexadecimal
 	HeaderLimit     = "Server-Limit"  // calls per second that the backend server takes for now, a decimal number
+
+	HeaderLeaving    = "Server-Leaving" // "1" on any answer: the backend server takes no new work until its next start
+	HeaderRetryAfter = "Retry-After"    // on a 503: seconds, a decimal number, for which it wants no new work
 )
 
 // Paths of the protocol between sidecar and backend server.
@@ -86,6 +89,7 @@
 	input      []byte
 	atMostOnce bool          // not repeatable
 	budget     time.Duration // until the deadline
+	start      int           // generation of the backend server that it is sent to
 }
 
 // client sends calls to one backend server.
@@ -94,9 +98,12 @@
 	silenceTimeout time.Duration // time without output after which a connection counts as lost
 	maxBody        int64         // bytes of one result
 	maxResumes     int
-	handleHeader   func(http.Header) // called with the header of each response; nil: not
-	pooled         *http.Client      // reuses connections
-	unpooled       *http.Client      // opens a connection for each call
+	pooled         *http.Client // reuses connections
+	unpooled       *http.Client // opens a connection for each call
+
+	// handleAnswer is called with each answer to a call and the generation of the backend
+	// server that it was sent to; nil: not.
+	handleAnswer func(start int, answer *http.Response)
 }
 
 const dialTimeout = 2 * time.Second
@@ -188,7 +195,7 @@
 		return c.connectionFailure(ctx, err)
 	}
 	defer response.Body.Close()
-	if result, final := c.checkResponse(response); final {
+	if result, final := c.checkResponse(attempt, response); final {
 		return result
 	}
 	body, err := io.ReadAll(io.LimitReader(response.Body, c.maxBody+1))
@@ -220,9 +227,9 @@
 
 // checkResponse returns the outcome of a response whose status is not 200; it returns
 // false if the status is 200.
-func (c *client) checkResponse(response *http.Response) (outcome, bool) {
-	if c.handleHeader != nil {
-		c.handleHeader(response.Header)
+func (c *client) checkResponse(attempt call, response *http.Response) (outcome, bool) {
+	if c.handleAnswer != nil {
+		c.handleAnswer(attempt.start, response)
 	}
 	switch {
 	case response.StatusCode == http.StatusOK:
@@ -287,16 +294,21 @@
 
 // cancel asks a model engine to stop generating a stream that nobody reads any
 // more. Errors are ignored.
-func (c *client) cancel(key tanagerroad.AttemptKey) {
+func (c *client) cancel(attempt call) {
 	ctx, done := context.WithTimeout(context.Background(), probeTimeout)
 	defer done()
-	request, err := http.NewRequestWithContext(ctx, http.MethodDelete, c.streamURL(key, 0), nil)
+	request, err := http.NewRequestWithContext(ctx, http.MethodDelete, c.streamURL(attempt.key, 0), nil)
+	if err != nil {
+		return
+	}
+	response, err := c.pooled.Do(request)
 	if err != nil {
 		return
 	}
-	if response, err := c.pooled.Do(request); err == nil {
-		_ = response.Body.Close()
+	if c.handleAnswer != nil {
+		c.handleAnswer(attempt.start, response)
 	}
+	_ = response.Body.Close()
 }
 
 // stream is a model engine's answer to one call, received over one or more
@@ -330,7 +342,7 @@
 		return s.client.connectionFailure(ctx, err)
 	}
 	defer response.Body.Close()
-	if result, final := s.client.checkResponse(response); final {
+	if result, final := s.client.checkResponse(s.call, response); final {
 		return result
 	}
 	return s.readEvents(ctx, response.Body, silenceTimer)
--- a/io/backend/sidecar.go
+++ b/io/backend/sidecar.go
@@ -151,7 +151,7 @@
 		n.Server = peer.ServerToWire(tanagerroad.Server{
 			ID: config.Process, Pool: s.announced.Pool, Kind: s.announced.Kind, Models: s.announced.Models,
 			Capacity: s.announced.Capacity, Address: config.Peer.AdvertisedAddress(), Place: config.Place(),
-			Generation: s.generation, Sequence: s.sequence, State: s.scheduler.State(), Load: s.scheduler.Load(),
+			Generation: s.generation, Sequence: s.sequence, State: s.scheduler.State(), Load: s.scheduler.Load(s.config.Clock.Now()),
 		})
 	}
 	return n
@@ -208,7 +208,7 @@
 	now := s.config.Clock.Now()
 	if s.announced.Pool != "" && now-s.announcedAt > s.config.Settings.Backend.AnnouncementTimeout.Std() && s.scheduler.State() != tanagerroad.Down {
 		event.BackendSilent.Log(s.config.Logger, zap.Duration("for", now-s.announcedAt))
-		s.step(stage.Event{Kind: stage.Announce, State: tanagerroad.Down})
+		s.step(stage.Event{Kind: stage.Announce, State: tanagerroad.Down, Start: s.announced.Generation})
 		s.noticeDue.Broadcast()
 		return
 	}
@@ -257,7 +257,7 @@
 		s.incCounter("refused." + metricName(a.Reason))
 		if r != nil {
 			r.close(s.withKey(a.Key, &wire.Part{Body: &wire.Part_NotRun{NotRun: &wire.NotRun{
-				Reason: a.Reason, RetryAfterMillis: a.RetryAfter.Milliseconds(), Load: peer.LoadToWire(s.scheduler.Load()),
+				Reason: a.Reason, RetryAfterMillis: a.RetryAfter.Milliseconds(), Load: peer.LoadToWire(s.scheduler.Load(now)), Paused: a.Paused,
 			}}}))
 		}
 	case stage.ReportOutcome:
@@ -287,7 +287,7 @@
 
 // logPlacement logs whether an attempt was started, queued or rejected.
 func (s *Sidecar) logPlacement(a stage.Action, placement string) {
-	load := s.scheduler.Load()
+	load := s.scheduler.Load(s.config.Clock.Now())
 	var id string
 	if r := s.records[a.Key]; r != nil {
 		id = r.call.requestID
@@ -399,7 +399,7 @@
 	s.mu.Lock()
 	client := s.client
 	ctx, cancel := context.WithCancel(s.ctx)
-	r.cancel = cancel
+	r.cancel, r.call.start = cancel, s.announced.Generation
 	s.mu.Unlock()
 	defer cancel()
 	deliver := r.appendAndNotify
@@ -408,7 +408,7 @@
 	}
 	result := client.run(ctx, r.call, deliver)
 	if ctx.Err() != nil && !r.call.atMostOnce {
-		client.cancel(r.call.key)
+		client.cancel(r.call)
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -450,7 +450,7 @@
 // server, it did not run; all other running calls are suspected of having crashed
 // the server. The caller holds the lock.
 func (s *Sidecar) handleServerExit(key tanagerroad.AttemptKey, result outcome) {
-	s.step(stage.Event{Kind: stage.Announce, State: tanagerroad.Down})
+	s.step(stage.Event{Kind: stage.Announce, State: tanagerroad.Down, Start: s.announced.Generation})
 	if result.kind == notRun {
 		s.step(stage.Event{Kind: stage.Refuse, Key: key})
 	}
@@ -477,7 +477,7 @@
 	started := r.started
 	r.mu.Unlock()
 	end := &wire.End{
-		Length: size, Digest: digest, Load: peer.LoadToWire(s.scheduler.Load()),
+		Length: size, Digest: digest, Load: peer.LoadToWire(s.scheduler.Load(now)),
 		ServiceMicros: (now - started).Microseconds(), QueueMicros: (started - r.arrived).Microseconds(),
 	}
 	if threshold := r.request.GetKeepAbove(); threshold > 0 && size > threshold {
@@ -504,7 +504,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	load := s.scheduler.Load()
+	load := s.scheduler.Load(s.config.Clock.Now())
 	return load.InFlight + load.Queued
 }
 
@@ -540,7 +540,7 @@
 func (s *Sidecar) Load() tanagerroad.Load {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.scheduler.Load()
+	return s.scheduler.Load(s.config.Clock.Now())
 }
 
 // Ready reports whether the backend server is serving and the sidecar is not
--- a/io/caller/run.go
+++ b/io/caller/run.go
@@ -476,7 +476,7 @@
 	case *wire.Part_NotRun:
 		ev.Kind, ev.Reason, ev.InputGone = request.TurnedAway, body.NotRun.GetReason(), body.NotRun.GetInputGone()
 		ev.RetryAfter = time.Duration(body.NotRun.GetRetryAfterMillis()) * time.Millisecond
-		ev.Load = optionalLoad(body.NotRun.GetLoad())
+		ev.Load, ev.Paused = optionalLoad(body.NotRun.GetLoad()), body.NotRun.GetPaused()
 	case *wire.Part_Failed:
 		ev.Kind, ev.Reason = request.Fail, body.Failed.GetReason()
 		ev.MayHaveRun, ev.Crashed = body.Failed.GetUnknown(), body.Failed.GetCrashed()
--- a/io/peer/convert.go
+++ b/io/peer/convert.go
@@ -23,7 +23,7 @@
 func LoadToWire(l tanagerroad.Load) *wire.Load {
 	return &wire.Load{
 		InFlight: uint32(l.InFlight), Queued: uint32(l.Queued), Limit: uint32(l.Limit),
-		LatencyMicros: l.Latency.Microseconds(),
+		LatencyMicros: l.Latency.Microseconds(), PauseMillis: l.Pause.Milliseconds(),
 	}
 }
 
@@ -31,7 +31,7 @@
 func LoadFromWire(l *wire.Load) tanagerroad.Load {
 	return tanagerroad.Load{
 		InFlight: int(l.GetInFlight()), Queued: int(l.GetQueued()), Limit: int(l.GetLimit()),
-		Latency: time.Duration(l.GetLatencyMicros()) * time.Microsecond,
+		Latency: time.Duration(l.GetLatencyMicros()) * time.Microsecond, Pause: time.Duration(l.GetPauseMillis()) * time.Millisecond,
 	}
 }
 
--- a/server.go
+++ b/server.go
@@ -47,8 +47,9 @@
 type Load struct {
 	InFlight int           `json:"in-flight"`
 	Queued   int           `json:"queued"`
-	Limit    int           `json:"limit"`   // concurrency limit of attempts
-	Latency  time.Duration `json:"latency"` // mean service time
+	Limit    int           `json:"limit"`           // concurrency limit of attempts
+	Latency  time.Duration `json:"latency"`         // mean service time
+	Pause    time.Duration `json:"pause,omitempty"` // time for which nothing is started, because the backend server asked for it
 }
 
 // Server is the directory's record of a backend server.
