core/router, io/caller: a sidecar that says it leaves is avoided

callers of our own interface waited for a second try: an entry went on choosing a sidecar that leaves, or whose backend server does, until a control instance told it, and all the while where none could be reached; up to four such refusals end a request.

the last part of an attempt now says that its sidecar takes no new work, with the number of the sidecar's latest announcement. the entry's router avoids the server until the directory has a later announcement of it, so that older ones and renewals under way change nothing; a new start of the sidecar or of its backend server ends it. an avoided server is still picked where the pool has no other: if the control instances are gone, only a try can show that it has come back, and the sidecar itself keeps new work from a backend server that leaves. what was said, and its age, stands in `routed` (avoided), as do pauses; counters on both sides.

a sidecar that is full is heeded through the load in its refusal, which the picker takes over, not by a pause: a place in a queue frees much sooner than the queue empties.

--- a/core/pick/pick.go
+++ b/core/pick/pick.go
@@ -48,9 +48,10 @@
 }
 
 // eligible returns the servers that are serving, belong to the pool, have the model
-// and are not excluded, in the order of servers.
+// and are not excluded, in the order of servers. Those to avoid are returned only if there
+// are no others.
 func eligible(servers []tanagerroad.Server, req tanagerroad.PickRequest) []tanagerroad.Server {
-	var out []tanagerroad.Server
+	var out, avoided []tanagerroad.Server
 	for _, s := range servers {
 		if s.Pool != req.Pool || s.State != tanagerroad.Serving || !s.HasModel(req.Model) {
 			continue
@@ -58,8 +59,15 @@
 		if slices.Contains(req.Exclude, s.ID) {
 			continue
 		}
+		if slices.Contains(req.Avoid, s.ID) {
+			avoided = append(avoided, s)
+			continue
+		}
 		out = append(out, s)
 	}
+	if len(out) == 0 {
+		return avoided
+	}
 	return out
 }
 
--- a/core/pick/scored.go
+++ b/core/pick/scored.go
@@ -132,9 +132,26 @@
 		Address:    best.server.Address,
 		Reason:     "lowest score: " + bestScore.String(),
 		Candidates: statsIDs(candidates),
+		Avoided:    pausedServers(at, candidates, best),
 	}
 }
 
+// pausedServers describes the paused ones of the candidates that were not picked.
+func pausedServers(at time.Duration, candidates []*serverStats, picked *serverStats) []string {
+	var out []string
+	for _, st := range candidates {
+		if st != picked && st.pause(at) > 0 && len(out) < maxListedCandidates {
+			out = append(out, fmt.Sprintf("%s paused, said %s ago", st.server.ID, (at-st.reportedAt).Round(time.Millisecond)))
+		}
+	}
+	return out
+}
+
+// pause returns the rest of the pause that the server last reported.
+func (st *serverStats) pause(at time.Duration) time.Duration {
+	return max(0, st.reportedAt+st.server.Load.Pause-at)
+}
+
 func statsIDs(candidates []*serverStats) []string {
 	out := make([]string, 0, min(len(candidates), maxListedCandidates))
 	for _, st := range candidates[:min(len(candidates), maxListedCandidates)] {
@@ -144,15 +161,20 @@
 }
 
 // eligible returns the servers that may serve the request, sorted by id. Ejected
-// servers are returned only if there are no others. A server whose ejection is over
+// servers are returned only if there are no others, and those to avoid only if there are
+// none of these either. A server whose ejection is over
 // starts its warm-up here.
 func (p *Scored) eligible(at time.Duration, req tanagerroad.PickRequest) []*serverStats {
-	var candidates, ejected []*serverStats
+	var candidates, ejected, avoided []*serverStats
 	for _, st := range p.stats {
 		s := st.server
 		if s.Pool != req.Pool || s.State != tanagerroad.Serving || !s.HasModel(req.Model) || slices.Contains(req.Exclude, s.ID) {
 			continue
 		}
+		if slices.Contains(req.Avoid, s.ID) {
+			avoided = append(avoided, st)
+			continue
+		}
 		if st.ejectedUntil > at {
 			ejected = append(ejected, st)
 			continue
@@ -166,6 +188,9 @@
 	if len(candidates) == 0 {
 		candidates = ejected
 	}
+	if len(candidates) == 0 {
+		candidates = avoided
+	}
 	slices.SortFunc(candidates, func(a, b *serverStats) int { return cmp.Compare(a.server.ID, b.server.ID) })
 	return candidates
 }
@@ -213,7 +238,7 @@
 	if load >= 1 {
 		wait = time.Duration(float64(service) * (inFlight + 1.5 - slots) / slots)
 	}
-	wait += max(0, st.reportedAt+st.server.Load.Pause-at)
+	wait += st.pause(at)
 	return score{work, wait, crossingPrice(st.server.Place, req, price)}
 }
 
--- a/core/router/router.go
+++ b/core/router/router.go
@@ -7,6 +7,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -35,6 +37,7 @@
 	Pick         = "pick"       // asks for a backend server for an attempt
 	RecordResult = "learn"      // records the result of an attempt
 	Finish       = "finish"     // records the end of an admitted request
+	RecordLeave  = "leave"      // records that a server said in an answer that it takes no new work
 )
 
 // States of a quarantined fingerprint. A fingerprint is a hash of a request's route
@@ -63,6 +66,14 @@
 	Seed              uint64                     `json:"seed,omitempty"`    // of the picker's random numbers and of retry-after jitter
 	Result            *tanagerroad.AttemptResult `json:"result,omitempty"`
 	OnTime            bool                       `json:"on-time,omitempty"` // the request met its deadline
+	Leaving           *Leaving                   `json:"leaving,omitempty"` // RecordLeave
+}
+
+// Leaving says that a server takes no new work, as of its latest announcement then.
+type Leaving struct {
+	Server     string `json:"server"`
+	Generation uint64 `json:"generation"`
+	Sequence   uint64 `json:"sequence"`
 }
 
 // Verdict is the answer to an event. Only Admit and Pick can be refused.
@@ -94,6 +105,13 @@
 	admission    *limit.Admission
 	stageTimes   map[stageKey]*stageTime
 	fingerprints map[uint64]string // Suspect or Convicted, by fingerprint
+	leaving      map[string]mark   // by server id; of listed servers only
+}
+
+// mark is what a server said in an answer, until a later announcement says otherwise.
+type mark struct {
+	Leaving
+	at time.Duration
 }
 
 // New returns a router with empty tables and without servers. It returns an error if
@@ -106,6 +124,7 @@
 		retryBudget: limit.NewBudget(config.RetryRatio, config.RetryBurst),
 		admission:   limit.NewAdmission(config.MaxInFlight),
 		stageTimes:  map[stageKey]*stageTime{},
+		leaving:     map[string]mark{},
 	}
 	picker, err := pick.New(config.Policy, r.price)
 	if err != nil {
@@ -154,6 +173,8 @@
 		r.recordResult(at, e)
 	case Finish:
 		r.finish(e)
+	case RecordLeave:
+		return Verdict{OK: r.recordLeave(at, *e.Leaving)}
 	}
 	return Verdict{OK: true}
 }
@@ -163,9 +184,45 @@
 	for _, s := range servers {
 		r.servers[s.ID] = s
 	}
+	for id, m := range r.leaving {
+		if s, listed := r.servers[id]; !listed || m.ended(s) {
+			delete(r.leaving, id)
+		}
+	}
 	r.picker.Observe(at, servers)
 }
 
+// ended reports whether s was announced after the server said that it leaves.
+func (l Leaving) ended(s tanagerroad.Server) bool {
+	return s.Newer(tanagerroad.Server{Generation: l.Generation, Sequence: l.Sequence})
+}
+
+// recordLeave marks a server as leaving. It reports false if the server is marked already,
+// is not listed, or has announced itself since.
+func (r *Router) recordLeave(at time.Duration, l Leaving) bool {
+	s, listed := r.servers[l.Server]
+	m, marked := r.leaving[l.Server]
+	if !listed || l.ended(s) || marked && m.Generation == l.Generation && m.Sequence >= l.Sequence {
+		return false
+	}
+	if !marked {
+		m.at = at
+	}
+	r.leaving[l.Server] = mark{l, m.at}
+	return !marked
+}
+
+// avoid returns the marked servers of a pool, and what they said.
+func (r *Router) avoid(at time.Duration, pool string) (ids, said []string) {
+	for _, id := range slices.Sorted(maps.Keys(r.leaving)) {
+		if r.servers[id].Pool == pool {
+			ids = append(ids, id)
+			said = append(said, fmt.Sprintf("%s leaving, said %s ago", id, (at-r.leaving[id].at).Round(time.Millisecond)))
+		}
+	}
+	return ids, said
+}
+
 // admit refuses a request if its route is unknown, its fingerprint or that of the
 // beginning of its body is convicted, its
 // deadline is too early for the expected times, or its workspace has used up its
@@ -230,7 +287,12 @@
 		Pool: stage.Pool, Model: stage.Model, PrefixDigest: e.PrefixDigest, InputPlace: e.InputPlace, InputBytes: e.InputBytes,
 		Exclude: e.Exclude, Seed: e.Seed,
 	}
+	avoid, said := r.avoid(at, stage.Pool)
+	req.Avoid = avoid
 	choice := r.picker.Pick(at, req)
+	if !slices.Contains(avoid, choice.Server) {
+		choice.Avoided = append(said, choice.Avoided...)
+	}
 	if choice.Server == "" {
 		return Verdict{Reason: choice.Reason, RetryAfter: limit.RetryAfter(0, e.Seed), Choice: choice}
 	}
--- a/io/backend/announce.go
+++ b/io/backend/announce.go
@@ -142,6 +142,7 @@
 	previous := s.scheduler.State()
 	s.step(stage.Event{Kind: stage.Leave, Start: start})
 	if s.scheduler.State() != previous {
+		s.incCounter("servers.departing")
 		event.ServerDeparting.Log(s.config.Logger, zap.String("server", s.config.Settings.Process), zap.String("pool", s.announced.Pool), zap.Int("start", start))
 		s.noticeDue.Broadcast()
 	}
@@ -161,6 +162,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.step(stage.Event{Kind: stage.Pause, Start: start, Pause: asked})
+	s.incCounter("servers.paused")
 	event.ServerPaused.Log(s.config.Logger, zap.String("server", s.config.Settings.Process), zap.String("pool", s.announced.Pool),
 		zap.Duration("asked", asked), zap.Duration("until-end", s.scheduler.Load(s.config.Clock.Now()).Pause))
 	s.noticeDue.Broadcast()
--- a/io/backend/heed_test.go
+++ b/io/backend/heed_test.go
@@ -118,20 +118,26 @@
 	})
 	s := newSidecar(t)
 	s.applyAnnouncement(backend.announcement(1))
+	notice := s.newNotice().GetServer()
 	if final := run(t, s, "first", 5*time.Second); final.GetEnd() == nil {
 		t.Fatalf("the first call ended with %v", final)
 	}
 	for i := range 3 {
 		s.applyAnnouncement(backend.announcement(1))
-		if final := run(t, s, fmt.Sprint(i), 5*time.Second); final.GetNotRun() == nil {
+		final := run(t, s, fmt.Sprint(i), 5*time.Second)
+		if final.GetNotRun() == nil {
 			t.Errorf("a call after it ended with %v, want not run", final)
 		}
+		l := final.GetLeaving()
+		if l.GetServer() != notice.GetId() || l.GetGeneration() != notice.GetGeneration() || l.GetSequence() != notice.GetSequence() {
+			t.Errorf("the answer says %v, want that it leaves as of %v", l, notice)
+		}
 	}
 	if state := s.newNotice().GetServer().GetState(); state != string(tanagerroad.Leaving) {
 		t.Errorf("the control instances are told that it is %s", state)
 	}
 	s.applyAnnouncement(backend.announcement(2))
-	if final := run(t, s, "last", 5*time.Second); final.GetEnd() == nil {
+	if final := run(t, s, "last", 5*time.Second); final.GetEnd() == nil || final.GetLeaving() != nil {
 		t.Errorf("a call to its next start ended with %v", final)
 	}
 	if n := len(backend.calls()); n != 2 {
--- a/io/backend/record.go
+++ b/io/backend/record.go
@@ -82,7 +82,7 @@
 		return end
 	}
 	e := end.GetEnd()
-	return &wire.Part{Key: end.GetKey(), Body: &wire.Part_End{End: &wire.End{
+	return &wire.Part{Key: end.GetKey(), Leaving: end.GetLeaving(), Body: &wire.Part_End{End: &wire.End{
 		Length: e.GetLength(), Digest: e.GetDigest(), ServiceMicros: e.GetServiceMicros(), QueueMicros: e.GetQueueMicros(),
 		Load: e.GetLoad(), Tail: &wire.Data{Offset: from, Bytes: tail},
 	}}}
--- a/io/backend/serve.go
+++ b/io/backend/serve.go
@@ -54,9 +54,9 @@
 	}
 	arrived := s.config.Clock.Now()
 	if err := s.fetchInput(stream.Context(), request); err != nil {
-		return stream.Send(s.withKey(key, &wire.Part{Body: &wire.Part_NotRun{NotRun: &wire.NotRun{
+		return stream.Send(&wire.Part{Key: request.GetKey(), Body: &wire.Part_NotRun{NotRun: &wire.NotRun{
 			Reason: err.Error(), InputGone: true,
-		}}}))
+		}}})
 	}
 	if xxhash.Sum64(request.GetInput()) != request.GetInputDigest() {
 		return status.Error(codes.InvalidArgument, "the input does not match its digest")
@@ -98,7 +98,7 @@
 		// The scheduler knows the attempt, but it had no record: it was fenced
 		// before it arrived, or its record was released.
 		if a.Kind == stage.Attached && a.Key == key {
-			r.close(s.withKey(key, partForAttached(a.State)))
+			r.close(s.lastPart(key, partForAttached(a.State)))
 		}
 	}
 	if s.scheduler.StateOf(key) == "" {
--- a/io/backend/sidecar.go
+++ b/io/backend/sidecar.go
@@ -256,13 +256,13 @@
 		s.logPlacement(a, "turn-away")
 		s.incCounter("refused." + metricName(a.Reason))
 		if r != nil {
-			r.close(s.withKey(a.Key, &wire.Part{Body: &wire.Part_NotRun{NotRun: &wire.NotRun{
+			r.close(s.lastPart(a.Key, &wire.Part{Body: &wire.Part_NotRun{NotRun: &wire.NotRun{
 				Reason: a.Reason, RetryAfterMillis: a.RetryAfter.Milliseconds(), Load: peer.LoadToWire(s.scheduler.Load(now)), Paused: a.Paused,
 			}}}))
 		}
 	case stage.ReportOutcome:
 		if r != nil {
-			r.close(s.withKey(a.Key, &wire.Part{Body: &wire.Part_Failed{Failed: &wire.Failed{
+			r.close(s.lastPart(a.Key, &wire.Part{Body: &wire.Part_Failed{Failed: &wire.Failed{
 				Reason: a.Reason, Unknown: a.State == stage.Unknown, Crashed: a.Reason == "crashed",
 				OtherStart: a.Reason == stage.OtherGeneration,
 			}}}))
@@ -298,9 +298,13 @@
 		zap.Int("in-flight", load.InFlight), zap.Int("queued", load.Queued), zap.Int("limit", load.Limit))
 }
 
-// withKey sets the part's key and returns the part.
-func (s *Sidecar) withKey(key tanagerroad.AttemptKey, p *wire.Part) *wire.Part {
+// lastPart sets the key of the last part of an attempt and, if no new work is taken here,
+// says so. The caller holds the lock.
+func (s *Sidecar) lastPart(key tanagerroad.AttemptKey, p *wire.Part) *wire.Part {
 	p.Key = peer.KeyToWire(key)
+	if s.scheduler.State() != tanagerroad.Serving && s.sequence > 0 {
+		p.Leaving = &wire.Leaving{Server: s.config.Settings.Process, Generation: s.generation, Sequence: s.sequence}
+	}
 	return p
 }
 
@@ -461,7 +465,7 @@
 // failAttempt closes the record with a failure and passes an event of the given kind
 // to the scheduler. The caller holds the lock.
 func (s *Sidecar) failAttempt(r *record, kind, reason string) {
-	r.close(s.withKey(r.call.key, &wire.Part{Body: &wire.Part_Failed{Failed: &wire.Failed{
+	r.close(s.lastPart(r.call.key, &wire.Part{Body: &wire.Part_Failed{Failed: &wire.Failed{
 		Reason: reason, Unknown: kind == stage.LoseContact,
 	}}}))
 	s.step(stage.Event{Kind: kind, Key: r.call.key, Bytes: r.size()})
@@ -487,7 +491,7 @@
 		}
 	}
 	metrics.GetOrRegisterTimer("service", s.config.Metrics).Update(now - started)
-	return s.withKey(r.call.key, &wire.Part{Body: &wire.Part_End{End: end}})
+	return s.lastPart(r.call.key, &wire.Part{Body: &wire.Part_End{End: end}})
 }
 
 // Drain rejects new attempts and waits until none is in flight or queued, or the
--- a/io/caller/entry.go
+++ b/io/caller/entry.go
@@ -252,6 +252,18 @@
 	return e.stepRouterLocked(ev)
 }
 
+// recordLeave records what a sidecar said in an answer, if it leaves.
+func (e *Entry) recordLeave(l *wire.Leaving) {
+	if l == nil {
+		return
+	}
+	leaving := router.Leaving{Server: l.GetServer(), Generation: l.GetGeneration(), Sequence: l.GetSequence()}
+	if e.stepRouter(router.Event{Kind: router.RecordLeave, Leaving: &leaving}).OK {
+		e.incCounter("servers.departing", 1)
+		event.ServerDeparting.Log(e.config.Logger, zap.String("server", leaving.Server), zap.Uint64("start", leaving.Generation), zap.Uint64("sequence", leaving.Sequence))
+	}
+}
+
 // Ready reports whether the entry can serve requests: it has tables, has checked
 // that they are the newest or timed out doing so, and is not stopping.
 func (e *Entry) Ready() bool {
--- a/io/caller/run.go
+++ b/io/caller/run.go
@@ -207,7 +207,7 @@
 	c := verdict.Choice
 	event.Routed.Log(log, zap.String("request", x.config.ID), zap.String("route", x.config.Route.Name),
 		zap.String("stage", x.stageName(a.Key.Stage)), zap.Int("attempt", a.Key.Attempt),
-		zap.Strings("candidates", c.Candidates), zap.String("chosen", c.Server), zap.String("why", c.Reason))
+		zap.Strings("candidates", c.Candidates), zap.String("chosen", c.Server), zap.String("why", c.Reason), zap.Strings("avoided", c.Avoided))
 	x.calls[a.Key] = &call{server: c.Server, sentAt: now}
 	x.pending = append(x.pending, request.Event{
 		Kind: request.Picked, Key: a.Key, Server: c.Server, Address: c.Address, Generation: verdict.Generation,
@@ -435,6 +435,7 @@
 			return
 		}
 		watchdog.Reset(silence)
+		x.entry.recordLeave(part.GetLeaving())
 		ev, last := eventFromPart(part)
 		if part.GetFailed().GetOtherStart() && unreachable == request.TurnedAway {
 			// This call was sent once, on this stream. The sidecar process that
--- a/picker.go
+++ b/picker.go
@@ -15,7 +15,8 @@
 	InputPlace   Place    `json:"from"`             // where the input is stored
 	InputBytes   int      `json:"bytes"`            // size of the input
 	Exclude      []string `json:"exclude,omitempty"`
-	Seed         uint64   `json:"seed"` // the picker's only source of randomness
+	Avoid        []string `json:"avoid,omitempty"` // ids; picked only if there are no others
+	Seed         uint64   `json:"seed"`            // the picker's only source of randomness
 }
 
 // Choice is the outcome of a pick and the reason for it.
@@ -24,6 +25,7 @@
 	Address    string   `json:"address"`
 	Reason     string   `json:"reason"`
 	Candidates []string `json:"candidates,omitempty"`
+	Avoided    []string `json:"avoided,omitempty"` // what answers said that kept servers from being picked, and its age
 }
 
 // AttemptResult is the outcome of an attempt, with which a picker updates its
