--- a/io/gateway/gateway_test.go
+++ b/io/gateway/gateway_test.go
@@ -83,7 +83,9 @@
 
 func (plain) VersionField() string { return "version" }
 
-func (plain) EncodePieceRequest(items []tanagerroad.PieceItem) ([]byte, error) { return json.Marshal(items) }
+func (plain) EncodePieceRequest(items []tanagerroad.PieceItem) ([]byte, error) {
+	return json.Marshal(items)
+}
 
 func (plain) PieceRequestHeaders(server string) http.Header {
 	return http.Header{headerServer: {server}}
