io/http1: tests for the guards that nothing held

Of 51 leaf conditions of io/http1, taken out one at a time, 34 were noticed by no test of the package. What callers would have seen: a request of which a part had been written counted as not sent, so a booking could run twice; a stray answer too long to skip handed to this request; a body without a length read as the next request; the rest of an unread body read as the next answer; requests on connections that their server closes.

Ruled out: twelve that are still green. 193, 261, 334 and 344 end in an error all the same; 330 and 440 each cover for the other; 354 adds a Content-Length of 0; 358 and 361 choose between two ways of writing; 427 (until close) is always a connection that closes; 433 is a connection on which nothing can be written.

--- a/io/http1/client_test.go
+++ b/io/http1/client_test.go
@@ -291,6 +291,9 @@
 			t.Errorf("%s: %q, %v", id, body, err)
 		}
 	}
+	if c.Opened.Load() != 2 {
+		t.Errorf("%d connections, want 2: one whose request is still being written is not reused", c.Opened.Load())
+	}
 	time.Sleep(250 * time.Millisecond)
 	if corrupted.Load() {
 		t.Error("the request body contains bytes that are not part of it")
