--- a/core/attempt/attempt_test.go
+++ b/core/attempt/attempt_test.go
@@ -113,6 +113,9 @@
 			if begun && (action == attempt.Refuse || action == attempt.Fail) {
 				t.Fatalf("action %s although the answer has begun", action)
 			}
+			if lost := end == attempt.Lost || end == attempt.Broken; ran == 0 && r.MayHaveRun() || lost && !r.MayHaveRun() {
+				t.Fatalf("after %s, with %d attempts that may have run: may have run is %t", end, ran, r.MayHaveRun())
+			}
 			if action == attempt.Refuse && ran > 0 {
 				t.Fatalf("answered as not run although it may have run")
 			}
--- /dev/null
+++ b/io/gateway/answers_test.go
@@ -0,0 +1,399 @@
+package gateway
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"tanagerroad/core/quarantine"
+	"tanagerroad/core/wire"
+)
+
+type answer = func(w http.ResponseWriter, r *http.Request)
+
+// newScripted returns backend servers of the pool p that give these answers, one for each
+// request that reaches any of them, the last one also to further requests.
+func newScripted(t *testing.T, servers int, answers ...answer) (all []*backend, runs *atomic.Int64) {
+	t.Helper()
+	runs = new(atomic.Int64)
+	for i := range servers {
+		all = append(all, newBackend(t, fmt.Sprintf("s%d", i+1), func(w http.ResponseWriter, r *http.Request) {
+			answers[min(int(runs.Add(1)), len(answers))-1](w, r)
+		}))
+	}
+	return all, runs
+}
+
+// Answers of backend servers.
+func good(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "good") }
+
+func failed(w http.ResponseWriter, _ *http.Request) {
+	w.WriteHeader(http.StatusInternalServerError)
+	_, _ = io.WriteString(w, "failed")
+}
+
+func rejected(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set(headerNotRun, "yes")
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+func misplaced(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set(headerServer, "another")
+	w.Header().Set(headerNotRun, "yes")
+	w.WriteHeader(http.StatusMisdirectedRequest)
+}
+
+func lost(w http.ResponseWriter, _ *http.Request) { panic(http.ErrAbortHandler) }
+
+// events writes events with the given ids, those below 0 without an id.
+func events(w http.ResponseWriter, ids ...int) {
+	w.Header().Set("Content-Type", "text/event-stream")
+	for _, id := range ids {
+		if id >= 0 {
+			fmt.Fprintf(w, "id: %d\n", id)
+		}
+		fmt.Fprintf(w, "data: %d\n\n", id)
+	}
+	_ = http.NewResponseController(w).Flush()
+}
+
+func brokenStream(ids ...int) answer {
+	return func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(headerVersion, "w1")
+		events(w, ids...)
+		lost(w, r)
+	}
+}
+
+// rest sends the events after the last one that the request names, up to 3.
+func rest(w http.ResponseWriter, r *http.Request) {
+	first := 1
+	_, _ = fmt.Sscan(r.Header.Get(headerLast), &first)
+	if r.Header.Get(headerLast) != "" {
+		first++
+		if r.Header.Get(headerVersion) != "w1" {
+			rejected(w, r)
+			return
+		}
+	}
+	var ids []int
+	for id := first; id <= 3; id++ {
+		ids = append(ids, id)
+	}
+	events(w, ids...)
+}
+
+const (
+	halfStream  = "id: 1\ndata: 1\n\nid: 2\ndata: 2\n\n"
+	wholeStream = halfStream + "id: 3\ndata: 3\n\n"
+)
+
+// TestAnswersAfterFailedAttempts guards against requests that run more often than they may,
+// false "not run", and answers that are joined, replaced or cut without a sign.
+func TestAnswersAfterFailedAttempts(t *testing.T) {
+	for _, c := range []struct {
+		what    string
+		path    string
+		servers int
+		answers []answer
+		status  int // 0: the connection ends instead
+		body    string
+		cut     bool // the body ends with an error
+		runs    int64
+	}{
+		{"rejected, then run", "/book/", 3, []answer{rejected, good}, 200, "good", false, 2},
+		{"misplaced, then run", "/book/", 3, []answer{misplaced, good}, 200, "good", false, 2},
+		{"rejected by all", "/book/", 2, []answer{rejected}, 503, "", false, 2},
+		{"may have run", "/book/", 3, []answer{lost, good}, 502, "", false, 1},
+		{"failed once", "/book/", 3, []answer{failed, good}, 500, "failed", false, 1},
+		{"lost, then rejected", "/look/", 2, []answer{lost, rejected}, 502, "", false, 2},
+		{"failed, then run", "/look/", 3, []answer{failed, good}, 200, "good", false, 2},
+		{"failed, then lost", "/look/", 2, []answer{failed, lost}, 500, "failed", false, 2},
+		{"failed, then a stream", "/stream/", 3, []answer{failed, rest}, 200, wholeStream, false, 2},
+		{"a stream goes on elsewhere", "/stream/", 3, []answer{brokenStream(1, 2), rest}, 200, wholeStream, false, 2},
+		{"a stream breaks off before its first event", "/stream/", 3, []answer{brokenStream(), rest}, 200, wholeStream, false, 2},
+		{"a stream that nobody resumes", "/stream/", 3, []answer{brokenStream(1, 2), rejected}, 200, halfStream, true, 3},
+		{"a stream that is resumed with a failure", "/stream/", 2, []answer{brokenStream(1, 2), failed}, 200, halfStream, true, 2},
+		{"a stream without a position", "/stream/", 3, []answer{brokenStream(1, -1), rest}, 200, "id: 1\ndata: 1\n\ndata: -1\n\n", true, 1},
+		{"a stream that cannot be resumed", "/live/", 3, []answer{brokenStream(1, 2), rest}, 200, halfStream, true, 1},
+	} {
+		servers, runs := newScripted(t, c.servers, c.answers...)
+		_, address := newTestGateway(t, servers...)
+		status, body, err := call(t, address, c.path, "a")
+		if status != c.status || c.body != "" && body != c.body || (err != nil) != c.cut || runs.Load() != c.runs {
+			t.Errorf("%s: got %d %q (%v) after %d runs, want %d %q (cut: %t) after %d", c.what, status, body, err, runs.Load(), c.status, c.body, c.cut, c.runs)
+		}
+	}
+}
+
+// TestRequestsThatMustNotRun guards against requests without a route, a key, a complete
+// body or a configuration that reach a backend server.
+func TestRequestsThatMustNotRun(t *testing.T) {
+	servers, runs := newScripted(t, 1, good)
+	g, address := newTestGateway(t, servers...)
+	for _, c := range []struct {
+		what, path string
+		headers    []string
+		status     int
+		runs       int64
+	}{
+		{"no route", "/nowhere/", nil, 404, 0},
+		{"a wrong key", "/look/", []string{headerKey, "x"}, 401, 0},
+		{"a public route", "/open/", []string{headerKey, "x"}, 200, 1},
+	} {
+		runs.Store(0)
+		if status, _, _ := call(t, address, c.path, "a", c.headers...); status != c.status || runs.Load() != c.runs {
+			t.Errorf("%s: got %d after %d runs, want %d after %d", c.what, status, runs.Load(), c.status, c.runs)
+		}
+	}
+	runs.Store(0)
+	raw := func(request string) string {
+		conn, err := net.Dial("tcp", address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer conn.Close()
+		_, _ = io.WriteString(conn, request)              // a failure shows when the answer is read
+		_ = conn.(*net.TCPConn).CloseWrite()              // the same
+		line, _ := bufio.NewReader(conn).ReadString('\n') // the same
+		return strings.TrimSpace(line)
+	}
+	head := "POST /look/ HTTP/1.1\r\nHost: h\r\n" + headerKey + ": k\r\nContent-Length: "
+	if line := raw(head + "10\r\n\r\nhalf"); runs.Load() != 0 || !strings.Contains(line, "400") {
+		t.Errorf("a body that is cut: got %q after %d runs, want 400 after none", line, runs.Load())
+	}
+	if line := raw(head + fmt.Sprint(int(g.config.Settings.Caller.MaxBody)+1) + "\r\n\r\n" + strings.Repeat("a", int(g.config.Settings.Caller.MaxBody)+1)); runs.Load() != 0 || !strings.Contains(line, "413") {
+		t.Errorf("a body that is too long: got %q after %d runs, want 413 after none", line, runs.Load())
+	}
+	index := g.catalog.Swap(nil)
+	if status, _, _ := call(t, address, "/look/", "a"); status != http.StatusServiceUnavailable || runs.Load() != 0 {
+		t.Errorf("no configuration: got %d after %d runs, want 503 after none", status, runs.Load())
+	}
+	g.catalog.Store(index)
+	g.drainingSince.Store(int64(g.now()))
+	g.draining.Store(true)
+	if status, body, _ := call(t, address, "/look/", "a"); status != http.StatusOK {
+		t.Errorf("a gateway that has begun to stop: got %d %q, want 200", status, body)
+	}
+	runs.Store(0)
+	g.drainingSince.Store(int64(g.now() - drainAcceptTime - time.Millisecond))
+	if status, _, _ := call(t, address, "/look/", "a"); status != http.StatusServiceUnavailable || runs.Load() != 0 {
+		t.Errorf("a gateway that ends soon: got %d after %d runs, want 503 after none", status, runs.Load())
+	}
+}
+
+// TestRequestsOfAnEndedGateway guards against a request that is sent after all have been
+// ended, and against one that has been sent and is answered as not run.
+func TestRequestsOfAnEndedGateway(t *testing.T) {
+	arrived := make(chan struct{}, 1)
+	servers, runs := newScripted(t, 1, func(_ http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body) // net/http sees the end of a connection only then
+		arrived <- struct{}{}
+		<-r.Context().Done()
+	})
+	g, address := newTestGateway(t, servers...)
+	sent := make(chan int)
+	go func() {
+		status, _, _ := call(t, address, "/book/", "a")
+		sent <- status
+	}()
+	<-arrived
+	if n := g.EndAll(); n != 1 {
+		t.Errorf("%d requests ended, want 1", n)
+	}
+	if status := <-sent; status != http.StatusBadGateway {
+		t.Errorf("a request that was sent: got %d, want 502", status)
+	}
+	if status, _, _ := call(t, address, "/book/", "b"); status != http.StatusServiceUnavailable || runs.Load() != 1 {
+		t.Errorf("a later request: got %d after %d runs in all, want 503 after 1", status, runs.Load())
+	}
+}
+
+// TestUnreadyGatewayGetsConnections guards against a gateway that calls itself ready before
+// it knows the configuration and the backend servers, or while it stops.
+func TestUnreadyGatewayGetsConnections(t *testing.T) {
+	g, _ := newTestGateway(t)
+	index := g.catalog.Load()
+	ask := func(path string) int {
+		w := httptest.NewRecorder()
+		g.ReadyHandler().ServeHTTP(w, httptest.NewRequest(http.MethodGet, path, nil))
+		return w.Code
+	}
+	for _, c := range []struct {
+		configured, roster, draining bool
+		want                         int
+	}{{true, true, false, 200}, {false, true, false, 503}, {true, false, false, 503}, {true, true, true, 503}} {
+		g.catalog.Store(nil)
+		if c.configured {
+			g.catalog.Store(index)
+		}
+		g.rosterComplete = c.roster
+		g.draining.Store(c.draining)
+		if got := ask("/ready"); got != c.want {
+			t.Errorf("configured %t, backend servers known %t, stopping %t: got %d, want %d", c.configured, c.roster, c.draining, got, c.want)
+		}
+	}
+	if got := ask("/other"); got != http.StatusNotFound {
+		t.Errorf("another path: got %d, want 404", got)
+	}
+}
+
+// TestUnheededAnswers guards against new requests at backend servers whose answers say that
+// they leave or want none, and against one server speaking for another.
+func TestUnheededAnswers(t *testing.T) {
+	for _, c := range []struct {
+		what           string
+		header, value  string
+		server         string
+		second, status int
+	}{
+		{"it leaves", headerLeaving, "yes", "s1", 503, 503},
+		{"it asks for time", headerRetryAfter, "60000", "s1", 503, 503},
+		{"another leaves", headerLeaving, "yes", "other", 200, 200},
+		{"another asks for time", headerRetryAfter, "60000", "other", 200, 200},
+	} {
+		servers, runs := newScripted(t, 1, func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set(c.header, c.value)
+			w.Header().Set(headerServer, c.server)
+			good(w, r)
+		})
+		g, address := newTestGateway(t, servers...)
+		if status, _, _ := call(t, address, "/book/", "a"); status != http.StatusOK {
+			t.Errorf("%s: its answer became %d", c.what, status)
+		}
+		status, _, _ := call(t, address, "/book/", "b")
+		if want := int64(1 + c.second/200%2); status != c.second || runs.Load() != want {
+			t.Errorf("%s: the next request got %d after %d runs in all, want %d after %d", c.what, status, runs.Load(), c.second, want)
+		}
+		g.mu.Lock()
+		chosen := g.roster.Usable()
+		g.mu.Unlock()
+		if c.header == headerLeaving && (len(chosen) == 0) != (c.second == 503) {
+			t.Errorf("%s: %d backend servers can be used", c.what, len(chosen))
+		}
+	}
+}
+
+// TestConvictedRequestIsSent guards against requests that are sent although they are
+// convicted of crashing backend servers, and against a flowing answer that a conviction cuts.
+func TestConvictedRequestIsSent(t *testing.T) {
+	conviction := func(version uint64, convicted bool, path string) *wire.Quarantine {
+		cause := quarantine.Causes("h"+path, "w", []byte("body"), nil)[0]
+		return &wire.Quarantine{Version: version, Convictions: []*wire.Conviction{{
+			Fingerprint: cause.Fingerprint, Label: "x", Convicted: convicted, TrialWaitMillis: 60_000,
+		}}}
+	}
+	apply := func(g *Gateway, q *wire.Quarantine) {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		g.applyQuarantine(q)
+	}
+	arrived, proceed := make(chan struct{}, 1), make(chan struct{})
+	servers, runs := newScripted(t, 1, func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body) // net/http sees the end of a connection only then
+		if strings.HasPrefix(r.URL.Path, "/stream/") {
+			events(w, 1, 2)
+		}
+		arrived <- struct{}{}
+		select {
+		case <-proceed:
+		case <-r.Context().Done():
+		}
+		if strings.HasPrefix(r.URL.Path, "/stream/") {
+			events(w, 3)
+		}
+	})
+	g, address := newTestGateway(t, servers...)
+	ended := make(chan string)
+	send := func(path string) {
+		status, body, err := call(t, address, path, "a")
+		ended <- fmt.Sprint(status, body, err)
+	}
+	go send("/book/1")
+	<-arrived
+	apply(g, conviction(1, false, "/book/1"))
+	select {
+	case got := <-ended:
+		t.Errorf("a suspected request ended with %s", got)
+	case <-time.After(30 * time.Millisecond):
+	}
+	apply(g, conviction(2, true, "/book/1"))
+	if got := <-ended; !strings.HasPrefix(got, "502") {
+		t.Errorf("a convicted request that was sent: got %s, want 502", got)
+	}
+	runs.Store(0)
+	if status, body, _ := call(t, address, "/book/1", "b"); status != http.StatusServiceUnavailable || runs.Load() != 0 {
+		t.Errorf("a convicted request: got %d %s after %d runs, want 503 after none", status, body, runs.Load())
+	}
+	go send("/stream/1")
+	<-arrived
+	for flowing := false; !flowing; time.Sleep(time.Millisecond) {
+		g.stopMu.Lock()
+		for x := range g.cancels {
+			flowing = flowing || x.flowing.Load()
+		}
+		g.stopMu.Unlock()
+	}
+	apply(g, conviction(3, true, "/stream/1"))
+	time.Sleep(10 * time.Millisecond)
+	close(proceed)
+	if got := <-ended; got != fmt.Sprint(200, wholeStream, nil) {
+		t.Errorf("a stream that flows: got %s", got)
+	}
+}
+
+// TestSilentControlInstance guards against what a control instance said long ago, and
+// against losing what one has just said.
+func TestSilentControlInstance(t *testing.T) {
+	servers, _ := newScripted(t, 1, good)
+	g, _ := newTestGateway(t, servers...)
+	g.mu.Lock()
+	timeout := g.config.Settings.SourceTimeout.Std()
+	g.sources = map[string]*source{
+		"recent": {updatedAt: g.now(), connected: true, gateways: []string{"127.0.0.1:2"}},
+		"silent": {updatedAt: g.now() - timeout - time.Millisecond, connected: true, gateways: []string{"127.0.0.1:3"}},
+	}
+	g.mu.Unlock()
+	g.housekeep()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if s := g.sources["recent"]; !s.connected || len(s.gateways) != 1 {
+		t.Errorf("the instance that has just spoken: %+v", s)
+	}
+	if s := g.sources["silent"]; s.connected || s.gateways != nil {
+		t.Errorf("the silent instance: %+v", s)
+	}
+}
+
+// TestEndsWithConnection guards against a connection that was silent for too long, and that
+// counts as one that a crashed backend server ended.
+func TestEndsWithConnection(t *testing.T) {
+	for _, c := range []struct {
+		err  error
+		want bool
+	}{{nil, false}, {io.ErrUnexpectedEOF, true}, {fmt.Errorf("read: %w", timeoutError(t)), false}} {
+		if got := endsWithConnection(c.err); got != c.want {
+			t.Errorf("%v: got %t", c.err, got)
+		}
+	}
+}
+
+// timeoutError returns the error of a read that has timed out.
+func timeoutError(t *testing.T) error {
+	t.Helper()
+	conn, other := net.Pipe()
+	defer other.Close()
+	defer conn.Close()
+	if err := conn.SetDeadline(time.Unix(1, 0)); err != nil {
+		t.Fatal(err)
+	}
+	_, err := conn.Read(make([]byte, 1))
+	return err
+}
--- a/io/gateway/gateway_test.go
+++ b/io/gateway/gateway_test.go
@@ -133,6 +133,8 @@
 	{Name: "book", Host: "h", PathPrefix: "/book/", Repeatability: tanagerroad.AtMostOnce, MaxServers: 1, Targets: []tanagerroad.Target{{Pool: "p", Weight: 1}}},
 	{Name: "look", Host: "h", PathPrefix: "/look/", Repeatability: tanagerroad.Idempotent, MaxServers: 3, Targets: []tanagerroad.Target{{Pool: "p", Weight: 1}}},
 	{Name: "stream", Host: "h", PathPrefix: "/stream/", Repeatability: tanagerroad.Stream, Resumable: true, MaxServers: 3, Targets: []tanagerroad.Target{{Pool: "p", Weight: 1}}},
+	{Name: "live", Host: "h", PathPrefix: "/live/", Repeatability: tanagerroad.Stream, MaxServers: 3, Targets: []tanagerroad.Target{{Pool: "p", Weight: 1}}},
+	{Name: "open", Host: "h", PathPrefix: "/open/", Repeatability: tanagerroad.Idempotent, Public: true, MaxServers: 1, Targets: []tanagerroad.Target{{Pool: "p", Weight: 1}}},
 	{
 		Name: "staged", Host: "h", PathPrefix: "/staged/", Repeatability: tanagerroad.Stream, Resumable: true, MaxServers: 2, Targets: []tanagerroad.Target{{Pool: "p", Weight: 1}},
 		Stages: []tanagerroad.CatalogStage{{Pool: "prep", Bytes: 100}},
