core/fleet, io/gateway: a caller that leaves ejects no backend server

What callers saw: nothing directly; the next requests went to other backend servers, or waited. And an attempt that ended here before any answer counted as a success: it readmitted a backend server that had failed, or that hangs until the deadline.

Cause: an attempt ended either well or badly. One that is ended on this side shows neither. Found in reading, when io/gateway got its tests.

Ruled out: our own interface, where a call that was dropped has a third outcome (core/request reportOutcome), and calls for pieces, which only their own time limit ends. An answer that its deadline cuts counts as a failure, as before.

Change: fleet.Outcome.Unknown. Tests: core/fleet scripts "an attempt that says nothing about its backend server" (red: picked "a", want "b") and io/gateway TestCallerThatLeavesEjectsServer (red: "the backend server is ejected, at a cost of 1h0m0.024s", for a caller that left and for a gateway that stopped).

--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -61,6 +61,7 @@
 // Outcome is what an attempt showed about its backend server.
 type Outcome struct {
 	Failed  bool          // the backend server or the network path to it failed
+	Unknown bool          // the attempt was ended on this side, so it shows nothing
 	Latency time.Duration // to the first byte of the answer; 0: no answer
 	Running int           // running requests by the answer's load report
 	Queued  int           // queued requests by the answer's load report
@@ -303,13 +304,17 @@
 }
 
 // RecordEnd records the end of an attempt. A failure ejects the backend server
-// for a time that doubles with each consecutive failure, up to ejectMax.
+// for a time that doubles with each consecutive failure, up to ejectMax. A success
+// readmits it.
 func (f *Fleet) RecordEnd(at time.Duration, id string, o Outcome) {
 	s, ok := f.servers[id]
 	if !ok {
 		return
 	}
 	s.inFlight = max(0, s.inFlight-1)
+	if o.Unknown {
+		return
+	}
 	if !o.Failed {
 		s.failures, s.ejectedUntil = 0, 0
 		return
--- a/core/fleet/fleet_test.go
+++ b/core/fleet/fleet_test.go
@@ -27,6 +27,7 @@
 	Until     *int           `json:"pool-paused-until-ms"`
 	Done      string         `json:"done"`
 	Failed    bool           `json:"failed"`
+	Unknown   bool           `json:"unknown"`
 	Answered  string         `json:"answered"`
 	LatencyMs int            `json:"latency-ms"`
 	Running   int            `json:"running"`
@@ -81,7 +82,7 @@
 					t.Errorf("%s: step %d: the pool is paused until %v, want %d ms", script.What, i, got, *s.Until)
 				}
 			case s.Done != "":
-				f.RecordEnd(at, s.Done, fleet.Outcome{Failed: s.Failed})
+				f.RecordEnd(at, s.Done, fleet.Outcome{Failed: s.Failed, Unknown: s.Unknown})
 			case s.Answered != "":
 				f.RecordAnswer(at, s.Answered, fleet.Outcome{
 					Latency: time.Duration(s.LatencyMs) * time.Millisecond, Running: s.Running, Queued: s.Queued, Slots: s.Slots,
--- a/io/gateway/answers_test.go
+++ b/io/gateway/answers_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -12,6 +13,7 @@
 	"testing"
 	"time"
 
+	"tanagerroad/core/fleet"
 	"tanagerroad/core/quarantine"
 	"tanagerroad/core/wire"
 )
@@ -397,3 +399,64 @@
 	_, err := conn.Read(make([]byte, 1))
 	return err
 }
+
+// TestCallerThatLeavesEjectsServer guards against a backend server that counts as failing
+// because a caller left, or a gateway stopped, while it answered.
+func TestCallerThatLeavesEjectsServer(t *testing.T) {
+	arrived := make(chan struct{}, 1)
+	servers, _ := newScripted(t, 1, func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body) // net/http sees the end of a connection only then
+		if strings.HasPrefix(r.URL.Path, "/stream/") {
+			events(w, 1)
+		}
+		arrived <- struct{}{}
+		<-r.Context().Done()
+	})
+	g, address := newTestGateway(t, servers...)
+	cost := func() time.Duration {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		choice, _ := g.fleet.Pick(g.now(), fleet.Request{Pool: "p", From: g.config.Settings.Place()})
+		g.fleet.RecordEnd(g.now(), choice.ID, fleet.Outcome{Unknown: true})
+		return choice.Cost
+	}
+	ended := func() bool { return g.InFlight() == 0 }
+	for _, path := range []string{"/stream/", "/look/"} {
+		ctx, leave := context.WithCancel(t.Context())
+		r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+path, strings.NewReader("body"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		r.Host = "h"
+		r.Header.Set(headerID, "a")
+		r.Header.Set(headerKey, "k")
+		left := make(chan struct{})
+		go func() {
+			defer close(left)
+			if res, err := http.DefaultTransport.RoundTrip(r); err == nil {
+				_, _ = io.Copy(io.Discard, res.Body) // ends when the caller leaves
+				_ = res.Body.Close()
+			}
+		}()
+		<-arrived
+		leave()
+		<-left
+		if !eventually(ended) {
+			t.Errorf("%s: the request is still in flight", path)
+		}
+		if got := cost(); got >= time.Minute {
+			t.Errorf("%s: the backend server is ejected, at a cost of %v", path, got)
+		}
+	}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_, _, _ = call(t, address, "/stream/", "a") // cut
+	}()
+	<-arrived
+	g.EndAll()
+	<-done
+	if got := cost(); got >= time.Minute {
+		t.Errorf("a gateway that stops: the backend server is ejected, at a cost of %v", got)
+	}
+}
--- a/io/gateway/gateway_test.go
+++ b/io/gateway/gateway_test.go
@@ -144,6 +144,11 @@
 // newTestGateway returns a gateway that holds a configuration and the given backend servers
 // of the pool p, or prep if their ids begin so, and the address of its callers' listener.
 func newTestGateway(t *testing.T, servers ...*backend) (*Gateway, string) {
+	t.Helper()
+	return newLoggedGateway(t, zap.NewNop(), servers...)
+}
+
+func newLoggedGateway(t *testing.T, logger *zap.Logger, servers ...*backend) (*Gateway, string) {
 	t.Helper()
 	s := settings.DefaultGateway()
 	s.Common = settings.Common{Process: "g", Zone: "z", Region: "r"}
@@ -151,7 +156,7 @@
 	conns, closeConns := peer.NewConnPool(peer.NewMeter(), 1<<20)
 	t.Cleanup(closeConns)
 	g, closeGateway := New(Config{
-		Settings: s, Dialect: plain{}, Clock: lateClock{tanagerroad.NewSystemClock()}, Logger: zap.NewNop(), Conns: conns, Metrics: metrics.NewRegistry(),
+		Settings: s, Dialect: plain{}, Clock: lateClock{tanagerroad.NewSystemClock()}, Logger: logger, Conns: conns, Metrics: metrics.NewRegistry(),
 	})
 	t.Cleanup(closeGateway)
 	config := &tanagerroad.Catalog{
--- a/io/gateway/try.go
+++ b/io/gateway/try.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -132,12 +133,13 @@
 	stopTimer()
 	if err != nil {
 		x.reason = err.Error()
-		failed := fleet.Outcome{Failed: x.ctx.Err() == nil && !errors.Is(err, errServerUnavailable) && !errors.Is(err, errQuarantined)}
+		unknown := x.ctx.Err() != nil || errors.Is(err, errServerUnavailable) || errors.Is(err, errQuarantined)
+		outcome := fleet.Outcome{Failed: !unknown, Unknown: unknown}
 		if isUnsent(err) {
-			return attempt.Unsent, 0, failed
+			return attempt.Unsent, 0, outcome
 		}
 		x.brokenOff = endsWithConnection(err)
-		return x.incompleteEnd(), 0, failed
+		return x.incompleteEnd(), 0, outcome
 	}
 	defer res.Close()
 	x.recordProgress(attempt.Begun)
@@ -175,7 +177,10 @@
 	end := x.forward(res, success)
 	x.received.bytes, x.received.lastEvent = res.BytesRead(), x.splitter.LastID()
 	g.meters.recordReceived(x.received)
-	outcome.Failed = end == attempt.Lost || end == attempt.Broken
+	if end == attempt.Lost || end == attempt.Broken {
+		outcome.Unknown = errors.Is(x.ctx.Err(), context.Canceled)
+		outcome.Failed = !outcome.Unknown
+	}
 	return end, res.StatusCode, outcome
 }
 
