io/gateway: the log says that a stop ended a request, not that its stages were late

Callers of requests in their stages were told 0.5 s to come back where another gateway could have served them at once.

Cause: the gateway was stopping. At the end of its stop time EndAll cancels what is in flight. Only that sets a deadline on a backend server's connection before the request's own, so "i/o timeout" was the cancellation, not a silent engine; the stages then ended on the same context. The inputs that had been freed, the issue's guess, had no part in it: the stages were asked for again and the context had ended before the first job.

Ruled out: making the stages once more. The process is killed 0.6 s later and the caller's connection is its own; nothing could reach the caller.

Change: the context's cause. A request that a stop or a conviction ends is not tried again (it took up to three picks and retries of the budget), has that as its reason in answered, attempt-ended-at-gateway and the answer, and Retry-After 20 ms if a stop refused it.

Test: TestStopLooksLikeLateStages, red before: "answered with the reason "the stages were not made in time"", "next "resume"", and for a request before its answer four attempts, the last with "no backend server can be used".

--- a/io/gateway/crashes.go
+++ b/io/gateway/crashes.go
@@ -186,7 +186,7 @@
 	defer g.stopMu.Unlock()
 	for x, cancel := range g.cancels {
 		if g.quarantine.Check(now, x.allCauses, x.trialOf.Load()).Convicted && !x.flowing.Load() {
-			cancel()
+			cancel(errQuarantined)
 		}
 	}
 }
--- a/io/gateway/exchange.go
+++ b/io/gateway/exchange.go
@@ -122,7 +122,7 @@
 		w.Header().Set("Connection", "close")
 		if g.now()-time.Duration(g.drainingSince.Load()) > drainAcceptTime {
 			x.retryAfter = drainRetryDelay
-			x.refuse("this gateway is stopping")
+			x.refuse(errStopping.Error())
 			return
 		}
 	}
@@ -131,8 +131,10 @@
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), x.deadline-g.now())
 	defer cancel()
+	ctx, end := context.WithCancelCause(ctx)
+	defer end(nil)
 	x.ctx = ctx
-	g.track(x, cancel)
+	g.track(x, end)
 	defer g.untrack(x)
 	x.serve()
 }
@@ -322,6 +324,9 @@
 	if end == attempt.Broken {
 		x.retryState.Resumable = x.route.Resumable && x.splitter.CanResume()
 	}
+	if end != attempt.Answered && x.explainEnd() {
+		x.retryState.Deadline = 0 // nothing may follow
+	}
 	if end != attempt.Paused {
 		return x.retryState.Next(x.g.now(), end, status, x.takeRetry)
 	}
@@ -348,6 +353,23 @@
 	}
 }
 
+// explainEnd reports whether the request has been ended here before its deadline. If so
+// it sets the reason and the retry delay.
+func (x *exchange) explainEnd() bool {
+	cause := context.Cause(x.ctx)
+	switch {
+	case errors.Is(cause, errStopping):
+		x.reason, x.retryAfter = cause.Error(), drainRetryDelay
+	case errors.Is(cause, errQuarantined):
+		x.reason = cause.Error()
+		_ = x.checkQuarantine() // says more, unless the conviction has ended meanwhile
+		x.g.meters.count("requests.quarantined")
+	default:
+		return false
+	}
+	return true
+}
+
 // takeRetry takes one retry from the pool's retry budget and reports whether
 // there was one.
 func (x *exchange) takeRetry() bool {
@@ -377,7 +399,7 @@
 // endUnsent ends a request that cannot be sent, because its stages failed, no backend
 // server accepts it in time, or it is quarantined. It has not run unless an earlier attempt was sent.
 func (x *exchange) endUnsent() {
-	if x.checkQuarantine() != nil {
+	if !x.explainEnd() && x.checkQuarantine() != nil {
 		x.g.meters.count("requests.quarantined")
 	}
 	switch {
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -94,8 +94,8 @@
 	watches   *control.WatchSet
 
 	stopMu       sync.Mutex           // guards cancels and allCancelled
-	cancels      map[*exchange]func() // cancel functions of the parsed requests in flight
-	allCancelled bool                 // EndAll was called
+	cancels      map[*exchange]context.CancelCauseFunc // of the parsed requests in flight
+	allCancelled bool                                  // EndAll was called
 }
 
 // New returns a gateway that watches the control instances, and a function that
@@ -116,7 +116,7 @@
 		gateways: []string{config.Settings.Peer.AdvertisedAddress()},
 		meters:   newMeters(config.Metrics),
 		seeds:    config.Settings.Control,
-		cancels:  map[*exchange]func(){},
+		cancels:  map[*exchange]context.CancelCauseFunc{},
 	}
 	g.fleet.SetGateways(config.Settings.Peer.AdvertisedAddress(), g.gateways)
 	g.batcher = newPieceBatcher(g)
@@ -171,6 +171,9 @@
 	g.noticeDue.Broadcast()
 }
 
+// errStopping is the error of a request that EndAll has ended.
+var errStopping = errors.New("this gateway is stopping")
+
 // EndAll cancels the requests in flight and returns their number. Each is answered
 // according to whether it may have run. Requests whose body is still being read
 // are not counted, and end once it is read.
@@ -179,18 +182,18 @@
 	defer g.stopMu.Unlock()
 	g.allCancelled = true
 	for _, cancel := range g.cancels {
-		cancel()
+		cancel(errStopping)
 	}
 	return len(g.cancels)
 }
 
 // track registers the cancel function of an exchange for EndAll.
-func (g *Gateway) track(x *exchange, cancel func()) {
+func (g *Gateway) track(x *exchange, cancel context.CancelCauseFunc) {
 	g.stopMu.Lock()
 	defer g.stopMu.Unlock()
 	g.cancels[x] = cancel
 	if g.allCancelled {
-		cancel()
+		cancel(errStopping)
 	}
 }
 
--- a/io/gateway/stages_test.go
+++ b/io/gateway/stages_test.go
@@ -12,6 +12,9 @@
 	"testing"
 	"time"
 
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
+
 	"tanagerroad"
 	"tanagerroad/core/wire"
 )
@@ -42,7 +45,7 @@
 			p.free(t, body)
 			return
 		}
-		p.run(t, w, body)
+		p.run(t, w, r, body)
 	}
 	p.backend, p.second = newBackend(t, "prep1", serve), newBackend(t, "prep2", serve)
 	return p
@@ -58,11 +61,14 @@
 	p.freed = append(p.freed, handles...)
 }
 
-func (p *pieceServer) run(t *testing.T, w http.ResponseWriter, body []byte) {
+func (p *pieceServer) run(t *testing.T, w http.ResponseWriter, r *http.Request, body []byte) {
 	call := p.calls.Add(1)
 	if p.status != nil {
 		switch status := p.status(call); status {
 		case 0:
+		case holdCall:
+			<-r.Context().Done()
+			return
 		case http.StatusServiceUnavailable:
 			w.Header().Set(headerNotRun, "yes")
 			fallthrough
@@ -319,3 +325,73 @@
 		t.Error("a backend server with a limit got a request to free results")
 	}
 }
+
+// TestStopLooksLikeLateStages guards against requests that a stopping gateway ends, and
+// that the log and the caller are told were late.
+func TestStopLooksLikeLateStages(t *testing.T) {
+	const reason = "this gateway is stopping"
+	for _, c := range []struct {
+		what    string
+		pieces  func(int64) int
+		answers []answer
+		status  int
+		next    string
+	}{
+		{"in its stages", func(int64) int { return holdCall }, nil, 503, ""},
+		{"in its stream", nil, []answer{holdStream}, 200, "abort"},
+		{"before its answer", nil, []answer{holdAnswer}, 502, "fail"},
+	} {
+		p := newPieceServer(t)
+		p.status = c.pieces
+		servers, runs := newScripted(t, 3, useResults(p, c.answers...))
+		core, logs := observer.New(zap.InfoLevel)
+		g, address := newLoggedGateway(t, zap.New(core), append(servers, p.backend)...)
+		type result struct {
+			status int
+			body   string
+		}
+		ended := make(chan result)
+		go func() {
+			status, body, _ := call(t, address, "/staged/", "a", headerPieces, "2") // its error is of no interest
+			ended <- result{status, body}
+		}()
+		if !eventually(func() bool { return p.calls.Load() == 1 && int(runs.Load()) == len(c.answers) }) {
+			t.Errorf("%s: %d calls, %d runs", c.what, p.calls.Load(), runs.Load())
+		}
+		time.Sleep(20 * time.Millisecond) // until the first event has been forwarded
+		g.EndAll()
+		if got := <-ended; got.status != c.status || c.status == 503 && !strings.Contains(got.body, reason) {
+			t.Errorf("%s: got %d %q, want %d", c.what, got.status, got.body, c.status)
+		}
+		if runs.Load() != int64(len(c.answers)) {
+			t.Errorf("%s: %d runs, want %d", c.what, runs.Load(), len(c.answers))
+		}
+		eventually(func() bool { return logs.FilterMessage("answered").Len() > 0 })
+		for _, entry := range logs.FilterMessage("answered").All() {
+			if got := entry.ContextMap()["reason"]; got != reason {
+				t.Errorf("%s: answered with the reason %q, want %q", c.what, got, reason)
+			}
+		}
+		for _, entry := range logs.FilterMessage("attempt-ended-at-gateway").All() {
+			if got := entry.ContextMap(); got["next"] != c.next || got["reason"] != reason {
+				t.Errorf("%s: attempt ended with the reason %q, next %q, want %q and %q", c.what, got["reason"], got["next"], reason, c.next)
+			}
+		}
+		if logs.FilterMessage("answered").Len() != 1 {
+			t.Errorf("%s: %d answers logged, want 1", c.what, logs.FilterMessage("answered").Len())
+		}
+	}
+}
+
+// holdCall is the status of a call that is not answered.
+const holdCall = -1
+
+func holdAnswer(_ http.ResponseWriter, r *http.Request) {
+	_, _ = io.Copy(io.Discard, r.Body) // net/http sees the end of a connection only then
+	<-r.Context().Done()
+}
+
+func holdStream(w http.ResponseWriter, r *http.Request) {
+	events(w, 1)
+	holdAnswer(w, r)
+}
