io/gateway: the log does not call the stages of a caller that left late

Cause: a caller that leaves ends the request's context, as the deadline does, and the stages take either for the deadline.

Change: the reason of a request whose caller left says so.

Test: TestCallerThatLeftLooksLikeLateStages, red before with that reason.

--- a/io/gateway/exchange.go
+++ b/io/gateway/exchange.go
@@ -427,6 +427,7 @@
 
 // abortDisconnected ends a request whose caller has disconnected.
 func (x *exchange) abortDisconnected() {
+	x.reason = "the caller has disconnected"
 	x.logEnd(0, "caller-left")
 	panic(http.ErrAbortHandler)
 }
--- a/io/gateway/stages_test.go
+++ b/io/gateway/stages_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"slices"
 	"strings"
@@ -383,6 +384,33 @@
 	}
 }
 
+// TestCallerThatLeftLooksLikeLateStages guards against a request whose caller left, and whose
+// stages the log calls late.
+func TestCallerThatLeftLooksLikeLateStages(t *testing.T) {
+	p := newPieceServer(t)
+	p.status = func(int64) int { return holdCall }
+	core, logs := observer.New(zap.InfoLevel)
+	_, address := newLoggedGateway(t, zap.New(core), p.backend)
+	conn, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	fmt.Fprintf(conn, "POST /staged/ HTTP/1.1\r\nHost: h\r\n%s: k\r\n%s: 2\r\nContent-Length: 0\r\n\r\n", headerKey, headerPieces)
+	if !eventually(func() bool { return p.calls.Load() == 1 }) {
+		t.Error("the stages have not begun")
+	}
+	_ = conn.Close() // this is the caller leaving
+	eventually(func() bool { return logs.FilterMessage("answered").Len() > 0 })
+	for _, entry := range logs.FilterMessage("answered").All() {
+		if got := entry.ContextMap(); got["outcome"] != "caller-left" || got["reason"] != "the caller has disconnected" {
+			t.Errorf("outcome %q, reason %q", got["outcome"], got["reason"])
+		}
+	}
+	if logs.FilterMessage("answered").Len() != 1 {
+		t.Errorf("%d answers logged, want 1", logs.FilterMessage("answered").Len())
+	}
+}
+
 // holdCall is the status of a call that is not answered.
 const holdCall = -1
 
