examples: the logs go to the log files again

What a newcomer saw: the logs of 38 processes in the terminal, 552 lines in ten seconds, between them the callers' addresses; the log files were empty.

Cause: logs go to standard output since the platform's contract asks for it, and the scripts kept standard error only.

Change: both.

--- a/examples/prairie-keep/run.sh
+++ b/examples/prairie-keep/run.sh
@@ -7,7 +7,7 @@
 trap 'kill $pids; wait; exit 0' INT TERM
 for role in control stand-in sidecar entry; do
   for file in examples/prairie-keep/$role*.json; do
-    ./tanagerroad $role "$file" 2>"data/prairie-keep/logs/$(basename "$file" .json).log" &
+    ./tanagerroad $role "$file" >"data/prairie-keep/logs/$(basename "$file" .json).log" 2>&1 &
     pids="$pids $!"
   done
 done
