io/gateway: tests for inputs, reservations, pauses and limits of pieces

Conditions of the batcher that no test of the package noticed: inputs freed at the start of a call though another gateway may be an owner too, or after a call that failed; pieces reserved for a refused request, or twice for its own pool; a call to a backend server that wants none; results freed at an address that nothing listens on (a nil answer would end the process); the limit of a body in the configuration.

--- a/io/gateway/answers_test.go
+++ b/io/gateway/answers_test.go
@@ -171,7 +171,7 @@
 	if line := raw(head + "10\r\n\r\nhalf"); runs.Load() != 0 || !strings.Contains(line, "400") {
 		t.Errorf("a body that is cut: got %q after %d runs, want 400 after none", line, runs.Load())
 	}
-	if line := raw(head + fmt.Sprint(int(g.config.Settings.Caller.MaxBody)+1) + "\r\n\r\n" + strings.Repeat("a", int(g.config.Settings.Caller.MaxBody)+1)); runs.Load() != 0 || !strings.Contains(line, "413") {
+	if line := raw(head + fmt.Sprint(maxTestBody+1) + "\r\n\r\n" + strings.Repeat("a", maxTestBody+1)); runs.Load() != 0 || !strings.Contains(line, "413") {
 		t.Errorf("a body that is too long: got %q after %d runs, want 413 after none", line, runs.Load())
 	}
 	index := g.catalog.Swap(nil)
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -93,7 +93,7 @@
 	instances []string // addresses of control instances, from their updates
 	watches   *control.WatchSet
 
-	stopMu       sync.Mutex           // guards cancels and allCancelled
+	stopMu       sync.Mutex                            // guards cancels and allCancelled
 	cancels      map[*exchange]context.CancelCauseFunc // of the parsed requests in flight
 	allCancelled bool                                  // EndAll was called
 }
--- a/io/gateway/gateway_test.go
+++ b/io/gateway/gateway_test.go
@@ -102,6 +102,9 @@
 
 func (plain) EncodeFreeRequest(handles []string) ([]byte, error) { return json.Marshal(handles) }
 
+// maxTestBody is the limit of a request's body in the configuration, in bytes.
+const maxTestBody = 1000
+
 // lateClock is a clock whose process has run for long.
 type lateClock struct{ tanagerroad.SystemClock }
 
@@ -139,10 +142,14 @@
 		Name: "staged", Host: "h", PathPrefix: "/staged/", Repeatability: tanagerroad.Stream, Resumable: true, MaxServers: 2, Targets: []tanagerroad.Target{{Pool: "p", Weight: 1}},
 		Stages: []tanagerroad.CatalogStage{{Pool: "prep", Bytes: 100}},
 	},
+	{
+		Name: "chain", Host: "h", PathPrefix: "/chain/", Repeatability: tanagerroad.Idempotent, MaxServers: 1, Targets: []tanagerroad.Target{{Pool: "p", Weight: 1}},
+		Stages: []tanagerroad.CatalogStage{{Pool: "prep", Bytes: 40 << 10}, {Pool: "last", Bytes: 100, After: []int{0}}},
+	},
 }
 
 // newTestGateway returns a gateway that holds a configuration and the given backend servers
-// of the pool p, or prep if their ids begin so, and the address of its callers' listener.
+// of the pool p, or prep or last if their ids begin so, and the address of its callers' listener.
 func newTestGateway(t *testing.T, servers ...*backend) (*Gateway, string) {
 	t.Helper()
 	return newLoggedGateway(t, zap.NewNop(), servers...)
@@ -159,10 +166,12 @@
 		Settings: s, Dialect: plain{}, Clock: lateClock{tanagerroad.NewSystemClock()}, Logger: logger, Conns: conns, Metrics: metrics.NewRegistry(),
 	})
 	t.Cleanup(closeGateway)
+	traits := &tanagerroad.PieceTraits{
+		Slots: 1, MaxQueue: 2, MaxBatch: 4, CallTime: 5 * time.Millisecond, PieceTime: time.Millisecond, ResultSpace: 1 << 20, ResultTTL: 4 * time.Second,
+	}
 	config := &tanagerroad.Catalog{
-		Version: 1, Pools: []tanagerroad.CatalogPool{{Name: "p"}, {Name: "prep", Pieces: &tanagerroad.PieceTraits{
-			Slots: 1, MaxQueue: 2, MaxBatch: 4, CallTime: 5 * time.Millisecond, PieceTime: time.Millisecond, ResultSpace: 1 << 20, ResultTTL: 4 * time.Second,
-		}}},
+		Version: 1, Pools: []tanagerroad.CatalogPool{{Name: "p"}, {Name: "prep", Pieces: traits}, {Name: "last", Pieces: traits}},
+		Limits:     tanagerroad.CallerLimits{MaxBodyBytes: maxTestBody},
 		Workspaces: []tanagerroad.CatalogWorkspace{{Name: "w", APIKeys: []string{"k"}}},
 	}
 	for _, r := range routes {
@@ -173,8 +182,10 @@
 	g.mu.Lock()
 	for _, b := range servers {
 		pool := "p"
-		if strings.HasPrefix(b.id, "prep") {
-			pool = "prep"
+		for _, other := range []string{"prep", "last"} {
+			if strings.HasPrefix(b.id, other) {
+				pool = other
+			}
 		}
 		g.roster.Apply(g.now(), "c", tanagerroad.Announcement{
 			ID: b.id, Pool: pool, Address: b.Listener.Addr().String(), Zone: "z", Slots: 4, State: tanagerroad.Serving, Sequence: 1, StartMillis: 1000,
--- a/io/gateway/stages_test.go
+++ b/io/gateway/stages_test.go
@@ -35,6 +35,11 @@
 }
 
 func newPieceServer(t *testing.T) *pieceServer {
+	t.Helper()
+	return newPieceServerOf(t, "prep")
+}
+
+func newPieceServerOf(t *testing.T, pool string) *pieceServer {
 	t.Helper()
 	p := &pieceServer{stored: map[string]string{}}
 	serve := func(w http.ResponseWriter, r *http.Request) {
@@ -48,7 +53,7 @@
 		}
 		p.run(t, w, r, body)
 	}
-	p.backend, p.second = newBackend(t, "prep1", serve), newBackend(t, "prep2", serve)
+	p.backend, p.second = newBackend(t, pool+"1", serve), newBackend(t, pool+"2", serve)
 	return p
 }
 
@@ -257,19 +262,31 @@
 			results <- stream + ": " + strings.TrimSpace(reason)
 		})
 	}
-	for pool, want := range map[string]string{"p": "a: the pool is not known", "other": "a: the pool is not known"} {
-		if submit("a", pool, 1, time.Second, nil); <-results != want {
-			t.Errorf("pool %s: want the result %q", pool, want)
+	index := g.catalog.Load()
+	for _, pool := range []string{"p", "other", "no configuration"} {
+		if pool == "no configuration" {
+			g.catalog.Store(nil)
+		}
+		if submit("a", pool, 1, time.Second, nil); <-results != "a: the pool is not known" {
+			t.Errorf("%s: a job is not refused as that of an unknown pool", pool)
 		}
 	}
+	g.catalog.Store(index)
 	if submit("a", "prep", 1, 0, nil); <-results != "a: it cannot be made in time" {
 		t.Error("a job without time is not refused as such")
 	}
 	if submit("a", "prep", 1, 0, &wire.Admission{Chain: []string{"prep", "other"}}); <-results != "a: too many wait before it" {
 		t.Error("a request without time is not refused as such")
 	}
+	demands := []*wire.Demand{{Pool: "prep", Pieces: 1}, {Pool: "last", Pieces: 2}}
+	if submit("e", "prep", 1, 0, &wire.Admission{Chain: []string{"prep"}, Demands: demands}); <-results == "" || g.batcher.admission.Reserved("last") != 0 {
+		t.Errorf("%d pieces are reserved for a refused request, want none", g.batcher.admission.Reserved("last"))
+	}
 	for _, stream := range []string{"a", "aa", "b", "c", "d"} { // one runs, the others wait
-		submit(stream, "prep", 1, 10*time.Second, &wire.Admission{LeftMillis: 10_000, SlackMillis: 10_000, Chain: []string{"prep"}})
+		submit(stream, "prep", 1, 10*time.Second, &wire.Admission{LeftMillis: 10_000, SlackMillis: 10_000, Chain: []string{"prep"}, Demands: demands})
+	}
+	if prep, last := g.batcher.admission.Reserved("prep"), g.batcher.admission.Reserved("last"); prep != 0 || last != 10 {
+		t.Errorf("%d pieces reserved where they are queued, want none; %d for later, want 10", prep, last)
 	}
 	g.batcher.cancelAll("a")
 	g.batcher.cancel("b", 2)
@@ -283,6 +300,9 @@
 		case <-time.After(2 * time.Second):
 		}
 	}
+	if !eventually(func() bool { g.batcher.mu.Lock(); defer g.batcher.mu.Unlock(); return len(g.batcher.jobs) == 0 }) {
+		t.Errorf("%d jobs are still kept, want none", len(g.batcher.jobs))
+	}
 	slices.Sort(got)
 	if want := []string{"aa: made", "b: made", "d: made"}; !slices.Equal(got, want) {
 		t.Errorf("got the results %q, want %q", got, want)
@@ -319,6 +339,7 @@
 	if !eventually(func() bool { return freed() == 1 }) {
 		t.Errorf("%d results freed after the pause, want 1", freed())
 	}
+	g.batcher.release([]string{"127.0.0.1:1/x"}) // nothing listens there
 	g.heed(server, tanagerroad.ResponseHeaders{Server: server.ID, Limit: 1})
 	g.batcher.release([]string{handle})
 	time.Sleep(2 * freeInterval)
@@ -327,6 +348,55 @@
 	}
 }
 
+// TestInputsOfRunningCallsAreFreed guards against inputs that are freed while another owner's
+// call may still be ahead, or after a call that failed and is made again.
+func TestInputsOfRunningCallsAreFreed(t *testing.T) {
+	prep, last := newPieceServer(t), newPieceServerOf(t, "last")
+	var freed atomic.Int64
+	last.status = func(call int64) int {
+		if call == 1 {
+			return http.StatusInternalServerError
+		}
+		time.Sleep(inputFetchTime + 2*freeInterval)
+		prep.mu.Lock()
+		defer prep.mu.Unlock()
+		freed.Store(int64(len(prep.freed)))
+		return 0
+	}
+	servers, _ := newScripted(t, 1, good)
+	_, address := newTestGateway(t, append(servers, prep.backend, prep.second, last.backend, last.second)...)
+	status, body, err := call(t, address, "/chain/", "a", headerPieces, "1,1")
+	if status != http.StatusOK || err != nil || last.calls.Load() != 2 || freed.Load() != 0 {
+		t.Errorf("got %d %q (%v) after %d calls, during which %d inputs were freed; want 200 after 2, and none", status, body, err, last.calls.Load(), freed.Load())
+	}
+	if !eventually(func() bool { return len(prep.unfreed())+len(last.unfreed()) == 0 }) {
+		t.Errorf("still stored: %v %v", prep.unfreed(), last.unfreed())
+	}
+}
+
+// TestPausedServerGetsPieces guards against a call for pieces to a backend server that wants
+// no requests for a time.
+func TestPausedServerGetsPieces(t *testing.T) {
+	p := newPieceServer(t)
+	g, _ := newTestGateway(t, p.backend)
+	g.mu.Lock()
+	server := g.fleet.Pool("prep")[0]
+	g.mu.Unlock()
+	made := make(chan struct{}, 1)
+	submit := func(number uint64) {
+		g.batcher.submit("a", &wire.PieceJob{Number: number, Request: "a", Pool: "prep", Pieces: []uint32{0}, LeftMillis: 2000, SlackMillis: 2000}, func(*wire.PieceResult) { made <- struct{}{} })
+	}
+	submit(1)
+	<-made
+	g.heed(server, tanagerroad.ResponseHeaders{Server: server.ID, RetryAfter: 100 * time.Millisecond, NotRun: true})
+	submit(2)
+	time.Sleep(50 * time.Millisecond)
+	if p.calls.Load() != 1 {
+		t.Errorf("%d calls during the pause, want 1 from before", p.calls.Load())
+	}
+	<-made
+}
+
 // TestStopLooksLikeLateStages guards against requests that a stopping gateway ends, and
 // that the log and the caller are told were late.
 func TestStopLooksLikeLateStages(t *testing.T) {
