--- a/io/gateway/stages_test.go
+++ b/io/gateway/stages_test.go
@@ -278,14 +278,19 @@
 	if submit("a", "prep", 1, 0, &wire.Admission{Chain: []string{"prep", "other"}}); <-results != "a: too many wait before it" {
 		t.Error("a request without time is not refused as such")
 	}
+	reserved := func(pool string) int {
+		g.batcher.mu.Lock()
+		defer g.batcher.mu.Unlock()
+		return g.batcher.admission.Reserved(pool)
+	}
 	demands := []*wire.Demand{{Pool: "prep", Pieces: 1}, {Pool: "last", Pieces: 2}}
-	if submit("e", "prep", 1, 0, &wire.Admission{Chain: []string{"prep"}, Demands: demands}); <-results == "" || g.batcher.admission.Reserved("last") != 0 {
-		t.Errorf("%d pieces are reserved for a refused request, want none", g.batcher.admission.Reserved("last"))
+	if submit("e", "prep", 1, 0, &wire.Admission{Chain: []string{"prep"}, Demands: demands}); <-results == "" || reserved("last") != 0 {
+		t.Errorf("%d pieces are reserved for a refused request, want none", reserved("last"))
 	}
 	for _, stream := range []string{"a", "aa", "b", "c", "d"} { // one runs, the others wait
 		submit(stream, "prep", 1, 10*time.Second, &wire.Admission{LeftMillis: 10_000, SlackMillis: 10_000, Chain: []string{"prep"}, Demands: demands})
 	}
-	if prep, last := g.batcher.admission.Reserved("prep"), g.batcher.admission.Reserved("last"); prep != 0 || last != 10 {
+	if prep, last := reserved("prep"), reserved("last"); prep != 0 || last != 10 {
 		t.Errorf("%d pieces reserved where they are queued, want none; %d for later, want 10", prep, last)
 	}
 	g.batcher.cancelAll("a")
@@ -300,8 +305,13 @@
 		case <-time.After(2 * time.Second):
 		}
 	}
-	if !eventually(func() bool { g.batcher.mu.Lock(); defer g.batcher.mu.Unlock(); return len(g.batcher.jobs) == 0 }) {
-		t.Errorf("%d jobs are still kept, want none", len(g.batcher.jobs))
+	jobs := func() int {
+		g.batcher.mu.Lock()
+		defer g.batcher.mu.Unlock()
+		return len(g.batcher.jobs)
+	}
+	if !eventually(func() bool { return jobs() == 0 }) {
+		t.Errorf("%d jobs are still kept, want none", jobs())
 	}
 	slices.Sort(got)
 	if want := []string{"aa: made", "b: made", "d: made"}; !slices.Equal(got, want) {
