--- a/io/gateway/gateway_test.go
+++ b/io/gateway/gateway_test.go
@@ -156,10 +156,16 @@
 }
 
 func newLoggedGateway(t *testing.T, logger *zap.Logger, servers ...*backend) (*Gateway, string) {
+	t.Helper()
+	return newGatewayAt(t, "127.0.0.1:1", logger, servers...)
+}
+
+// newGatewayAt returns a gateway that other gateways know by the given address.
+func newGatewayAt(t *testing.T, peerAddress string, logger *zap.Logger, servers ...*backend) (*Gateway, string) {
 	t.Helper()
 	s := settings.DefaultGateway()
 	s.Common = settings.Common{Process: "g", Zone: "z", Region: "r"}
-	s.Peer.Address, s.Control = "127.0.0.1:1", []string{"127.0.0.1:1"}
+	s.Peer.Address, s.Control = peerAddress, []string{"127.0.0.1:1"}
 	conns, closeConns := peer.NewConnPool(peer.NewMeter(), 1<<20)
 	t.Cleanup(closeConns)
 	g, closeGateway := New(Config{
