io/gateway: tests for priorities, limits and marks of unnamed servers

Three more that nothing held in milliseconds: a rejection without a limit ended the limit of a backend server, a workspace's own priority was passed over, and a mark without the id of a server was not heeded, each with one condition out.

Change: tests only.

--- a/io/gateway/answers_test.go
+++ b/io/gateway/answers_test.go
@@ -8,11 +8,14 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"tanagerroad"
+	"tanagerroad/core/catalog"
 	"tanagerroad/core/fleet"
 	"tanagerroad/core/quarantine"
 	"tanagerroad/core/wire"
@@ -251,15 +254,16 @@
 // they leave or want none, and against one server speaking for another.
 func TestUnheededAnswers(t *testing.T) {
 	for _, c := range []struct {
-		what           string
-		header, value  string
-		server         string
-		second, status int
+		what          string
+		header, value string
+		server        string
+		status        int // of the next request
 	}{
-		{"it leaves", headerLeaving, "yes", "s1", 503, 503},
-		{"it asks for time", headerRetryAfter, "60000", "s1", 503, 503},
-		{"another leaves", headerLeaving, "yes", "other", 200, 200},
-		{"another asks for time", headerRetryAfter, "60000", "other", 200, 200},
+		{"it leaves", headerLeaving, "yes", "s1", 503},
+		{"it asks for time", headerRetryAfter, "60000", "s1", 503},
+		{"somebody leaves, and does not say who", headerLeaving, "yes", "", 503},
+		{"another leaves", headerLeaving, "yes", "other", 200},
+		{"another asks for time", headerRetryAfter, "60000", "other", 200},
 	} {
 		servers, runs := newScripted(t, 1, func(w http.ResponseWriter, r *http.Request) {
 			w.Header().Set(c.header, c.value)
@@ -271,18 +275,76 @@
 			t.Errorf("%s: its answer became %d", c.what, status)
 		}
 		status, _, _ := call(t, address, "/book/", "b")
-		if want := int64(1 + c.second/200%2); status != c.second || runs.Load() != want {
-			t.Errorf("%s: the next request got %d after %d runs in all, want %d after %d", c.what, status, runs.Load(), c.second, want)
+		if want := int64(1 + c.status/200%2); status != c.status || runs.Load() != want {
+			t.Errorf("%s: the next request got %d after %d runs in all, want %d after %d", c.what, status, runs.Load(), c.status, want)
 		}
 		g.mu.Lock()
 		chosen := g.roster.Usable()
 		g.mu.Unlock()
-		if c.header == headerLeaving && (len(chosen) == 0) != (c.second == 503) {
+		if c.header == headerLeaving && (len(chosen) == 0) != (c.status == 503) {
 			t.Errorf("%s: %d backend servers can be used", c.what, len(chosen))
 		}
 	}
 }
 
+// TestRejectionEndsLimit guards against a limit that ends with an answer that rejects a
+// request, and against one that stays when an answer names none.
+func TestRejectionEndsLimit(t *testing.T) {
+	servers, _ := newScripted(t, 1, good)
+	g, _ := newTestGateway(t, servers...)
+	g.mu.Lock()
+	server := g.fleet.Pool("p")[0]
+	g.mu.Unlock()
+	for _, c := range []struct {
+		what    string
+		reply   tanagerroad.ResponseHeaders
+		limited int
+	}{
+		{"an answer with a limit", tanagerroad.ResponseHeaders{Limit: 2}, 1},
+		{"a rejection without one", tanagerroad.ResponseHeaders{NotRun: true}, 1},
+		{"a rejection with another", tanagerroad.ResponseHeaders{NotRun: true, Limit: 1}, 1},
+		{"an answer without one", tanagerroad.ResponseHeaders{}, 0},
+	} {
+		g.heed(server, c.reply)
+		g.mu.Lock()
+		limits := g.fleet.Limited("p")
+		g.mu.Unlock()
+		if len(limits) != c.limited || len(limits) > 0 && c.reply.Limit > 0 && limits[0].PerSecond != c.reply.Limit {
+			t.Errorf("%s: limits %+v", c.what, limits)
+		}
+	}
+}
+
+// TestPriorityOfWorkspace guards against a request with the priority of its route where its
+// workspace has one, and against one that needs a key where no workspace is configured.
+func TestPriorityOfWorkspace(t *testing.T) {
+	var priority, workspace string
+	servers, _ := newScripted(t, 1, func(w http.ResponseWriter, r *http.Request) {
+		priority, workspace = r.Header.Get(headerPriority), r.Header.Get(headerWorkspace)
+		good(w, r)
+	})
+	g, address := newTestGateway(t, servers...)
+	own := 3
+	for _, c := range []struct {
+		workspaces []tanagerroad.CatalogWorkspace
+		want       string
+	}{
+		{[]tanagerroad.CatalogWorkspace{{Name: "w", APIKeys: []string{"k"}}}, "2 w"},
+		{[]tanagerroad.CatalogWorkspace{{Name: "w", APIKeys: []string{"k"}, Priority: &own}}, "3 w"},
+		{nil, "2 "},
+	} {
+		config := *g.catalog.Load().Catalog
+		config.Workspaces, config.Routes = c.workspaces, slices.Clone(config.Routes)
+		for i := range config.Routes {
+			config.Routes[i].Priority = 2
+		}
+		g.catalog.Store(catalog.New(&config))
+		if status, _, _ := call(t, address, "/look/", "a"); status != http.StatusOK || priority+" "+workspace != c.want {
+			t.Errorf("workspaces %+v: got %d, priority and workspace %q, want %q", c.workspaces, status, priority+" "+workspace, c.want)
+		}
+	}
+}
+
 // TestConvictedRequestIsSent guards against requests that are sent although they are
 // convicted of crashing backend servers, and against a flowing answer that a conviction cuts.
 func TestConvictedRequestIsSent(t *testing.T) {
--- a/io/gateway/gateway_test.go
+++ b/io/gateway/gateway_test.go
@@ -38,6 +38,7 @@
 	headerPieceKey   = "Piece-Key"
 	headerRetryAfter = "Retry-After"
 	headerLeaving    = "Leaving"
+	headerPriority   = "Priority"
 )
 
 // plain is a dialect of plain headers and JSON documents.
@@ -71,6 +72,7 @@
 	out.Set(headerInputs, strings.Join(f.Inputs, " "))
 	out.Set(headerLast, f.LastEventID)
 	out.Set(headerVersion, f.Version)
+	out.Set(headerPriority, strconv.Itoa(f.Priority))
 	return out
 }
 
