--- a/io/gateway/answers_test.go
+++ b/io/gateway/answers_test.go
@@ -8,7 +8,9 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"reflect"
 	"slices"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -41,7 +43,49 @@
 
 func failed(w http.ResponseWriter, _ *http.Request) {
 	w.WriteHeader(http.StatusInternalServerError)
-	_, _ = io.WriteString(w, "failed")
+	_, _ = io.WriteString(w, failure)
+}
+
+const failure = "data: failed\n\n" // looks like an event of a stream
+
+// short announces a longer body than it sends.
+func short(length, sent int) answer {
+	return func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Content-Length", strconv.Itoa(length))
+		_, _ = io.WriteString(w, strings.Repeat("a", sent))
+		_ = http.NewResponseController(w).Flush()
+		lost(w, r)
+	}
+}
+
+// status answers with a status, without the signature if it is not signed.
+func status(code int, signed bool) answer {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		if !signed {
+			w.Header().Del(headerSigned)
+		}
+		w.WriteHeader(code)
+	}
+}
+
+func encoded(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set("Content-Encoding", "gzip")
+	good(w, r)
+}
+
+// newVersion sends events of two versions and breaks off.
+func newVersion(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set(headerVersion, "w0")
+	w.Header().Set("Content-Type", "text/event-stream")
+	_, _ = io.WriteString(w, "id: 1\ndata: 1\n\nid: 2\nversion: w1\ndata: 2\n\n")
+	_ = http.NewResponseController(w).Flush()
+	lost(w, r)
+}
+
+// comment sends whole events and a comment at the end.
+func comment(w http.ResponseWriter, _ *http.Request) {
+	events(w, 1, 2)
+	_, _ = io.WriteString(w, ": done\n")
 }
 
 func rejected(w http.ResponseWriter, _ *http.Request) {
@@ -117,11 +161,19 @@
 		{"misplaced, then run", "/book/", 3, []answer{misplaced, good}, 200, "good", false, 2},
 		{"rejected by all", "/book/", 2, []answer{rejected}, 503, "", false, 2},
 		{"may have run", "/book/", 3, []answer{lost, good}, 502, "", false, 1},
-		{"failed once", "/book/", 3, []answer{failed, good}, 500, "failed", false, 1},
+		{"failed once", "/book/", 3, []answer{failed, good}, 500, failure, false, 1},
 		{"lost, then rejected", "/look/", 2, []answer{lost, rejected}, 502, "", false, 2},
 		{"failed, then run", "/look/", 3, []answer{failed, good}, 200, "good", false, 2},
-		{"failed, then lost", "/look/", 2, []answer{failed, lost}, 500, "failed", false, 2},
+		{"failed, then lost", "/look/", 2, []answer{failed, lost}, 500, failure, false, 2},
 		{"failed, then a stream", "/stream/", 3, []answer{failed, rest}, 200, wholeStream, false, 2},
+		{"cut, then run", "/look/", 3, []answer{short(10, 4), good}, 200, "good", false, 2},
+		{"cut, and may have run", "/book/", 3, []answer{short(10, 4), good}, 502, "", false, 1},
+		{"cut behind the buffer", "/look/", 3, []answer{short(2*maxBufferedBody, maxBufferedBody+4), good}, 200, "", true, 1},
+		{"encoded", "/book/", 3, []answer{encoded, good}, 502, "", false, 1},
+		{"not found by somebody", "/look/", 3, []answer{status(404, false), good}, 404, "", false, 1},
+		{"not found", "/look/", 3, []answer{status(404, true), good}, 404, "", false, 1},
+		{"a stream with a comment at its end", "/stream/", 3, []answer{comment}, 200, halfStream + ": done\n", false, 1},
+		{"a stream whose version changed", "/stream/", 3, []answer{newVersion, rest}, 200, strings.Replace(wholeStream, "data: 2", "version: w1\ndata: 2", 1), false, 2},
 		{"a stream goes on elsewhere", "/stream/", 3, []answer{brokenStream(1, 2), rest}, 200, wholeStream, false, 2},
 		{"a stream breaks off before its first event", "/stream/", 3, []answer{brokenStream(), rest}, 200, wholeStream, false, 2},
 		{"a stream that nobody resumes", "/stream/", 3, []answer{brokenStream(1, 2), rejected}, 200, halfStream, true, 3},
@@ -138,6 +190,58 @@
 	}
 }
 
+// TestAnswerHeaders guards against headers of an answer that are lost, and against those of
+// the backend server's connection that reach the caller.
+func TestAnswerHeaders(t *testing.T) {
+	servers, _ := newScripted(t, 1, func(w http.ResponseWriter, _ *http.Request) {
+		for name, value := range map[string]string{"X-Own": "kept", "Keep-Alive": "timeout=9", "Upgrade": "h2c", "Te": "trailers"} {
+			w.Header().Set(name, value)
+		}
+		w.Header()["Content-Type"] = nil
+		w.WriteHeader(http.StatusCreated)
+		_, _ = io.WriteString(w, "<html>")
+	})
+	_, address := newTestGateway(t, servers...)
+	r, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+address+"/look/", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Host = "h"
+	r.Header.Set(headerKey, "k")
+	res, err := http.DefaultTransport.RoundTrip(r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer res.Body.Close()
+	got := res.Header.Clone()
+	for _, name := range []string{"Date", headerServer, headerSigned, headerID} {
+		got.Del(name)
+	}
+	if want := (http.Header{"X-Own": {"kept"}, "Content-Length": {"6"}}); !reflect.DeepEqual(got, want) || res.StatusCode != http.StatusCreated {
+		t.Errorf("got %d with the headers %v, want 201 with %v", res.StatusCode, got, want)
+	}
+}
+
+// TestRequestPastItsDeadline guards against a failure that does not say that the time is up,
+// and against a request that is refused though its pool accepts requests again in time.
+func TestRequestPastItsDeadline(t *testing.T) {
+	servers, runs := newScripted(t, 1, holdAnswer, good)
+	g, address := newTestGateway(t, servers...)
+	if code, body, _ := call(t, address, "/book/", "a", headerLeft, "50"); code != http.StatusGatewayTimeout || runs.Load() != 1 {
+		t.Errorf("got %d %q after %d runs, want 504 after 1", code, body, runs.Load())
+	}
+	g.mu.Lock()
+	server := g.fleet.Pool("p")[0]
+	g.mu.Unlock()
+	g.heed(server, tanagerroad.ResponseHeaders{Server: server.ID, NotRun: true, RetryAfter: 200 * time.Millisecond})
+	if code, body, _ := call(t, address, "/book/", "b", headerLeft, "50"); code != http.StatusServiceUnavailable || runs.Load() != 1 {
+		t.Errorf("a pool that wants no requests for longer: got %d %q after %d runs, want 503 after 1", code, body, runs.Load())
+	}
+	if code, body, _ := call(t, address, "/book/", "c"); code != http.StatusOK || runs.Load() != 2 {
+		t.Errorf("a pool that wants no requests for a time: got %d %q after %d runs, want 200 after 2", code, body, runs.Load())
+	}
+}
+
 // TestRequestsThatMustNotRun guards against requests without a route, a key, a complete
 // body or a configuration that reach a backend server.
 func TestRequestsThatMustNotRun(t *testing.T) {
@@ -154,8 +258,8 @@
 		{"a public route", "/open/", []string{headerKey, "x"}, 200, 1},
 	} {
 		runs.Store(0)
-		if status, _, _ := call(t, address, c.path, "a", c.headers...); status != c.status || runs.Load() != c.runs {
-			t.Errorf("%s: got %d after %d runs, want %d after %d", c.what, status, runs.Load(), c.status, c.runs)
+		if code, _, _ := call(t, address, c.path, "a", c.headers...); code != c.status || runs.Load() != c.runs {
+			t.Errorf("%s: got %d after %d runs, want %d after %d", c.what, code, runs.Load(), c.status, c.runs)
 		}
 	}
 	runs.Store(0)
@@ -178,19 +282,19 @@
 		t.Errorf("a body that is too long: got %q after %d runs, want 413 after none", line, runs.Load())
 	}
 	index := g.catalog.Swap(nil)
-	if status, _, _ := call(t, address, "/look/", "a"); status != http.StatusServiceUnavailable || runs.Load() != 0 {
-		t.Errorf("no configuration: got %d after %d runs, want 503 after none", status, runs.Load())
+	if code, _, _ := call(t, address, "/look/", "a"); code != http.StatusServiceUnavailable || runs.Load() != 0 {
+		t.Errorf("no configuration: got %d after %d runs, want 503 after none", code, runs.Load())
 	}
 	g.catalog.Store(index)
 	g.drainingSince.Store(int64(g.now()))
 	g.draining.Store(true)
-	if status, body, _ := call(t, address, "/look/", "a"); status != http.StatusOK {
-		t.Errorf("a gateway that has begun to stop: got %d %q, want 200", status, body)
+	if code, body, _ := call(t, address, "/look/", "a"); code != http.StatusOK {
+		t.Errorf("a gateway that has begun to stop: got %d %q, want 200", code, body)
 	}
 	runs.Store(0)
 	g.drainingSince.Store(int64(g.now() - drainAcceptTime - time.Millisecond))
-	if status, _, _ := call(t, address, "/look/", "a"); status != http.StatusServiceUnavailable || runs.Load() != 0 {
-		t.Errorf("a gateway that ends soon: got %d after %d runs, want 503 after none", status, runs.Load())
+	if code, _, _ := call(t, address, "/look/", "a"); code != http.StatusServiceUnavailable || runs.Load() != 0 {
+		t.Errorf("a gateway that ends soon: got %d after %d runs, want 503 after none", code, runs.Load())
 	}
 }
 
@@ -216,8 +320,8 @@
 	if status := <-sent; status != http.StatusBadGateway {
 		t.Errorf("a request that was sent: got %d, want 502", status)
 	}
-	if status, _, _ := call(t, address, "/book/", "b"); status != http.StatusServiceUnavailable || runs.Load() != 1 {
-		t.Errorf("a later request: got %d after %d runs in all, want 503 after 1", status, runs.Load())
+	if code, _, _ := call(t, address, "/book/", "b"); code != http.StatusServiceUnavailable || runs.Load() != 1 {
+		t.Errorf("a later request: got %d after %d runs in all, want 503 after 1", code, runs.Load())
 	}
 }
 
@@ -271,8 +375,8 @@
 			good(w, r)
 		})
 		g, address := newTestGateway(t, servers...)
-		if status, _, _ := call(t, address, "/book/", "a"); status != http.StatusOK {
-			t.Errorf("%s: its answer became %d", c.what, status)
+		if code, _, _ := call(t, address, "/book/", "a"); code != http.StatusOK {
+			t.Errorf("%s: its answer became %d", c.what, code)
 		}
 		status, _, _ := call(t, address, "/book/", "b")
 		if want := int64(1 + c.status/200%2); status != c.status || runs.Load() != want {
@@ -339,8 +443,8 @@
 			config.Routes[i].Priority = 2
 		}
 		g.catalog.Store(catalog.New(&config))
-		if status, _, _ := call(t, address, "/look/", "a"); status != http.StatusOK || priority+" "+workspace != c.want {
-			t.Errorf("workspaces %+v: got %d, priority and workspace %q, want %q", c.workspaces, status, priority+" "+workspace, c.want)
+		if code, _, _ := call(t, address, "/look/", "a"); code != http.StatusOK || priority+" "+workspace != c.want {
+			t.Errorf("workspaces %+v: got %d, priority and workspace %q, want %q", c.workspaces, code, priority+" "+workspace, c.want)
 		}
 	}
 }
@@ -393,8 +497,8 @@
 		t.Errorf("a convicted request that was sent: got %s, want 502", got)
 	}
 	runs.Store(0)
-	if status, body, _ := call(t, address, "/book/1", "b"); status != http.StatusServiceUnavailable || runs.Load() != 0 {
-		t.Errorf("a convicted request: got %d %s after %d runs, want 503 after none", status, body, runs.Load())
+	if code, body, _ := call(t, address, "/book/1", "b"); code != http.StatusServiceUnavailable || runs.Load() != 0 {
+		t.Errorf("a convicted request: got %d %s after %d runs, want 503 after none", code, body, runs.Load())
 	}
 	go send("/stream/1")
 	<-arrived
