--- a/io/http1/client_test.go
+++ b/io/http1/client_test.go
@@ -1,4 +1,4 @@
-package http1_test
+package http1
 
 import (
 	"bufio"
@@ -12,8 +12,6 @@
 	"sync/atomic"
 	"testing"
 	"time"
-
-	"tanagerroad/io/http1"
 )
 
 // startBackend starts a backend server that calls serve for each connection, and
@@ -56,15 +54,15 @@
 }
 
 // request returns a GET request that accepts only responses with its own id.
-func request(address, id string) http1.Request {
-	return http1.Request{
+func request(address, id string) Request {
+	return Request{
 		Address: address, Method: http.MethodGet, Target: "/x", Host: "h", Header: http.Header{"Id": {id}},
 		Matches: func(h http.Header) bool { return h.Get("Id") == id },
 	}
 }
 
 // get sends r and reads the whole body of its response.
-func get(t *testing.T, c *http1.Client, r http1.Request) (string, error) {
+func get(t *testing.T, c *Client, r Request) (string, error) {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
 	defer cancel()
@@ -94,13 +92,13 @@
 			respond(conn, req.Header.Get("Id"), "one")
 		}
 	})
-	c, closeClient := http1.New()
+	c, closeClient := New()
 	defer closeClient()
 	if body, err := get(t, c, request(address, "1")); body != "one" || err != nil {
 		t.Fatal(body, err)
 	}
 	_, err := get(t, c, request(address, "2"))
-	var unsent *http1.UnsentError
+	var unsent *UnsentError
 	if err == nil || errors.As(err, &unsent) || received.Load() != 2 {
 		t.Errorf("got error %v after %d requests; want an error that is not an UnsentError, after 2", err, received.Load())
 	}
@@ -114,7 +112,7 @@
 			respond(conn, req.Header.Get("Id"), "one")
 		}
 	})
-	c, closeClient := http1.New()
+	c, closeClient := New()
 	defer closeClient()
 	for i := range 3 {
 		if body, err := get(t, c, request(address, fmt.Sprint(i))); body != "one" || err != nil {
@@ -135,9 +133,9 @@
 	}
 	address := listener.Addr().String()
 	_ = listener.Close()
-	c, closeClient := http1.New()
+	c, closeClient := New()
 	defer closeClient()
-	var unsent *http1.UnsentError
+	var unsent *UnsentError
 	if _, err := get(t, c, request(address, "1")); !errors.As(err, &unsent) {
 		t.Errorf("got error %v, want an UnsentError", err)
 	}
@@ -157,12 +155,12 @@
 			respond(conn, req.Header.Get("Id"), "one")
 		}
 	})
-	c, closeClient := http1.New()
+	c, closeClient := New()
 	defer closeClient()
 	calledOff := errors.New("called off")
 	r := request(address, "1")
 	r.Allow = func() error { return calledOff }
-	var unsent *http1.UnsentError
+	var unsent *UnsentError
 	if _, err := get(t, c, r); !errors.As(err, &unsent) || !errors.Is(err, calledOff) {
 		t.Errorf("got error %v, want an UnsentError with the reason", err)
 	}
@@ -187,7 +185,7 @@
 			respond(conn, req.Header.Get("Id"), "body of "+req.Header.Get("Id"))
 		}
 	})
-	c, closeClient := http1.New()
+	c, closeClient := New()
 	defer closeClient()
 	for _, id := range []string{"1", "2", "3"} {
 		if body, err := get(t, c, request(address, id)); body != "body of "+id || err != nil {
@@ -214,7 +212,7 @@
 			respond(conn, id, "duplicate")
 		}
 	})
-	c, closeClient := http1.New()
+	c, closeClient := New()
 	defer closeClient()
 	for _, id := range []string{"1", "2"} {
 		if body, err := get(t, c, request(address, id)); body != "body of "+id || err != nil {
@@ -255,7 +253,7 @@
 				_ = conn.(*net.TCPConn).SetLinger(0) // makes Close reset the connection
 			}
 		})
-		client, closeClient := http1.New()
+		client, closeClient := New()
 		if body, err := get(t, client, request(address, "1")); (err == nil) != c.whole {
 			t.Errorf("%s: got body %q (error %v), want an error: %t", name, body, err, !c.whole)
 		}
@@ -282,7 +280,7 @@
 			}
 		}
 	})
-	c, closeClient := http1.New()
+	c, closeClient := New()
 	defer closeClient()
 	for _, id := range []string{"1", "2"} {
 		r := request(address, id)
@@ -311,7 +309,7 @@
 		_, _ = r.ReadByte() // returns when the connection closes
 		close(closed)
 	})
-	c, closeClient := http1.New()
+	c, closeClient := New()
 	defer closeClient()
 	ctx, cancel := context.WithCancel(t.Context())
 	go func() {
--- a/io/http1/conn_test.go
+++ b/io/http1/conn_test.go
@@ -57,9 +57,8 @@
 }
 
 // echo answers each request with its body and a Keep-Alive timeout of 5 s.
-func echo(conn net.Conn) {
-	defer conn.Close()
-	for reader := bufio.NewReader(conn); ; {
+func echo(conn net.Conn, reader *bufio.Reader) {
+	for {
 		r, err := http.ReadRequest(reader)
 		if err != nil {
 			return
@@ -72,26 +71,6 @@
 	}
 }
 
-// listen starts a server and returns its address.
-func listen(t *testing.T, serve func(net.Conn)) string {
-	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go serve(conn)
-		}
-	}()
-	return listener.Addr().String()
-}
-
 // TestIdleConnectionsOfGoneServers guards against connections that stay open to backend
 // servers that are gone, or for longer than these keep them.
 func TestIdleConnectionsOfGoneServers(t *testing.T) {
@@ -99,7 +78,7 @@
 	defer closeClient()
 	now := time.Unix(1000, 0)
 	c.clock = func() time.Time { return now }
-	address := listen(t, echo)
+	address := startBackend(t, echo)
 	reused := func() int64 {
 		t.Helper()
 		before := c.Reused.Load()
@@ -137,7 +116,7 @@
 func TestConnectionOfEndedContextIsReused(t *testing.T) {
 	c, closeClient := New()
 	defer closeClient()
-	address := listen(t, echo)
+	address := startBackend(t, echo)
 	ctx, cancel := context.WithCancel(t.Context())
 	res, err := c.Do(ctx, Request{Address: address, Method: http.MethodPost, Target: "/x", Host: "h", Body: []byte("a")})
 	if err != nil {
@@ -163,7 +142,7 @@
 func TestBodyIsTakenForRequest(t *testing.T) {
 	c, closeClient := New()
 	defer closeClient()
-	address := listen(t, echo)
+	address := startBackend(t, echo)
 	for _, method := range []string{http.MethodGet, http.MethodPost} {
 		body := "GET /hidden HTTP/1.1\r\nHost: h\r\n\r\n"
 		res, err := c.Do(t.Context(), Request{Address: address, Method: method, Target: "/x", Host: "h", Body: []byte(body)})
@@ -181,9 +160,8 @@
 // without end, or of which one is taken for the request's own as it is too long to skip.
 func TestEndlessStrayResponses(t *testing.T) {
 	for name, strays := range map[string][]int{"many": {1, 1, 1, 1}, "long": {maxStrayBody}} {
-		address := listen(t, func(conn net.Conn) {
-			defer conn.Close()
-			if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
+		address := startBackend(t, func(conn net.Conn, reader *bufio.Reader) {
+			if _, err := http.ReadRequest(reader); err != nil {
 				return
 			}
 			for _, length := range strays {
@@ -207,9 +185,8 @@
 // TestUnreadBodyIsTakenForResponse guards against a connection on which the rest of a body
 // is still to come, and that the next request gets.
 func TestUnreadBodyIsTakenForResponse(t *testing.T) {
-	address := listen(t, func(conn net.Conn) {
-		defer conn.Close()
-		for reader := bufio.NewReader(conn); ; {
+	address := startBackend(t, func(conn net.Conn, reader *bufio.Reader) {
+		for {
 			if _, err := http.ReadRequest(reader); err != nil {
 				return
 			}
@@ -246,9 +223,8 @@
 		"Connection: close\r\nContent-Length: 0\r\n\r\n":        2,
 		"Transfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\n\r\n": 1,
 	} {
-		address := listen(t, func(conn net.Conn) {
-			defer conn.Close()
-			for reader := bufio.NewReader(conn); ; {
+		address := startBackend(t, func(conn net.Conn, reader *bufio.Reader) {
+			for {
 				if _, err := http.ReadRequest(reader); err != nil {
 					return
 				}
@@ -283,7 +259,7 @@
 func TestUnwrittenRequestMayHaveRun(t *testing.T) {
 	c, closeClient := New()
 	defer closeClient()
-	address := listen(t, echo)
+	address := startBackend(t, echo)
 	raw, err := net.Dial("tcp", address)
 	if err != nil {
 		t.Fatal(err)
