io/gateway: tests for ejection, the last check before sending, and answers cut behind the buffer

Five more conditions that no test of the package noticed: the last question to core/roster and core/fleet before a request is written, the ejection of a backend server that loses or breaks off answers, and an answer in chunks that is cut when it no longer fits into the buffer and would have ended as complete.

Change: tests only.

--- a/io/gateway/answers_test.go
+++ b/io/gateway/answers_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -48,10 +49,13 @@
 
 const failure = "data: failed\n\n" // looks like an event of a stream
 
-// short announces a longer body than it sends.
+// short announces a longer body than it sends, or sends chunks without the last one if
+// length is -1.
 func short(length, sent int) answer {
 	return func(w http.ResponseWriter, r *http.Request) {
-		w.Header().Set("Content-Length", strconv.Itoa(length))
+		if length >= 0 {
+			w.Header().Set("Content-Length", strconv.Itoa(length))
+		}
 		_, _ = io.WriteString(w, strings.Repeat("a", sent))
 		_ = http.NewResponseController(w).Flush()
 		lost(w, r)
@@ -169,6 +173,7 @@
 		{"cut, then run", "/look/", 3, []answer{short(10, 4), good}, 200, "good", false, 2},
 		{"cut, and may have run", "/book/", 3, []answer{short(10, 4), good}, 502, "", false, 1},
 		{"cut behind the buffer", "/look/", 3, []answer{short(2*maxBufferedBody, maxBufferedBody+4), good}, 200, "", true, 1},
+		{"cut behind the buffer, in chunks", "/look/", 3, []answer{short(-1, maxBufferedBody+4), good}, 200, "", true, 1},
 		{"encoded", "/book/", 3, []answer{encoded, good}, 502, "", false, 1},
 		{"not found by somebody", "/look/", 3, []answer{status(404, false), good}, 404, "", false, 1},
 		{"not found", "/look/", 3, []answer{status(404, true), good}, 404, "", false, 1},
@@ -391,6 +396,47 @@
 	}
 }
 
+// TestChosenServerIsAskedAnyway guards against a request that is sent to a backend server
+// which has meanwhile said that it leaves, or wants none.
+func TestChosenServerIsAskedAnyway(t *testing.T) {
+	for _, reply := range []tanagerroad.ResponseHeaders{{Leaving: true}, {NotRun: true, RetryAfter: time.Second}} {
+		servers, _ := newScripted(t, 1, good)
+		g, _ := newTestGateway(t, servers...)
+		g.mu.Lock()
+		choice, _ := g.fleet.Pick(g.now(), fleet.Request{Pool: "p", From: g.config.Settings.Place()})
+		g.mu.Unlock()
+		if err := g.checkServer(choice); err != nil {
+			t.Errorf("before %+v: %v", reply, err)
+		}
+		g.heed(choice.Announcement, reply)
+		if err := g.checkServer(choice); !errors.Is(err, errServerUnavailable) {
+			t.Errorf("after %+v: %v", reply, err)
+		}
+	}
+}
+
+// TestFailingServerIsNotEjected guards against a backend server that loses or breaks off
+// answers and gets requests before the others.
+func TestFailingServerIsNotEjected(t *testing.T) {
+	for path, a := range map[string]answer{"/book/": lost, "/look/": short(10, 4), "/live/": brokenStream(1)} {
+		servers, _ := newScripted(t, 1, a)
+		g, address := newTestGateway(t, servers...)
+		_, _, _ = call(t, address, path, "a") // fails
+		if got := pickCost(g); got < time.Minute {
+			t.Errorf("%s: the backend server is not ejected, at a cost of %v", path, got)
+		}
+	}
+}
+
+// pickCost returns the cost of the backend server of the pool p that is picked next.
+func pickCost(g *Gateway) time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	choice, _ := g.fleet.Pick(g.now(), fleet.Request{Pool: "p", From: g.config.Settings.Place()})
+	g.fleet.RecordEnd(g.now(), choice.ID, fleet.Outcome{Unknown: true})
+	return choice.Cost
+}
+
 // TestRejectionEndsLimit guards against a limit that ends with an answer that rejects a
 // request, and against one that stays when an answer names none.
 func TestRejectionEndsLimit(t *testing.T) {
@@ -579,13 +625,6 @@
 		<-r.Context().Done()
 	})
 	g, address := newTestGateway(t, servers...)
-	cost := func() time.Duration {
-		g.mu.Lock()
-		defer g.mu.Unlock()
-		choice, _ := g.fleet.Pick(g.now(), fleet.Request{Pool: "p", From: g.config.Settings.Place()})
-		g.fleet.RecordEnd(g.now(), choice.ID, fleet.Outcome{Unknown: true})
-		return choice.Cost
-	}
 	ended := func() bool { return g.InFlight() == 0 }
 	for _, path := range []string{"/stream/", "/look/"} {
 		ctx, leave := context.WithCancel(t.Context())
@@ -610,7 +649,7 @@
 		if !eventually(ended) {
 			t.Errorf("%s: the request is still in flight", path)
 		}
-		if got := cost(); got >= time.Minute {
+		if got := pickCost(g); got >= time.Minute {
 			t.Errorf("%s: the backend server is ejected, at a cost of %v", path, got)
 		}
 	}
@@ -622,7 +661,7 @@
 	<-arrived
 	g.EndAll()
 	<-done
-	if got := cost(); got >= time.Minute {
+	if got := pickCost(g); got >= time.Minute {
 		t.Errorf("a gateway that stops: the backend server is ejected, at a cost of %v", got)
 	}
 }
