io/gateway: tests for what counts as a crash

A lost answer of a running backend server, or a request that was not sent, would have convicted sound requests; pieces of a convicted job would have gone on crashing.

--- a/io/gateway/answers_test.go
+++ b/io/gateway/answers_test.go
@@ -21,7 +21,6 @@
 	"tanagerroad/core/catalog"
 	"tanagerroad/core/fleet"
 	"tanagerroad/core/quarantine"
-	"tanagerroad/core/wire"
 )
 
 type answer = func(w http.ResponseWriter, r *http.Request)
@@ -498,16 +497,8 @@
 // TestConvictedRequestIsSent guards against requests that are sent although they are
 // convicted of crashing backend servers, and against a flowing answer that a conviction cuts.
 func TestConvictedRequestIsSent(t *testing.T) {
-	conviction := func(version uint64, convicted bool, path string) *wire.Quarantine {
-		cause := quarantine.Causes("h"+path, "w", []byte("body"), nil)[0]
-		return &wire.Quarantine{Version: version, Convictions: []*wire.Conviction{{
-			Fingerprint: cause.Fingerprint, Label: "x", Convicted: convicted, TrialWaitMillis: 60_000,
-		}}}
-	}
-	apply := func(g *Gateway, q *wire.Quarantine) {
-		g.mu.Lock()
-		defer g.mu.Unlock()
-		g.applyQuarantine(q)
+	cause := func(path string) uint64 {
+		return quarantine.Causes("h"+path, "w", []byte("body"), nil)[0].Fingerprint
 	}
 	arrived, proceed := make(chan struct{}, 1), make(chan struct{})
 	servers, runs := newScripted(t, 1, func(w http.ResponseWriter, r *http.Request) {
@@ -532,13 +523,13 @@
 	}
 	go send("/book/1")
 	<-arrived
-	apply(g, conviction(1, false, "/book/1"))
+	convict(g, 1, cause("/book/1"), false)
 	select {
 	case got := <-ended:
 		t.Errorf("a suspected request ended with %s", got)
 	case <-time.After(30 * time.Millisecond):
 	}
-	apply(g, conviction(2, true, "/book/1"))
+	convict(g, 2, cause("/book/1"), true)
 	if got := <-ended; !strings.HasPrefix(got, "502") {
 		t.Errorf("a convicted request that was sent: got %s, want 502", got)
 	}
@@ -555,7 +546,7 @@
 		}
 		g.stopMu.Unlock()
 	}
-	apply(g, conviction(3, true, "/stream/1"))
+	convict(g, 3, cause("/stream/1"), true)
 	time.Sleep(10 * time.Millisecond)
 	close(proceed)
 	if got := <-ended; got != fmt.Sprint(200, wholeStream, nil) {
--- /dev/null
+++ b/io/gateway/crashes_test.go
@@ -0,0 +1,136 @@
+package gateway
+
+import (
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
+
+	"tanagerroad"
+	"tanagerroad/core/batch"
+	"tanagerroad/core/quarantine"
+	"tanagerroad/core/wire"
+	"tanagerroad/io/http1"
+)
+
+// closedAddress returns an address that nothing listens on.
+func closedAddress(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	return listener.Addr().String()
+}
+
+// convict applies a quarantine that holds one cause.
+func convict(g *Gateway, version, fingerprint uint64, convicted bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.applyQuarantine(&wire.Quarantine{Version: version, Convictions: []*wire.Conviction{{
+		Fingerprint: fingerprint, Label: "x", Convicted: convicted, TrialWaitMillis: 60_000,
+	}}})
+}
+
+// TestLostCallsCountAsCrashes guards against jobs that are suspected because a call was lost
+// or not sent, and against those that are not although the backend server crashed.
+func TestLostCallsCountAsCrashes(t *testing.T) {
+	up := newBackend(t, "prep1", good).Listener.Addr().String()
+	down := closedAddress(t)
+	for _, c := range []struct {
+		what     string
+		address  string
+		err      error
+		outcomes []tanagerroad.PieceOutcome
+		jobs     int
+		crashed  bool
+		begun    bool
+	}{
+		{"lost", up, io.ErrUnexpectedEOF, nil, 1, false, false},
+		{"not sent", down, &http1.UnsentError{Err: io.EOF}, nil, 1, false, false},
+		{"silent", down, timeoutError(t), nil, 1, false, false},
+		{"made", down, nil, []tanagerroad.PieceOutcome{{Handle: "x"}}, 1, false, false},
+		{"crashed", down, io.ErrUnexpectedEOF, nil, 1, true, true},
+		{"crashed with others", down, io.ErrUnexpectedEOF, nil, 2, true, false},
+	} {
+		g, _ := newTestGateway(t)
+		call := &batch.Call{Server: tanagerroad.Announcement{ID: "prep1", Pool: "prep", Address: c.address, StartMillis: 1}}
+		for i := range c.jobs {
+			call.Pieces = append(call.Pieces, &batch.Piece{Job: &batch.Job{ID: string(rune('a' + i)), Cause: uint64(7 + i)}})
+		}
+		g.batcher.recordCrash(call, c.outcomes, c.err)
+		g.mu.Lock()
+		suspects := g.broken[serverStart{"prep1", 1}]
+		g.mu.Unlock()
+		want := 0
+		if c.crashed {
+			want = c.jobs
+		}
+		if call.Crashed != c.crashed || len(suspects) != want || call.GiveUp {
+			t.Errorf("%s: crashed %t, %d suspects, given up %t", c.what, call.Crashed, len(suspects), call.GiveUp)
+		}
+		for _, s := range suspects {
+			if s.GetBegun() != c.begun || len(s.GetCauses()) != 1 {
+				t.Errorf("%s: suspect %v", c.what, s)
+			}
+		}
+	}
+}
+
+// TestConvictedPiecesAreMadeAgain guards against pieces that crash one backend server after
+// the other when their job has been convicted, and against jobs that have got an answer and
+// are suspected.
+func TestConvictedPiecesAreMadeAgain(t *testing.T) {
+	g, _ := newTestGateway(t)
+	lose := func(cause uint64) (*batch.Call, int) {
+		call := &batch.Call{
+			Server: tanagerroad.Announcement{ID: "prep1", Pool: "prep", Address: closedAddress(t), StartMillis: 1},
+			Pieces: []*batch.Piece{{Job: &batch.Job{ID: "a", Cause: cause}}},
+		}
+		g.batcher.recordCrash(call, nil, io.ErrUnexpectedEOF)
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		return call, len(g.broken[serverStart{"prep1", 1}])
+	}
+	convict(g, 2, 7, true)
+	convict(g, 1, 7, false) // late
+	if call, _ := lose(7); !call.GiveUp {
+		t.Error("pieces of a convicted job are made again")
+	}
+	if call, _ := lose(8); call.GiveUp {
+		t.Error("pieces of another job are given up")
+	}
+	_, before := lose(9)
+	g.recordBegin([]quarantine.Cause{quarantine.JobCause(10)})
+	if _, after := lose(10); after != before {
+		t.Errorf("%d suspects, want %d: a job that has just got an answer is none", after, before)
+	}
+}
+
+// TestRunningServerIsReportedAsCrashed guards against a crash report about a backend server
+// that listens, and against more than one about the same start.
+func TestRunningServerIsReportedAsCrashed(t *testing.T) {
+	core, logs := observer.New(zap.InfoLevel)
+	g, _ := newLoggedGateway(t, zap.New(core))
+	up := newBackend(t, "up", good).Listener.Addr().String()
+	for id, address := range map[string]string{"up": up, "down": closedAddress(t)} {
+		for cause := range uint64(2) {
+			server := tanagerroad.Announcement{ID: id, Pool: "p", Address: address, StartMillis: 1}
+			g.recordBrokenAttempt(server, []quarantine.Cause{{Fingerprint: cause + 1, Label: "x"}}, cause == 0)
+		}
+	}
+	crashed := func() int { return logs.FilterMessage("server-crashed").Len() }
+	eventually(func() bool { return crashed() > 0 })
+	time.Sleep(crashWindow)
+	if crashed() != 1 {
+		t.Fatalf("%d crashes reported, want 1", crashed())
+	}
+	got := logs.FilterMessage("server-crashed").All()[0].ContextMap()
+	if got["server"] != "down" || got["suspects"] != int64(2) || got["begun"] != int64(1) {
+		t.Errorf("reported %v", got)
+	}
+}
