core/quarantine: crashes without a pause convict too

What callers saw: a prompt part that crashes each backend server it reaches went on doing so for as long as a crash came more often than every 150 ms, which a larger deployment or a steadier stream of such requests brings about.

Cause: a crash counts once it is known what else crashed, after SettleTime. But a cause was passed over as a whole while its latest crash had not settled.

A cause that an answer cleared: there was none.

Change: crashes that have not settled are left out, with those that count as one with them; the others speak as before. A cause is convicted at the latest MinCrashes times Coincidence and a pause after its first crash, and SettleTime.

Test: TestCrashesWithoutPauseConvictNobody, red before for a crash each 20, 100 and 149 ms ("convicted after -1 ms, want at most 1110"), green for 151 and 250. TestLedger and TestFleets are green as before.

--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -11,6 +11,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -131,15 +132,18 @@
 	lastMs   int64   // time of the latest of them
 }
 
-// suspicions returns all causes of the crashes, by fingerprint.
-func (l *Ledger) suspicions() map[uint64]*suspicion {
+// suspicions returns the causes of the crashes that happened no later than untilMillis, by
+// fingerprint. Crashes that count as one are left out together if the last of them was later.
+func (l *Ledger) suspicions(untilMillis int64) map[uint64]*suspicion {
 	out := map[uint64]*suspicion{}
 	for first := 0; first < len(l.crashes); {
 		last := first + 1
 		for last < len(l.crashes) && l.crashes[last].GetAtMillis()-l.crashes[first].GetAtMillis() < l.config.Coincidence.Milliseconds() {
 			last++
 		}
-		l.addOutage(out, l.crashes[first:last])
+		if l.crashes[last-1].GetAtMillis() <= untilMillis {
+			l.addOutage(out, l.crashes[first:last])
+		}
 		first = last
 	}
 	return out
@@ -193,8 +197,8 @@
 // which takes the fewest other requests with it.
 func (l *Ledger) culprit(atMillis int64) (suspicion, bool) {
 	var best *suspicion
-	for _, s := range l.suspicions() {
-		if !l.isCulprit(s) || atMillis-s.lastMs < l.config.SettleTime.Milliseconds() {
+	for _, s := range l.suspicions(atMillis - l.config.SettleTime.Milliseconds()) {
+		if !l.isCulprit(s) {
 			continue
 		}
 		if best == nil || cmp.Or(cmp.Compare(s.rank, best.rank), cmp.Compare(best.evidence, s.evidence), cmp.Compare(s.cause.GetFingerprint(), best.cause.GetFingerprint())) < 0 {
@@ -300,7 +304,7 @@
 	for _, c := range l.convicted {
 		l.entries = append(l.entries, c)
 	}
-	for fingerprint, s := range l.suspicions() {
+	for fingerprint, s := range l.suspicions(math.MaxInt64) {
 		if l.isSuspect(s) {
 			l.entries = append(l.entries, &wire.Conviction{
 				Fingerprint: fingerprint, Label: s.cause.GetLabel(), Crashes: uint32(s.crashes), UntilMillis: s.lastMs + l.config.Memory.Milliseconds(),
--- a/core/quarantine/quarantine_test.go
+++ b/core/quarantine/quarantine_test.go
@@ -119,3 +119,32 @@
 	}
 	b.ReportMetric(float64(proto.Size(report(0))), "bytes/report")
 }
+
+// TestCrashesWithoutPauseConvictNobody guards against a cause that stays a suspect for as
+// long as backend servers go on crashing.
+func TestCrashesWithoutPauseConvictNobody(t *testing.T) {
+	config := quarantine.DefaultConfig()
+	for _, pause := range []int64{20, 100, 149, 151, 250} {
+		ledger := quarantine.New(config)
+		settle := config.SettleTime.Milliseconds()
+		convictedAt := int64(-1)
+		for at := int64(0); at < 5000 && convictedAt < 0; at++ {
+			var convicted []*wire.Conviction
+			if at%pause == 0 {
+				convicted = ledger.Report(at, &wire.CrashReport{
+					Server: fmt.Sprint("s", at), Start: 1, Suspects: []*wire.CrashSuspect{{Begun: true, Causes: []*wire.Cause{{Fingerprint: 1}}}},
+				})
+			}
+			if at >= settle && (at-settle)%pause == 0 && len(convicted) == 0 { // the reporter calls again
+				convicted = ledger.Report(at, &wire.CrashReport{Server: fmt.Sprint("s", at-settle), Start: 1})
+			}
+			if len(convicted) > 0 {
+				convictedAt = at
+			}
+		}
+		most := int64(config.MinCrashes)*(config.Coincidence.Milliseconds()+pause) + settle
+		if convictedAt < 0 || convictedAt > most {
+			t.Errorf("a crash each %d ms: convicted after %d ms, want at most %d", pause, convictedAt, most)
+		}
+	}
+}
