--- a/io/control/client.go
+++ b/io/control/client.go
@@ -131,27 +131,24 @@
 func (c *Client) ReportCrash(ctx context.Context, report *wire.CrashReport) error {
 	ctx, cancel := context.WithTimeout(ctx, reportRetention)
 	defer cancel()
-	again := &wire.CrashReport{Server: report.GetServer(), Start: report.GetStart()}
-	for _, r := range []*wire.CrashReport{report, again} {
-		outcome, err := c.Propose(ctx, &wire.Command{Body: &wire.Command_CrashReport{CrashReport: r}})
-		if err != nil {
-			return err
-		}
-		if outcome.GetKind() != registry.Accepted {
-			return errors.New(outcome.GetReason())
-		}
-		if r == report {
-			sleep(ctx, quarantine.DefaultConfig().SettleTime+reportDelay)
-		}
+	if err := c.commit(ctx, &wire.Command{Body: &wire.Command_CrashReport{CrashReport: report}}); err != nil {
+		return err
 	}
-	return nil
+	sleep(ctx, quarantine.DefaultConfig().SettleTime+reportDelay)
+	again := &wire.CrashReport{Server: report.GetServer(), Start: report.GetStart()}
+	return c.commit(ctx, &wire.Command{Body: &wire.Command_CrashReport{CrashReport: again}})
 }
 
 // ClearCauses takes causes out of the quarantine.
 func (c *Client) ClearCauses(ctx context.Context, fingerprints []uint64) error {
 	ctx, cancel := context.WithTimeout(ctx, reportRetention)
 	defer cancel()
-	outcome, err := c.Propose(ctx, &wire.Command{Body: &wire.Command_ClearCauses{ClearCauses: &wire.ClearCauses{Fingerprints: fingerprints}}})
+	return c.commit(ctx, &wire.Command{Body: &wire.Command_ClearCauses{ClearCauses: &wire.ClearCauses{Fingerprints: fingerprints}}})
+}
+
+// commit proposes a command. An outcome other than Accepted is an error.
+func (c *Client) commit(ctx context.Context, command *wire.Command) error {
+	outcome, err := c.Propose(ctx, command)
 	if err == nil && outcome.GetKind() != registry.Accepted {
 		err = errors.New(outcome.GetReason())
 	}
