core/quarantine: PrefixCause returns the cause alone

Found in reading the change: its second result was dropped by both callers, which go by the fingerprint. A comment of io/caller is wrapped.

--- a/core/quarantine/view.go
+++ b/core/quarantine/view.go
@@ -59,13 +59,13 @@
 func JobCause(fingerprint uint64) Cause { return Cause{fingerprint, pieceLabel} }
 
 // PrefixCause returns the cause that requests have in common whose inputs begin alike.
-// digest is the digest of that beginning; 0: the input is too short.
-func PrefixCause(digest uint64) (Cause, bool) {
+// digest is the digest of that beginning; 0: the input is too short, and there is none.
+func PrefixCause(digest uint64) Cause {
 	if digest == 0 {
-		return Cause{}, false
+		return Cause{}
 	}
 	text := strconv.FormatUint(digest, 16)
-	return Cause{xxhash.Sum64String("prefix\x00" + text), "input prefix " + text}, true
+	return Cause{xxhash.Sum64String("prefix\x00" + text), "input prefix " + text}
 }
 
 // entry is a suspect or convicted cause in a view.
--- a/core/router/router.go
+++ b/core/router/router.go
@@ -232,7 +232,7 @@
 	if !ok {
 		return Verdict{Reason: "no such route"}
 	}
-	prefix, _ := quarantine.PrefixCause(e.PrefixDigest)
+	prefix := quarantine.PrefixCause(e.PrefixDigest)
 	if r.fingerprints[e.Fingerprint] == Convicted || r.fingerprints[prefix.Fingerprint] == Convicted {
 		return Verdict{Reason: "quarantined: requests like it crash backend servers", RetryAfter: limit.RetryAfter(quarantineRetry, e.Fingerprint)}
 	}
--- a/io/backend/sidecar.go
+++ b/io/backend/sidecar.go
@@ -332,8 +332,7 @@
 
 // prefixOf returns the cause that an attempt shares with all whose inputs begin alike.
 func prefixOf(request *wire.RunRequest) quarantine.Cause {
-	cause, _ := quarantine.PrefixCause(router.PrefixDigest(request.GetInput()))
-	return cause
+	return quarantine.PrefixCause(router.PrefixDigest(request.GetInput()))
 }
 
 // reportPrefix reports a crash of the backend server with what the request has in common
--- a/io/caller/run.go
+++ b/io/caller/run.go
@@ -456,8 +456,8 @@
 }
 
 // eventFromPart converts a part of a result to an event, and reports whether it is
-// the stream's last part. A heartbeat (Beat) gives an event without a kind. Other events have the part's own key, so that the state machine
-// can discard a part of another attempt.
+// the stream's last part. A heartbeat (Beat) gives an event without a kind. Other events
+// have the part's own key, so that the state machine can discard a part of another attempt.
 func eventFromPart(part *wire.Part) (ev request.Event, last bool) {
 	ev.Key = peer.KeyFromWire(part.GetKey())
 	switch body := part.GetBody().(type) {
