core/attempt: a request that has been ended is stopped, its deadline stays

Found in reading the change: io/gateway set the deadline of core/attempt to 0 so that nothing followed, a decision outside of the package that decides. Stop says it there.

--- a/core/attempt/attempt.go
+++ b/core/attempt/attempt.go
@@ -62,6 +62,7 @@
 	executions int           // attempts that may have run
 	streaming  bool          // the caller has received part of the answer
 	attempts   int
+	stopped    bool // no attempt may follow
 }
 
 // attemptLimit is the most attempts of one request, including those that did
@@ -75,6 +76,9 @@
 // Begin records the start of an attempt.
 func (r *Request) Begin() { r.attempts++ }
 
+// Stop records that no attempt may follow, however much time is left.
+func (r *Request) Stop() { r.stopped = true }
+
 // Attempts returns the number of attempts started.
 func (r *Request) Attempts() int { return r.attempts }
 
@@ -90,7 +94,7 @@
 // backend servers want no requests until the given time.
 func (r *Request) NextPaused(until time.Duration) Action {
 	switch {
-	case r.Deadline-until > minRemaining:
+	case !r.stopped && r.Deadline-until > minRemaining:
 		return Wait
 	case r.streaming:
 		return Abort
@@ -105,7 +109,9 @@
 // budget and reports whether there was one; it is called only when a retry is
 // otherwise possible.
 func (r *Request) Next(at time.Duration, end End, status int, budget func() bool) Action {
-	canRetry := func() bool { return r.attempts < attemptLimit && r.Deadline-at > minRemaining && budget() }
+	canRetry := func() bool {
+		return !r.stopped && r.attempts < attemptLimit && r.Deadline-at > minRemaining && budget()
+	}
 	switch end {
 	case Unsent, Rejected, Misplaced:
 		if end == Unsent {
--- a/core/attempt/attempt_test.go
+++ b/core/attempt/attempt_test.go
@@ -125,3 +125,21 @@
 		}
 	})
 }
+
+// TestStopped checks what follows once a request has been ended.
+func TestStopped(t *testing.T) {
+	for _, c := range []struct {
+		end  attempt.End
+		want attempt.Action
+	}{{attempt.Unsent, attempt.Refuse}, {attempt.Rejected, attempt.Refuse}, {attempt.Lost, attempt.Fail}, {attempt.Broken, attempt.Abort}} {
+		r := attempt.Request{Repeat: tanagerroad.Stream, Resumable: true, MaxServers: 3, Deadline: time.Second}
+		r.Begin()
+		r.Stop()
+		if got := r.Next(0, c.end, 0, func() bool { return true }); got != c.want {
+			t.Errorf("%s: action %s, want %s", c.end, got, c.want)
+		}
+		if got := r.NextPaused(100 * time.Millisecond); got != c.want {
+			t.Errorf("%s, then paused: action %s, want %s", c.end, got, c.want)
+		}
+	}
+}
--- a/io/gateway/exchange.go
+++ b/io/gateway/exchange.go
@@ -325,7 +325,7 @@
 		x.retryState.Resumable = x.route.Resumable && x.splitter.CanResume()
 	}
 	if end != attempt.Answered && x.explainEnd() {
-		x.retryState.Deadline = 0 // nothing may follow
+		x.retryState.Stop()
 	}
 	if end != attempt.Paused {
 		return x.retryState.Next(x.g.now(), end, status, x.takeRetry)
