io/gateway: a conviction is tried, and ends, in a test of the package

Whether a conviction is given up when its cause has gone was tested in core/quarantine only. At a gateway no test noticed when a trial was taken without a grant, before it was due, or sent again after it had crashed a server (docs/PROOFS.md listed them).

--- a/io/gateway/answers_test.go
+++ b/io/gateway/answers_test.go
@@ -234,9 +234,7 @@
 	if code, body, _ := call(t, address, "/book/", "a", headerLeft, "50"); code != http.StatusGatewayTimeout || runs.Load() != 1 {
 		t.Errorf("got %d %q after %d runs, want 504 after 1", code, body, runs.Load())
 	}
-	g.mu.Lock()
-	server := g.fleet.Pool("p")[0]
-	g.mu.Unlock()
+	server := firstServer(g, "p")
 	g.heed(server, tanagerroad.ResponseHeaders{Server: server.ID, NotRun: true, RetryAfter: 200 * time.Millisecond})
 	if code, body, _ := call(t, address, "/book/", "b", headerLeft, "50"); code != http.StatusServiceUnavailable || runs.Load() != 1 {
 		t.Errorf("a pool that wants no requests for longer: got %d %q after %d runs, want 503 after 1", code, body, runs.Load())
@@ -441,9 +439,7 @@
 func TestRejectionEndsLimit(t *testing.T) {
 	servers, _ := newScripted(t, 1, good)
 	g, _ := newTestGateway(t, servers...)
-	g.mu.Lock()
-	server := g.fleet.Pool("p")[0]
-	g.mu.Unlock()
+	server := firstServer(g, "p")
 	for _, c := range []struct {
 		what    string
 		reply   tanagerroad.ResponseHeaders
--- a/io/gateway/crashes_test.go
+++ b/io/gateway/crashes_test.go
@@ -1,17 +1,25 @@
 package gateway
 
 import (
+	"context"
 	"io"
 	"net"
+	"net/http"
+	"slices"
+	"sync"
 	"testing"
 	"time"
 
 	"go.uber.org/zap"
 	"go.uber.org/zap/zaptest/observer"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	grpcstatus "google.golang.org/grpc/status"
 
 	"tanagerroad"
 	"tanagerroad/core/batch"
 	"tanagerroad/core/quarantine"
+	"tanagerroad/core/registry"
 	"tanagerroad/core/wire"
 	"tanagerroad/io/http1"
 )
@@ -134,3 +142,73 @@
 		t.Errorf("reported %v", got)
 	}
 }
+
+// fakeControl is a control instance that answers proposed trials as a test says.
+type fakeControl struct {
+	wire.UnimplementedControlServer
+	grant string // kind of the outcome; empty: an error
+
+	mu      sync.Mutex
+	trials  int
+	cleared []uint64
+}
+
+func (f *fakeControl) Propose(_ context.Context, command *wire.Command) (*wire.Outcome, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	switch body := command.GetBody().(type) {
+	case *wire.Command_ClaimTrial:
+		f.trials++
+		if f.grant == "" {
+			return nil, grpcstatus.Error(codes.Unavailable, "no control instance")
+		}
+		return &wire.Outcome{Kind: f.grant}, nil
+	case *wire.Command_ClearCauses:
+		f.cleared = append(f.cleared, body.ClearCauses.GetFingerprints()...)
+	}
+	return &wire.Outcome{Kind: registry.Accepted}, nil
+}
+
+// TestConvictionsStay guards against a conviction that outlasts its cause, since no request
+// is tried, and against more than one request that is.
+func TestConvictionsStay(t *testing.T) {
+	const path = "/look/1"
+	fingerprint := quarantine.Causes("h"+path, "w", []byte("body"), nil)[0].Fingerprint
+	for _, c := range []struct {
+		what    string
+		wait    int64 // milliseconds until a trial is due
+		grant   string
+		answer  answer
+		code    int
+		runs    int64
+		trials  bool
+		cleared bool
+	}{
+		{"granted", 0, registry.Granted, good, http.StatusOK, 1, true, true},
+		{"granted, and it crashes again", 0, registry.Granted, lost, http.StatusBadGateway, 1, true, false},
+		{"granted to another gateway", 0, registry.AlreadyClaimed, good, http.StatusServiceUnavailable, 0, true, false},
+		{"nobody grants it", 0, "", good, http.StatusServiceUnavailable, 0, true, false},
+		{"not due", 60_000, registry.Granted, good, http.StatusServiceUnavailable, 0, false, false},
+	} {
+		control := &fakeControl{grant: c.grant}
+		controlAddress, _ := newPeer(t, func(s *grpc.Server) { wire.RegisterControlServer(s, control) })
+		servers, runs := newScripted(t, 2, c.answer)
+		g, address := newTestGateway(t, servers...)
+		g.SetControlAddresses([]string{controlAddress})
+		g.mu.Lock()
+		g.applyQuarantine(&wire.Quarantine{Version: 1, Convictions: []*wire.Conviction{{Fingerprint: fingerprint, Convicted: true, TrialWaitMillis: c.wait}}})
+		g.mu.Unlock()
+		code, body, _ := call(t, address, path, "a")
+		state := func() (trials int, cleared bool) {
+			control.mu.Lock()
+			defer control.mu.Unlock()
+			return control.trials, slices.Contains(control.cleared, fingerprint)
+		}
+		if c.cleared {
+			eventually(func() bool { _, cleared := state(); return cleared })
+		}
+		if trials, cleared := state(); code != c.code || runs.Load() != c.runs || (trials > 0) != c.trials || cleared != c.cleared {
+			t.Errorf("%s: got %d %q after %d runs, %d trials asked for, cleared %t", c.what, code, body, runs.Load(), trials, cleared)
+		}
+	}
+}
--- a/io/gateway/gateway_test.go
+++ b/io/gateway/gateway_test.go
@@ -211,6 +211,13 @@
 	return g, listener.Addr().String()
 }
 
+// firstServer returns the first backend server of a pool.
+func firstServer(g *Gateway, pool string) tanagerroad.Announcement {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.fleet.Pool(pool)[0]
+}
+
 // call sends a request and returns the status of its answer, 0 if there is none, the body,
 // and the error of reading it.
 func call(t *testing.T, address, path, id string, headers ...string) (int, string, error) {
--- a/io/gateway/owners_test.go
+++ b/io/gateway/owners_test.go
@@ -25,17 +25,7 @@
 func newOwner(t *testing.T, servers ...*backend) (owner, asking *Gateway, address string, stop, freeze func()) {
 	t.Helper()
 	var service lateService
-	server, stopServer, err := peer.NewServer(settings.PeerListener{Address: "127.0.0.1:0", MaxStreams: 100, MaxMessage: 1 << 20}, peer.NewMeter(), func(s *grpc.Server) {
-		wire.RegisterGatewayServer(s, &service)
-	})
-	if err != nil {
-		t.Fatal(err)
-	}
-	ended, end := context.WithCancel(t.Context())
-	end()
-	stop = sync.OnceFunc(func() { stopServer(ended) })
-	t.Cleanup(stop)
-	ownAddress := server.Address
+	ownAddress, stop := newPeer(t, func(s *grpc.Server) { wire.RegisterGatewayServer(s, &service) })
 	owner, _ = newGatewayAt(t, ownAddress, zap.NewNop(), servers...)
 	service.gateway.Store(owner)
 	other := "127.0.0.1:1"
@@ -55,6 +45,20 @@
 	return owner, asking, address, stop, func() { service.gateway.Store(nil) }
 }
 
+// newPeer serves what register adds, and returns its address and a function that stops it.
+func newPeer(t *testing.T, register func(*grpc.Server)) (address string, stop func()) {
+	t.Helper()
+	server, stopServer, err := peer.NewServer(settings.PeerListener{Address: "127.0.0.1:0", MaxStreams: 100, MaxMessage: 1 << 20}, peer.NewMeter(), register)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ended, end := context.WithCancel(t.Context())
+	end()
+	stop = sync.OnceFunc(func() { stopServer(ended) })
+	t.Cleanup(stop)
+	return server.Address, stop
+}
+
 // lateService passes calls on to a gateway that is made after the listener.
 type lateService struct {
 	wire.UnimplementedGatewayServer
--- a/io/gateway/stages_test.go
+++ b/io/gateway/stages_test.go
@@ -331,9 +331,7 @@
 func TestResultsOfAnUnwillingServer(t *testing.T) {
 	p := newPieceServer(t)
 	g, _ := newTestGateway(t, p.backend)
-	g.mu.Lock()
-	server := g.fleet.Pool("prep")[0]
-	g.mu.Unlock()
+	server := firstServer(g, "prep")
 	g.heed(server, tanagerroad.ResponseHeaders{Server: server.ID, RetryAfter: 100 * time.Millisecond, NotRun: true})
 	handle := p.Listener.Addr().String() + "/x"
 	g.batcher.release([]string{handle})
@@ -411,9 +409,7 @@
 func TestPausedServerGetsPieces(t *testing.T) {
 	p := newPieceServer(t)
 	g, _ := newTestGateway(t, p.backend)
-	g.mu.Lock()
-	server := g.fleet.Pool("prep")[0]
-	g.mu.Unlock()
+	server := firstServer(g, "prep")
 	made := make(chan struct{}, 1)
 	submit := func(number uint64) {
 		g.batcher.submit("a", &wire.PieceJob{Number: number, Request: "a", Pool: "prep", Pieces: []uint32{0}, LeftMillis: 2000, SlackMillis: 2000}, func(*wire.PieceResult) { made <- struct{}{} })
