--- a/io/gateway/batcher.go
+++ b/io/gateway/batcher.go
@@ -96,14 +96,18 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for name, p := range b.pools {
-		p.SetServers(at, servers(name))
-		for _, l := range limits(name) {
-			p.SetLimit(at, l.ID, l.StartMillis, l.PerSecond)
-		}
+		setPoolServers(p, at, servers(name), limits(name))
 		b.dispatch(name, p)
 	}
 }
 
+func setPoolServers(p *batch.Pool, at time.Duration, servers []tanagerroad.Announcement, limits []fleet.ServerLimit) {
+	p.SetServers(at, servers)
+	for _, l := range limits {
+		p.SetLimit(at, l.ID, l.StartMillis, l.PerSecond)
+	}
+}
+
 // limit applies what a backend server said about its limit.
 func (b *pieceBatcher) limit(l fleet.ServerLimit) {
 	b.mu.Lock()
@@ -128,10 +132,7 @@
 		return
 	}
 	if _, waiting := p.NextWake(now); !waiting { // the pool may be new, without servers
-		p.SetServers(now, servers)
-		for _, l := range limits {
-			p.SetLimit(now, l.ID, l.StartMillis, l.PerSecond)
-		}
+		setPoolServers(p, now, servers, limits)
 	}
 	b.admission.Release(job.GetRequest(), job.GetPool())
 	if decision := b.admit(now, job); !decision.Admit {
