--- a/io/gateway/crashes_test.go
+++ b/io/gateway/crashes_test.go
@@ -172,10 +172,9 @@
 // TestConvictionsStay guards against a conviction that outlasts its cause, since no request
 // is tried, and against more than one request that is.
 func TestConvictionsStay(t *testing.T) {
-	const path = "/look/1"
-	fingerprint := quarantine.Causes("h"+path, "w", []byte("body"), nil)[0].Fingerprint
 	for _, c := range []struct {
 		what    string
+		path    string
 		wait    int64 // milliseconds until a trial is due
 		grant   string
 		answer  answer
@@ -184,12 +183,14 @@
 		trials  bool
 		cleared bool
 	}{
-		{"granted", 0, registry.Granted, good, http.StatusOK, 1, true, true},
-		{"granted, and it crashes again", 0, registry.Granted, lost, http.StatusBadGateway, 1, true, false},
-		{"granted to another gateway", 0, registry.AlreadyClaimed, good, http.StatusServiceUnavailable, 0, true, false},
-		{"nobody grants it", 0, "", good, http.StatusServiceUnavailable, 0, true, false},
-		{"not due", 60_000, registry.Granted, good, http.StatusServiceUnavailable, 0, false, false},
+		{"granted", "/look/1", 0, registry.Granted, good, http.StatusOK, 1, true, true},
+		{"granted, and it crashes again", "/look/1", 0, registry.Granted, lost, http.StatusBadGateway, 1, true, false},
+		{"granted, and it crashes behind its head", "/stream/1", 0, registry.Granted, brokenStream(), http.StatusBadGateway, 1, true, false},
+		{"granted to another gateway", "/look/1", 0, registry.AlreadyClaimed, good, http.StatusServiceUnavailable, 0, true, false},
+		{"nobody grants it", "/look/1", 0, "", good, http.StatusServiceUnavailable, 0, true, false},
+		{"not due", "/look/1", 60_000, registry.Granted, good, http.StatusServiceUnavailable, 0, false, false},
 	} {
+		fingerprint := quarantine.Causes("h"+c.path, "w", []byte("body"), nil)[0].Fingerprint
 		control := &fakeControl{grant: c.grant}
 		controlAddress, _ := newPeer(t, func(s *grpc.Server) { wire.RegisterControlServer(s, control) })
 		servers, runs := newScripted(t, 2, c.answer)
@@ -198,7 +199,7 @@
 		g.mu.Lock()
 		g.applyQuarantine(&wire.Quarantine{Version: 1, Convictions: []*wire.Conviction{{Fingerprint: fingerprint, Convicted: true, TrialWaitMillis: c.wait}}})
 		g.mu.Unlock()
-		code, body, _ := call(t, address, path, "a")
+		code, body, _ := call(t, address, c.path, "a")
 		state := func() (trials int, cleared bool) {
 			control.mu.Lock()
 			defer control.mu.Unlock()
@@ -206,6 +207,8 @@
 		}
 		if c.cleared {
 			eventually(func() bool { _, cleared := state(); return cleared })
+		} else {
+			time.Sleep(20 * time.Millisecond) // for a request to clear it
 		}
 		if trials, cleared := state(); code != c.code || runs.Load() != c.runs || (trials > 0) != c.trials || cleared != c.cleared {
 			t.Errorf("%s: got %d %q after %d runs, %d trials asked for, cleared %t", c.what, code, body, runs.Load(), trials, cleared)
