core/shard, core/owner, io/gateway: an owner for each shard of the backend servers

Two thirds of the results were made in vain ("input gone" 8,354, "no room" 9,394 in 20 s).

Whatever it sent late was late for everybody: handles, frees, answers.

Change: the backend servers that run stages are divided into shards by region, zone and parts of a zone, so that a shard has at least four servers of each pool and its load doesn't grow with the deployment. A shard's owner is a gateway of its zones with the link and the processor for it. A request is made in the shard near the engine that will read the results; it goes elsewhere when the way is shorter than the queue, and once more when it is refused. Heartbeats go to gateways with jobs only. Lists of gateways are sent as changes.

--- a/catalog.go
+++ b/catalog.go
@@ -86,6 +86,15 @@
 	ResultTTL   time.Duration // how long a result is stored
 }
 
+// PiecesPerSecond returns the throughput of one backend server with full calls.
+func (t PieceTraits) PiecesPerSecond() float64 {
+	full := t.CallTime + time.Duration(t.MaxBatch)*t.PieceTime
+	if full <= 0 {
+		return 0
+	}
+	return float64(max(1, t.Slots)*t.MaxBatch) / full.Seconds()
+}
+
 // CatalogWorkspace is a customer, identified by its API keys.
 type CatalogWorkspace struct {
 	Name     string
--- a/core/batch/batch.go
+++ b/core/batch/batch.go
@@ -157,6 +157,9 @@
 	p.workers = next
 }
 
+// HasServer reports whether the pool has a backend server.
+func (p *Pool) HasServer(id string) bool { return p.workers[id] != nil }
+
 // Pause keeps calls from a backend server until the given time.
 func (p *Pool) Pause(server tanagerroad.Announcement, until time.Duration) {
 	if w := p.workers[server.ID]; w != nil && w.StartMillis == server.StartMillis {
--- a/core/pipeline/pipeline.go
+++ b/core/pipeline/pipeline.go
@@ -43,6 +43,7 @@
 	Inputs         []string      // handles of the results the stage reads
 	Due            time.Duration // latest end that still meets the latency objective
 	Deadline       time.Duration // latest end that still meets the request's deadline
+	LatestStart    time.Duration // latest start of its last call that still meets the deadline
 	Bytes          int           // size of one result
 	LastUse        bool          // the inputs are large and no other stage reads them
 	Zone           string        // where the stage transfers the fewest bytes between zones; empty: any
@@ -172,6 +173,10 @@
 			Stage: i, Pool: s.Pool, Bytes: s.Bytes, LastUse: true,
 			Due: p.config.Due - p.usualAfter[i], Deadline: p.config.Deadline - p.leastAfter[i],
 		}
+		job.LatestStart = job.Deadline
+		if traits := p.config.Traits(s.Pool); traits != nil {
+			job.LatestStart -= traits.CallTime + traits.PieceTime
+		}
 		for n := range p.pieces(i) {
 			job.Pieces = append(job.Pieces, n)
 		}
--- a/core/settings/settings.go
+++ b/core/settings/settings.go
@@ -173,6 +173,13 @@
 	RetrySlack float64 `json:"retry-slack" doc:"extra attempts allowed in addition, divided between all gateways"`
 }
 
+// Capacity is what the instance of a gateway has for it. A gateway with too little
+// batches no pieces for others.
+type Capacity struct {
+	Processor float64 `json:"processor" doc:"processors that the gateway may use, such as 0.5; 0: unknown, taken as enough"`
+	LinkMbps  float64 `json:"link-mbps" doc:"bandwidth of the instance's link, in Mbit/s; 0: unknown, taken as enough"`
+}
+
 // Gateway holds the settings of a gateway, a process that takes callers' requests
 // and discovers the control instances and other gateways at run time.
 type Gateway struct {
@@ -188,6 +195,7 @@
 	ControlPort   int                  `json:"control-port" doc:"port of the peer listeners of all control instances, in place of those listed in control; 0: use the listed ports"`
 	Zones         []ZoneRegion         `json:"zones" doc:"all availability zones"`
 	RetryLimits   RetryLimits          `json:"placing"`
+	Capacity      Capacity             `json:"capacity"`
 	MemoryLimit   tanagerroad.Size     `json:"memory" doc:"memory limit of the process"`
 	SourceTimeout tanagerroad.Duration `json:"silence" doc:"time without messages from a control instance after which its information is ignored"`
 }
@@ -403,6 +411,8 @@
 	c.checkAddresses("control", s.Control)
 	c.checkPort("control-port", s.ControlPort)
 	s.Control = withPort(s.Control, s.ControlPort)
+	c.checkNotNegative("capacity.processor", s.Capacity.Processor)
+	c.checkNotNegative("capacity.link-mbps", s.Capacity.LinkMbps)
 	c.checkPositive("memory", int64(s.MemoryLimit))
 	c.checkPositive("silence", int64(s.SourceTimeout))
 	c.checkNotNegative("placing.retry-ratio", s.RetryLimits.RetryRatio)
--- a/io/control/service.go
+++ b/io/control/service.go
@@ -7,7 +7,9 @@
 package control
 
 import (
+	"cmp"
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -51,14 +53,17 @@
 	clock  tanagerroad.Clock
 	logger *zap.Logger
 
-	mu         sync.Mutex           // guards directory, roster, processes and limits
-	directory  *directory.Directory // backend servers, from the notices of their sidecars
-	roster     *roster.Roster       // backend servers that announce themselves to control instances
-	processes  map[string]*process
-	limits     fleet.Limits   // that gateways reported
-	updated    *signal.Signal // wakes all watches to send an update
-	watchCtx   context.Context
-	EndWatches func() // cancels watchCtx and so ends all watches; their clients then connect to other instances
+	mu             sync.Mutex           // guards directory, roster, processes and limits
+	directory      *directory.Directory // backend servers, from the notices of their sidecars
+	roster         *roster.Roster       // backend servers that announce themselves to control instances
+	processes      map[string]*process
+	limits         fleet.Limits                   // that gateways reported
+	gateways       map[string]tanagerroad.Gateway // live gateways, by address; nil: not known yet
+	gatewaysAt     time.Duration                  // when gateways was computed
+	gatewayVersion uint64                         // counts the changes of gateways
+	updated        *signal.Signal                 // wakes all watches to send an update
+	watchCtx       context.Context
+	EndWatches     func() // cancels watchCtx and so ends all watches; their clients then connect to other instances
 }
 
 // NewService returns a service, and a function that stops its background work and ends
@@ -327,7 +332,8 @@
 	wantRoster     bool
 	catalogVersion uint64
 	rosterSequence uint64
-	gateways       []string
+	gateways       map[string]tanagerroad.Gateway // by address
+	gatewayVersion uint64                         // of gateways
 	instances      []string
 }
 
@@ -345,9 +351,10 @@
 		a.Heard = e.Received
 		update.Announced = append(update.Announced, a)
 	}
-	if gateways := s.gateways(); !slices.Equal(gateways, w.gateways) {
-		update.Gateways, w.gateways = gateways, gateways
+	if update.GetWhole() {
+		w.gateways = nil
 	}
+	s.addGatewayChanges(w, update)
 	now := s.clock.Now()
 	for _, l := range s.limits.All() {
 		update.Limits = append(update.Limits, peer.LimitToWire(now, l))
@@ -361,16 +368,47 @@
 // listed in updates.
 const gatewayTimeout = 3 * time.Second
 
-// gateways returns the addresses of the live gateways, sorted. The caller holds s.mu.
-func (s *Service) gateways() []string {
-	var out []string
+// addGatewayChanges adds the gateways that have changed. With hundreds of them, a list
+// of all would be most of an update's bytes. The caller holds s.mu.
+func (s *Service) addGatewayChanges(w *watchState, update *wire.Update) {
+	live := s.liveGateways()
+	if w.gatewayVersion == s.gatewayVersion && !update.GetWhole() {
+		return
+	}
+	for address, g := range live {
+		if w.gateways[address] != g {
+			update.GatewaysChanged = append(update.GatewaysChanged, peer.GatewayToWire(g))
+		}
+	}
+	for address := range w.gateways {
+		if _, ok := live[address]; !ok {
+			update.GatewaysGone = append(update.GatewaysGone, address)
+		}
+	}
+	slices.SortFunc(update.GetGatewaysChanged(), func(a, b *wire.GatewayInfo) int { return cmp.Compare(a.GetAddress(), b.GetAddress()) })
+	slices.Sort(update.GetGatewaysGone())
+	w.gateways, w.gatewayVersion = live, s.gatewayVersion
+}
+
+// liveGateways returns the gateways whose notices are recent, by address, and counts up
+// gatewayVersion if they have changed. The map is shared and must not be changed. The
+// caller holds s.mu.
+func (s *Service) liveGateways() map[string]tanagerroad.Gateway {
+	now := s.clock.Now()
+	if s.gateways != nil && now-s.gatewaysAt < batchDelay {
+		return s.gateways
+	}
+	live := map[string]tanagerroad.Gateway{}
 	for _, p := range s.processes {
-		if p.notice.GetAddress() != "" && s.clock.Now()-p.lastNotice < gatewayTimeout {
-			out = append(out, p.notice.GetAddress())
+		if address := p.notice.GetAddress(); address != "" && now-p.lastNotice < gatewayTimeout {
+			live[address] = tanagerroad.Gateway{Address: address, Zone: p.notice.GetZone(), Capacity: p.notice.GetCapacity()}
 		}
 	}
-	slices.Sort(out)
-	return out
+	if s.gatewaysAt = now; s.gateways == nil || !maps.Equal(live, s.gateways) {
+		s.gateways = live
+		s.gatewayVersion++
+	}
+	return s.gateways
 }
 
 // nextUpdate returns what the watch has not been sent yet, and a channel that closes at
--- a/io/gateway/batcher.go
+++ b/io/gateway/batcher.go
@@ -5,7 +5,9 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -45,10 +47,11 @@
 	maxCallAnswer = 4 << 20
 )
 
-// pieceBatcher is the owner's side: it queues the jobs of all gateways that have
-// chosen this one, and sends the calls that package batch decides on.
+// pieceBatcher is the owner's side of one shard: it queues the jobs of all gateways that
+// have chosen this one as the owner, and sends the calls that package batch decides on.
 type pieceBatcher struct {
 	g              *Gateway
+	shard          string
 	mu             sync.Mutex
 	pools          map[string]*batch.Pool
 	jobs           map[string]*queuedJob
@@ -67,8 +70,8 @@
 	deliver   func(*wire.PieceResult)
 }
 
-func newPieceBatcher(g *Gateway) *pieceBatcher {
-	return &pieceBatcher{g: g, pools: map[string]*batch.Pool{}, jobs: map[string]*queuedJob{}, toFree: map[string][]string{}, dispatchTimers: map[string]*time.Timer{}, admission: shed.New()}
+func newPieceBatcher(g *Gateway, shard string) *pieceBatcher {
+	return &pieceBatcher{g: g, shard: shard, pools: map[string]*batch.Pool{}, jobs: map[string]*queuedJob{}, toFree: map[string][]string{}, dispatchTimers: map[string]*time.Timer{}, admission: shed.New()}
 }
 
 // pool returns the named pool, or nil if the configuration in force has no such
@@ -91,17 +94,80 @@
 	return p
 }
 
-// setServers replaces the backend servers of all pools, and their limits.
-func (b *pieceBatcher) setServers(at time.Duration, servers func(pool string) []tanagerroad.Announcement, limits func(pool string) []fleet.ServerLimit) {
+// batcher returns the batcher of a shard.
+func (g *Gateway) batcher(shard string) *pieceBatcher {
+	g.batchersMu.Lock()
+	defer g.batchersMu.Unlock()
+	b, ok := g.batchers[shard]
+	if !ok {
+		b = newPieceBatcher(g, shard)
+		g.batchers[shard] = b
+	}
+	return b
+}
+
+// allBatchers returns the batchers of all shards that this gateway has jobs of, or had
+// lately.
+func (g *Gateway) allBatchers() []*pieceBatcher {
+	g.batchersMu.Lock()
+	defer g.batchersMu.Unlock()
+	return slices.Collect(maps.Values(g.batchers))
+}
+
+// cancelAllJobs cancels all jobs of a stream that has ended.
+func (g *Gateway) cancelAllJobs(streamID string) {
+	for _, b := range g.allBatchers() {
+		b.cancelAll(streamID)
+	}
+}
+
+// poolServers returns the backend servers of a pool in a shard, and their limits. It
+// returns false if the pool is not divided into that shard any more.
+func (g *Gateway) poolServers(shard, pool string) ([]tanagerroad.Announcement, []fleet.ServerLimit, bool) {
+	servers, ok := g.owners.plan().Servers(pool, shard)
+	return servers, g.fleet.Limited(pool), ok
+}
+
+// setServers replaces the backend servers of all pools, and their limits. g.mu must be
+// held.
+func (b *pieceBatcher) setServers(at time.Duration) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for name, p := range b.pools {
-		setPoolServers(p, at, servers(name), limits(name))
+		b.setPoolServers(name, p, at)
 		b.dispatch(name, p)
 	}
 }
 
-func setPoolServers(p *batch.Pool, at time.Duration, servers []tanagerroad.Announcement, limits []fleet.ServerLimit) {
+// preparePools gives the pools that this batcher has not had yet their backend servers.
+func (b *pieceBatcher) preparePools(at time.Duration, names []string) {
+	b.mu.Lock()
+	isNew := func(name string) bool { return b.pools[name] == nil }
+	anyNew := slices.ContainsFunc(names, isNew)
+	b.mu.Unlock()
+	if !anyNew {
+		return
+	}
+	b.g.mu.Lock()
+	defer b.g.mu.Unlock()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, name := range slices.DeleteFunc(names, func(name string) bool { return !isNew(name) }) {
+		if p := b.pool(name); p != nil {
+			b.setPoolServers(name, p, at)
+		}
+	}
+}
+
+// setPoolServers replaces the backend servers of a pool. A pool that is divided into
+// other shards now keeps the usable ones that it has, for the jobs that are queued.
+// g.mu and b.mu must be held.
+func (b *pieceBatcher) setPoolServers(name string, p *batch.Pool, at time.Duration) {
+	servers, limits, ok := b.g.poolServers(b.shard, name)
+	if !ok {
+		usable := b.g.fleet.Pool(name)
+		servers = slices.DeleteFunc(usable, func(a tanagerroad.Announcement) bool { return !p.HasServer(a.ID) })
+	}
 	p.SetServers(at, servers)
 	for _, l := range limits {
 		p.SetLimit(at, l.ID, l.StartMillis, l.PerSecond)
@@ -123,7 +189,7 @@
 // block.
 func (b *pieceBatcher) submit(streamID string, job *wire.PieceJob, deliver func(*wire.PieceResult)) {
 	now := b.g.now()
-	servers, limits := b.g.servers(job.GetPool())
+	b.preparePools(now, append(slices.Clone(job.GetAdmission().GetChain()), job.GetPool()))
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	p := b.pool(job.GetPool())
@@ -131,12 +197,11 @@
 		deliver(&wire.PieceResult{Number: job.GetNumber(), Refused: "the pool is not known", RetryMillis: refusalRetryDelay.Milliseconds()})
 		return
 	}
-	if _, waiting := p.NextWake(now); !waiting { // the pool may be new, without servers
-		setPoolServers(p, now, servers, limits)
-	}
 	b.admission.Release(job.GetRequest(), job.GetPool())
 	if decision := b.admit(now, job); !decision.Admit {
-		deliver(&wire.PieceResult{Number: job.GetNumber(), Refused: "too many wait before it", RetryMillis: decision.RetryDelay.Milliseconds()})
+		deliver(&wire.PieceResult{
+			Number: job.GetNumber(), Refused: "too many wait before it", RetryMillis: decision.RetryDelay.Milliseconds(), WaitMillis: uint32(decision.Wait.Milliseconds()),
+		})
 		return
 	}
 	id := jobID(streamID, job.GetNumber())
@@ -281,7 +346,7 @@
 	// another gateway may be an owner too, the call may be queued behind one of
 	// that owner's calls, and its inputs are released when it ends.
 	var releaseTimer *time.Timer
-	if inputs := call.ReleasableOnStart(); len(inputs) > 0 && b.g.owners.soleOwner(call.Started) {
+	if inputs := call.ReleasableOnStart(); len(inputs) > 0 && b.g.owners.soleOwner(call.Started, b.shard) {
 		releaseTimer = time.AfterFunc(inputFetchTime, func() { b.release(inputs) })
 	}
 	overdueTimer := time.AfterFunc(call.Timeout(), func() { b.abandon(name, p, call) })
@@ -405,8 +470,10 @@
 		reply.Pieces = append(reply.Pieces, &wire.PieceDone{Piece: uint32(result.Piece), Handle: result.Handle, Reason: result.Reason, Zone: result.Zone})
 		queued.remaining--
 	}
+	wait := b.wait()
 	for id, reply := range replies {
 		queued := b.jobs[id]
+		reply.WaitMillis = uint32(wait.Milliseconds())
 		if queued.remaining <= 0 {
 			delete(b.jobs, id)
 			p.Remove(id)
@@ -486,6 +553,18 @@
 	return err
 }
 
+// wait returns the predicted queueing time of a new request in the pool where it is
+// longest. b.mu must be held.
+func (b *pieceBatcher) wait() time.Duration {
+	var longest time.Duration
+	for name, p := range b.pools {
+		if capacity := p.Capacity(); capacity > 0 {
+			longest = max(longest, time.Duration(float64(p.QueueLen()+b.admission.Reserved(name))/capacity*float64(time.Second)))
+		}
+	}
+	return longest
+}
+
 // housekeep removes expired state and dispatches all pools. It runs every
 // housekeepingInterval.
 func (b *pieceBatcher) housekeep() {
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -3,10 +3,10 @@
 // finds the route, runs the route's stages, chooses a backend server, retries
 // where that is safe, and returns exactly one answer.
 //
-// The work of a stage is divided into pieces. One gateway, the owner, batches the
-// pieces of all requests and sends them to backend servers (pieceBatcher). The
-// other gateways submit their stages to it (ownerClient). Every gateway can be the
-// owner.
+// The work of a stage is divided into pieces, and the backend servers that execute them
+// into shards. One gateway, the owner of a shard, batches the pieces of all requests in
+// the shard and sends them to its backend servers (pieceBatcher). The other gateways
+// submit their stages to it (ownerClient). Every gateway can be an owner.
 //
 // A backend server keeps the result of a piece in memory and returns a handle for
 // it. Later stages, or the request itself, read the result by its handle. Results
@@ -30,6 +30,7 @@
 	"tanagerroad/core/event"
 	"tanagerroad/core/fleet"
 	"tanagerroad/core/limit"
+	"tanagerroad/core/owner"
 	"tanagerroad/core/quarantine"
 	"tanagerroad/core/roster"
 	"tanagerroad/core/settings"
@@ -69,16 +70,19 @@
 	config        Config
 	client        *http1.Client
 	control       *control.Client
-	batcher       *pieceBatcher
 	owners        *ownerClient
 	ctx           context.Context
 	noticeDue     *signal.Signal // makes the watches send a notice immediately
 	draining      atomic.Bool
 	drainingSince atomic.Int64 // time at which draining began, as a time.Duration of the clock
 	inFlight      atomic.Int64
+	regions       map[string]string             // by zone
 	catalog       atomic.Pointer[catalog.Index] // configuration in force; nil before the first
 	meters        meters
 
+	batchersMu sync.Mutex               // guards batchers
+	batchers   map[string]*pieceBatcher // by shard
+
 	mu             sync.Mutex // guards the fields down to stopMu
 	roster         *roster.Roster
 	fleet          *fleet.Fleet
@@ -86,7 +90,7 @@
 	broken         map[serverStart][]*wire.CrashSuspect // requests whose attempts ended with their connections
 	retryBudgets   map[string]*limit.Budget             // by pool
 	sources        map[string]*source                   // control instances, by address
-	gateways       []string                             // peer addresses of all gateways, including this one
+	gateways       []tanagerroad.Gateway                // all gateways, including this one
 	rosterComplete bool                                 // a source has sent its complete roster
 
 	seeds     []string // addresses of control instances, from the settings
@@ -113,13 +117,13 @@
 		roster:  roster.New(roster.DefaultConfig()), fleet: fleet.New(regions),
 		quarantine: quarantine.NewView(quarantine.DefaultConfig().Duration), broken: map[serverStart][]*wire.CrashSuspect{},
 		retryBudgets: map[string]*limit.Budget{}, sources: map[string]*source{},
-		gateways: []string{config.Settings.Peer.AdvertisedAddress()},
-		meters:   newMeters(config.Metrics),
-		seeds:    config.Settings.Control,
-		cancels:  map[*exchange]context.CancelCauseFunc{},
+		batchers: map[string]*pieceBatcher{}, regions: regions,
+		meters:  newMeters(config.Metrics),
+		seeds:   config.Settings.Control,
+		cancels: map[*exchange]context.CancelCauseFunc{},
 	}
-	g.fleet.SetGateways(config.Settings.Peer.AdvertisedAddress(), g.gateways)
-	g.batcher = newPieceBatcher(g)
+	g.gateways = []tanagerroad.Gateway{g.self()}
+	g.fleet.SetGateways(g.self().Address, addresses(g.gateways))
 	g.owners = newOwnerClient(g)
 	watches, closeWatches := control.NewWatchSet(g.watcher)
 	g.watches = watches
@@ -155,6 +159,21 @@
 
 func (g *Gateway) now() time.Duration { return g.config.Clock.Now() }
 
+// self returns this gateway's description of itself to other gateways.
+func (g *Gateway) self() tanagerroad.Gateway {
+	s := g.config.Settings
+	return tanagerroad.Gateway{Address: s.Peer.AdvertisedAddress(), Zone: s.Zone, Capacity: owner.Capacity(s.Capacity.Processor, s.Capacity.LinkMbps)}
+}
+
+// addresses returns the addresses of gateways.
+func addresses(gateways []tanagerroad.Gateway) []string {
+	out := make([]string, len(gateways))
+	for i, g := range gateways {
+		out[i] = g.Address
+	}
+	return out
+}
+
 // Ready reports whether the load balancer should send new connections here.
 func (g *Gateway) Ready() bool {
 	g.mu.Lock()
@@ -284,7 +303,9 @@
 	}
 	g.mu.Unlock()
 	if until > now {
-		g.batcher.pause(server, until)
+		for _, b := range g.allBatchers() {
+			b.pause(server, until)
+		}
 	}
 	g.meters.count("servers.paused")
 	event.ServerPaused.Log(g.config.Logger, zap.String("server", server.ID), zap.String("pool", server.Pool),
@@ -348,7 +369,7 @@
 	rosterChanged := false
 	for address, s := range g.sources {
 		if s.connected && now-s.updatedAt > g.config.Settings.SourceTimeout.Std() {
-			s.connected, s.gateways = false, nil
+			s.connected = false
 			g.roster.Retain(address, nil)
 			rosterChanged = true
 			event.SourceLost.Log(g.config.Logger, zap.String("source", address), zap.Duration("silent", now-s.updatedAt))
@@ -361,11 +382,13 @@
 	if rosterChanged {
 		g.applyRoster(now)
 	}
-	addresses := map[string]bool{}
+	usable := map[string]bool{}
 	for _, a := range g.roster.Usable() {
-		addresses[a.Address] = true
+		usable[a.Address] = true
 	}
 	g.mu.Unlock()
-	g.client.PruneIdle(addresses)
-	g.batcher.housekeep()
+	g.client.PruneIdle(usable)
+	for _, b := range g.allBatchers() {
+		b.housekeep()
+	}
 }
--- /dev/null
+++ b/io/gateway/shards_test.go
@@ -0,0 +1,136 @@
+package gateway
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"tanagerroad"
+	"tanagerroad/core/shard"
+	"tanagerroad/core/wire"
+)
+
+// TestRefusedJobsKeepOwnerWaiting guards against an owner that is taken for lost since jobs
+// that it has refused, or whose pieces have failed, count as pending.
+func TestRefusedJobsKeepOwnerWaiting(t *testing.T) {
+	gone := `[{"Reason":"` + tanagerroad.PieceInputGone + `"},{"Reason":"` + tanagerroad.PieceInputGone + `"}]`
+	p := newPieceServer(t)
+	p.outcome = func(call int64) *string {
+		if call <= 3 { // the first run and both restarts
+			return &gone
+		}
+		return nil
+	}
+	servers, _ := newScripted(t, 1, useResults(p))
+	_, asking, address, _, _ := newOwner(t, append(servers, p.backend)...)
+	if status, body, err := call(t, address, "/staged/", "a", headerPieces, "2"); status != http.StatusServiceUnavailable {
+		t.Errorf("inputs that are gone each time: got %d %q (%v), want 503", status, body, err)
+	}
+	if status, body, err := call(t, address, "/staged/", "b", headerPieces, "2", headerLeft, "31"); status != http.StatusServiceUnavailable {
+		t.Errorf("without time: got %d %q (%v), want 503", status, body, err)
+	}
+	time.Sleep(ownerTimeout + heartbeatInterval)
+	if status, body, err := call(t, address, "/staged/", "c", headerPieces, "2"); status != http.StatusOK || body != wholeStream {
+		t.Errorf("got %d %q (%v), want the whole stream", status, body, err)
+	}
+	asking.owners.mu.Lock()
+	defer asking.owners.mu.Unlock()
+	if len(asking.owners.streams) != 1 {
+		t.Errorf("%d streams to owners, want the first one", len(asking.owners.streams))
+	}
+	for _, stream := range asking.owners.streams {
+		if len(stream.pending) > 0 {
+			t.Errorf("%d jobs are still pending", len(stream.pending))
+		}
+	}
+}
+
+// TestLaterStagesFindNoServers guards against pools of later stages that are known from an
+// admission and get no backend servers.
+func TestLaterStagesFindNoServers(t *testing.T) {
+	p, last := newPieceServer(t), newPieceServerOf(t, "last")
+	g, _ := newTestGateway(t, p.backend, last.backend)
+	results := make(chan *wire.PieceResult, 2)
+	submit := func(number uint64, pool string, admission *wire.Admission) {
+		g.batcher("").submit("a", &wire.PieceJob{
+			Number: number, Request: "r", Pool: pool, Pieces: []uint32{0}, LeftMillis: 1000, SlackMillis: 1000, Admission: admission,
+		}, func(r *wire.PieceResult) { results <- r })
+		select {
+		case r := <-results:
+			if len(r.GetPieces()) != 1 || r.GetPieces()[0].GetHandle() == "" {
+				t.Errorf("pool %s: got %v, want a result", pool, r)
+			}
+		case <-time.After(time.Second):
+			t.Fatalf("pool %s: no result", pool)
+		}
+	}
+	submit(1, "prep", &wire.Admission{LeftMillis: 1000, SlackMillis: 1000, Chain: []string{"prep", "last"}, Demands: []*wire.Demand{{Pool: "last", Pieces: 1}}})
+	submit(2, "last", nil)
+}
+
+// TestIdleOwnersAreAsked guards against heartbeats to gateways that have no jobs at an
+// owner: their number would grow with the deployment.
+func TestIdleOwnersAreAsked(t *testing.T) {
+	p := newPieceServer(t)
+	servers, _ := newScripted(t, 2, useResults(p))
+	_, asking, address, _, _ := newOwner(t, append(servers, p.backend)...)
+	progress := func() time.Duration {
+		asking.owners.mu.Lock()
+		defer asking.owners.mu.Unlock()
+		for _, stream := range asking.owners.streams {
+			return stream.progressAt
+		}
+		return 0
+	}
+	for i := range 2 {
+		if status, _, err := call(t, address, "/staged/", fmt.Sprint(i), headerPieces, "2"); status != http.StatusOK {
+			t.Fatalf("request %d: %d (%v)", i, status, err)
+		}
+		time.Sleep(heartbeatInterval) // the last heartbeat that the jobs cause
+		before := progress()
+		time.Sleep(ownerTimeout + heartbeatInterval)
+		if after := progress(); after != before {
+			t.Errorf("request %d: a message came %v after the last one though there were no jobs", i, after-before)
+		}
+	}
+}
+
+// TestRefusedWhileOtherShardsAreIdle guards against a request that is refused, since its
+// shard is busy, while another one could serve it.
+func TestRefusedWhileOtherShardsAreIdle(t *testing.T) {
+	var all []*backend
+	servers := map[string]*pieceServer{}
+	for i := range 8 {
+		p := newPieceServerOf(t, fmt.Sprint("prep", i))
+		servers[p.id] = p
+		all = append(all, p.backend)
+	}
+	g, _ := newTestGateway(t, all...)
+	g.mu.Lock()
+	g.regions["y"] = "r"
+	for i, b := range all {
+		zone := "z"
+		if i >= 4 {
+			zone = "y"
+		}
+		g.roster.Apply(g.now(), "c", tanagerroad.Announcement{
+			ID: b.id, Pool: "prep", Address: b.Listener.Addr().String(), Zone: zone, Slots: 4, State: tanagerroad.Serving, Sequence: 2, StartMillis: 1000,
+		})
+	}
+	g.applyRoster(g.now())
+	g.mu.Unlock()
+	own := g.owners.plan().Shard("prep", shard.Anchor{Zone: "z"})
+	other := g.owners.plan().Shard("prep", shard.Anchor{Zone: "y"})
+	if own == other {
+		t.Fatalf("one shard %q, want one for each zone", own)
+	}
+	g.owners.recordWait(own, time.Second)
+	if anchor, ok := g.owners.chooseShard("r", "prep", "z", []string{own}); !ok || g.owners.plan().Shard("prep", anchor) != other {
+		t.Errorf("refused by %q: chose %+v (%t), want %q", own, anchor, ok, other)
+	}
+	g.owners.recordWait(other, 2*time.Second)
+	if anchor, ok := g.owners.chooseShard("r", "prep", "z", []string{own}); ok {
+		t.Errorf("refused by %q while %q has a longer queue: chose %+v, want none", own, other, anchor)
+	}
+}
--- a/io/gateway/stages.go
+++ b/io/gateway/stages.go
@@ -11,12 +11,17 @@
 	"tanagerroad/core/event"
 	"tanagerroad/core/pipeline"
 	"tanagerroad/core/quarantine"
+	"tanagerroad/core/shard"
 	"tanagerroad/core/wire"
 )
 
-// maxOwnerLosses is how many times a request submits a job again, to the next
-// owner, because its owner was lost.
-const maxOwnerLosses = 3
+const (
+	// maxOwnerLosses is how many times a request submits a job again, to the next
+	// owner, because its owner was lost.
+	maxOwnerLosses = 3
+	// maxRefusals is how many shards may refuse a request before it is refused.
+	maxRefusals = 2
+)
 
 // stageRun runs the stages of one request.
 type stageRun struct {
@@ -24,17 +29,25 @@
 	pipeline    *pipeline.Pipeline
 	results     chan *wire.PieceResult
 	jobs        map[uint64]*stageJob // submitted and not ended, by job number
+	home        string               // zone where the results will be read
 	released    map[string]bool      // handles of released results
 	inputGone   bool                 // a backend server rejected the request because a stage result was gone
 	ownerLosses int                  // owners lost
 	admitted    bool                 // the admission request was sent
+
+	anchor   shard.Anchor // selects the shards that execute the stages
+	anchored bool
+	refusals []string          // shards that have refused the request
+	shards   map[string]string // where results were made, by handle
 }
 
 // stageJob is a submitted job: the pieces of one stage.
 type stageJob struct {
 	pipeline.Job
-	cancel    func()
-	remaining int // pieces without an outcome
+	submitted
+	shard     string
+	lastUse   bool // the owner releases the inputs
+	remaining int  // pieces without an outcome
 	started   time.Duration
 }
 
@@ -45,12 +58,16 @@
 	// One result for each piece, and for each job and loss of an owner. The
 	// factor of 3 covers the first run of the pipeline and its two restarts.
 	// Sends must not block.
-	bufferSize := maxOwnerLosses * (1 + len(x.route.Stages))
+	bufferSize := (maxOwnerLosses + maxRefusals) * (1 + len(x.route.Stages))
 	for _, n := range x.headers.PieceCounts {
 		bufferSize += n
 	}
+	home := zone
+	if home == "" {
+		home = x.g.config.Settings.Zone
+	}
 	return &stageRun{
-		x: x, results: make(chan *wire.PieceResult, bufferSize*3), jobs: map[uint64]*stageJob{}, released: map[string]bool{},
+		x: x, home: home, results: make(chan *wire.PieceResult, bufferSize*3), jobs: map[uint64]*stageJob{}, released: map[string]bool{}, shards: map[string]string{},
 		pipeline: pipeline.New(pipeline.Config{
 			Stages: x.route.Stages, Pieces: x.headers.PieceCounts, ExpectedZone: zone, Due: x.arrived + x.route.LatencyObjective, Deadline: x.deadline,
 			Traits: func(pool string) *tanagerroad.PieceTraits {
@@ -70,19 +87,71 @@
 		for _, job := range s.pipeline.Ready() {
 			s.submit(job)
 		}
+		hopeless := time.NewTimer(s.lastMoment() - s.x.g.now())
 		select {
+		case <-hopeless.C:
+			if s.tooLate() {
+				s.x.reason = "the stages cannot be made in time any more"
+				return false
+			}
 		case <-s.x.ctx.Done():
 			s.x.reason = "the stages were not made in time"
 			return false
 		case result := <-s.results:
 			if !s.handleResult(result) {
+				hopeless.Stop()
 				return false
 			}
 		}
+		hopeless.Stop()
 	}
 	return true
 }
 
+// refusalTime is reserved for a refusal to reach the caller while another try may still
+// succeed.
+const refusalTime = 20 * time.Millisecond
+
+// minRecheck is the shortest time between two checks of whether jobs are too late.
+const minRecheck = 5 * time.Millisecond
+
+// lastMoment returns when to check next whether a job is too late.
+func (s *stageRun) lastMoment() time.Duration {
+	now := s.x.g.now()
+	next := s.x.deadline
+	for _, job := range s.jobs {
+		moment := job.LatestStart - refusalTime
+		if now >= moment {
+			moment = job.Deadline
+		}
+		next = min(next, moment)
+	}
+	return max(next, now+minRecheck)
+}
+
+// tooLate reports whether a job can't be made in time any more: its owner has not even
+// accepted it when its last call would have to start, or it has not ended when it would
+// have to.
+func (s *stageRun) tooLate() bool {
+	now := s.x.g.now()
+	for _, job := range s.jobs {
+		if now >= job.Deadline || now >= job.LatestStart-refusalTime && !job.accepted() {
+			return true
+		}
+	}
+	return false
+}
+
+// place returns the shard that executes a stage. The first stage decides where the
+// request is made: near the backend server that will read the results, if it is known.
+func (s *stageRun) place(job pipeline.Job) string {
+	if !s.anchored {
+		s.anchor, _ = s.x.g.owners.chooseShard(s.x.headers.AttemptID, job.Pool, s.home, s.refusals)
+		s.anchored = true
+	}
+	return s.x.g.owners.plan().Shard(job.Pool, s.anchor)
+}
+
 // admission returns the request for admission, which describes all stages. It
 // goes to the owner with the first job; afterwards admission returns nil.
 func (s *stageRun) admission(now time.Duration) *wire.Admission {
@@ -103,10 +172,12 @@
 // submit sends the pieces of one stage to the owner.
 func (s *stageRun) submit(job pipeline.Job) {
 	x, now := s.x, s.x.g.now()
+	j := &stageJob{Job: job, shard: s.place(job), remaining: len(job.Pieces), started: now}
+	j.lastUse = job.LastUse && !slices.ContainsFunc(job.Inputs, func(handle string) bool { return s.shards[handle] != j.shard })
 	message := &wire.PieceJob{
 		Request: x.headers.AttemptID, Pool: job.Pool, Stage: uint32(job.Stage), Inputs: job.Inputs,
 		LeftMillis: (job.Deadline - now).Milliseconds(), SlackMillis: (job.Due - now).Milliseconds(),
-		Priority: int32(x.priority), ResultBytes: uint32(job.Bytes), Zone: job.Zone, PullBytes: uint32(job.CrossZoneBytes), LastUse: job.LastUse,
+		Priority: int32(x.priority), ResultBytes: uint32(job.Bytes), Zone: job.Zone, PullBytes: uint32(job.CrossZoneBytes), LastUse: j.lastUse, Shard: j.shard,
 		Cause: quarantine.PieceCause(x.causes[0], job.Pool).Fingerprint,
 	}
 	if len(job.Inputs) == 0 {
@@ -116,8 +187,7 @@
 	for _, n := range job.Pieces {
 		message.Pieces = append(message.Pieces, uint32(n))
 	}
-	j := &stageJob{Job: job, remaining: len(job.Pieces), started: now}
-	j.cancel = x.g.owners.submit(message, func(result *wire.PieceResult) { s.results <- result })
+	j.submitted = x.g.owners.submit(message, func(result *wire.PieceResult) { s.results <- result })
 	s.jobs[message.GetNumber()] = j
 }
 
@@ -129,6 +199,9 @@
 	if !ok {
 		return true
 	}
+	if wait := result.GetWaitMillis(); wait > 0 || result.GetRefused() == "" {
+		x.g.owners.recordWait(job.shard, time.Duration(wait)*time.Millisecond)
+	}
 	if reason := result.GetRefused(); reason != "" {
 		delete(s.jobs, result.GetNumber())
 		s.logEnd(job, reason)
@@ -140,6 +213,9 @@
 			s.submit(job.Job)
 			return true
 		}
+		if s.moveOn(job) {
+			return true
+		}
 		x.reason = "stage " + job.Pool + ": " + reason
 		x.retryAfter = max(defaultRetryDelay, time.Duration(result.GetRetryMillis())*time.Millisecond)
 		return false
@@ -151,12 +227,14 @@
 			failure = piece.GetReason()
 			continue
 		}
+		s.shards[piece.GetHandle()] = job.shard
 		if !s.pipeline.AddResult(job.Stage, int(piece.GetPiece()), piece.GetHandle(), piece.GetZone()) {
 			s.release([]string{piece.GetHandle()})
 		}
 	}
 	if failure != "" {
 		delete(s.jobs, result.GetNumber())
+		job.cancel() // the rest of its pieces would be made in vain
 		s.logEnd(job, failure)
 		if failure == tanagerroad.PieceInputGone && s.restart() {
 			return true
@@ -168,7 +246,7 @@
 		delete(s.jobs, result.GetNumber())
 		x.g.owners.removePending(result.GetNumber())
 		s.logEnd(job, "made")
-		if job.LastUse { // the owner has released the inputs
+		if job.lastUse { // the owner has released the inputs
 			for _, handle := range job.Inputs {
 				s.released[handle] = true
 			}
@@ -178,6 +256,29 @@
 	return true
 }
 
+// moveOn submits a request that a shard has refused, and that has no results yet, to
+// another shard. It returns false if none is left that is likely to admit it.
+func (s *stageRun) moveOn(refused *stageJob) bool {
+	if s.refusals = append(s.refusals, refused.shard); len(s.refusals) >= maxRefusals || len(s.shards) > 0 {
+		return false
+	}
+	anchor, ok := s.x.g.owners.chooseShard(s.x.headers.AttemptID, refused.Pool, s.home, s.refusals)
+	if !ok {
+		return false
+	}
+	again := []pipeline.Job{refused.Job}
+	for _, job := range s.jobs {
+		job.cancel()
+		again = append(again, job.Job)
+	}
+	clear(s.jobs)
+	s.anchor, s.admitted = anchor, false
+	for _, job := range again {
+		s.submit(job)
+	}
+	return true
+}
+
 // logEnd records the end of a job in the log and the metrics.
 func (s *stageRun) logEnd(job *stageJob, outcome string) {
 	now := s.x.g.now()
@@ -222,7 +323,7 @@
 		}
 	}
 	if len(unreleased) > 0 {
-		s.x.g.owners.release(unreleased)
+		s.x.g.owners.releaseAll(unreleased, s.shards)
 	}
 }
 
--- a/io/gateway/try.go
+++ b/io/gateway/try.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"slices"
 	"strconv"
@@ -192,7 +193,8 @@
 	if len(inputs) == 0 {
 		return func() {}
 	}
-	timer := time.AfterFunc(inputFetchTime, func() { x.g.owners.release(inputs) })
+	shards := maps.Clone(x.stages.shards)
+	timer := time.AfterFunc(inputFetchTime, func() { x.g.owners.releaseAll(inputs, shards) })
 	return func() {
 		if !timer.Stop() {
 			x.stages.markReleased(inputs)
--- a/io/gateway/watch.go
+++ b/io/gateway/watch.go
@@ -1,15 +1,18 @@
 package gateway
 
 import (
+	"maps"
 	"slices"
 	"time"
 
 	"go.uber.org/zap"
 
+	"tanagerroad"
 	"tanagerroad/core/catalog"
 	"tanagerroad/core/event"
 	"tanagerroad/core/fleet"
 	"tanagerroad/core/roster"
+	"tanagerroad/core/shard"
 	"tanagerroad/core/wire"
 	"tanagerroad/io/control"
 	"tanagerroad/io/peer"
@@ -22,9 +25,9 @@
 
 // source is a control instance that sends updates to this gateway.
 type source struct {
-	updatedAt time.Duration // time of its latest update; before the first, of the watch's start
-	connected bool          // false before the first update, and while it is silent for too long
-	gateways  []string      // peer addresses of the gateways connected to it
+	updatedAt time.Duration                  // time of its latest update; before the first, of the watch's start
+	connected bool                           // false before the first update, and while it is silent for too long
+	gateways  map[string]tanagerroad.Gateway // connected to it, by address
 }
 
 // watcher returns the watcher of one control instance.
@@ -45,7 +48,7 @@
 	all = slices.Compact(all)
 	for _, address := range all {
 		if g.sources[address] == nil {
-			g.sources[address] = &source{updatedAt: g.now()}
+			g.sources[address] = &source{updatedAt: g.now(), gateways: map[string]tanagerroad.Gateway{}}
 		}
 	}
 	g.control.SetAddresses(all)
@@ -73,7 +76,7 @@
 	s := g.config.Settings
 	notice := &wire.Notice{
 		Process: s.Process, Role: s.Role, Zone: s.Zone, Region: s.Region, WantRoster: true, Catalog: g.CatalogVersion(),
-		Limits: g.ownLimits(),
+		Limits: g.ownLimits(), Capacity: g.self().Capacity,
 	}
 	if !g.draining.Load() {
 		notice.Address = s.Peer.AdvertisedAddress()
@@ -105,8 +108,16 @@
 		g.instances = update.GetInstances()
 		g.updateWatches()
 	}
-	if len(update.GetGateways()) > 0 {
-		s.gateways = update.GetGateways()
+	if update.GetWhole() {
+		s.gateways = map[string]tanagerroad.Gateway{}
+	}
+	for _, info := range update.GetGatewaysChanged() {
+		s.gateways[info.GetAddress()] = peer.GatewayFromWire(info)
+	}
+	for _, gone := range update.GetGatewaysGone() {
+		delete(s.gateways, gone)
+	}
+	if update.GetWhole() || len(update.GetGatewaysChanged()) > 0 || len(update.GetGatewaysGone()) > 0 {
 		g.updateGateways(now)
 	}
 	for _, l := range update.GetLimits() {
@@ -153,7 +164,9 @@
 func (g *Gateway) recordLimit(l fleet.ServerLimit) bool {
 	changed := g.fleet.RecordLimit(l)
 	if changed {
-		g.batcher.limit(l)
+		for _, b := range g.allBatchers() {
+			b.limit(l)
+		}
 	}
 	return changed
 }
@@ -162,7 +175,26 @@
 // held.
 func (g *Gateway) applyRoster(now time.Duration) {
 	g.fleet.Update(g.roster.Usable())
-	g.batcher.setServers(now, g.fleet.Pool, g.fleet.Limited)
+	g.divide(now)
+}
+
+// divide divides the backend servers that execute pieces into shards anew. g.mu must be
+// held.
+func (g *Gateway) divide(now time.Duration) {
+	index := g.catalog.Load()
+	if index == nil {
+		return
+	}
+	var pools []shard.Pool
+	for _, p := range index.Pools {
+		if p.Pieces != nil {
+			pools = append(pools, shard.Pool{Name: p.Name, Traits: *p.Pieces, Servers: g.fleet.Pool(p.Name)})
+		}
+	}
+	g.owners.setPlan(now, shard.NewPlan(g.regions, pools))
+	for _, b := range g.allBatchers() {
+		b.setServers(now)
+	}
 }
 
 // updateGateways recomputes the list of gateways from the lists of all sources.
@@ -170,12 +202,12 @@
 func (g *Gateway) updateGateways(now time.Duration) {
 	var lists []roster.PeerList
 	for _, s := range g.sources {
-		lists = append(lists, roster.PeerList{ReceivedAt: s.updatedAt, Gateways: s.gateways})
+		lists = append(lists, roster.PeerList{ReceivedAt: s.updatedAt, Gateways: slices.Collect(maps.Values(s.gateways))})
 	}
-	all := roster.Peers(now, g.config.Settings.Peer.AdvertisedAddress(), lists)
+	all := roster.Peers(now, g.self(), lists)
 	if !slices.Equal(all, g.gateways) {
 		g.gateways = all
-		g.fleet.SetGateways(g.config.Settings.Peer.AdvertisedAddress(), all)
+		g.fleet.SetGateways(g.self().Address, addresses(all))
 		g.owners.setGateways(now, all)
 		clear(g.retryBudgets) // each gateway's share depends on their number
 	}
@@ -206,6 +238,9 @@
 			break
 		}
 	}
+	g.mu.Lock()
+	g.divide(g.now())
+	g.mu.Unlock()
 	event.CatalogInForce.Log(g.config.Logger, zap.Uint64("version", next.Version), zap.String("source", address),
 		zap.Int("routes", len(next.Routes)), zap.Int("pools", len(next.Pools)), zap.Int("workspaces", len(next.Workspaces)))
 	g.noticeDue.Broadcast()
--- a/io/peer/convert.go
+++ b/io/peer/convert.go
@@ -92,3 +92,13 @@
 		ID: l.GetServer(), StartMillis: l.GetStart(), PerSecond: l.GetPerSecond(), HeardAt: now - time.Duration(l.GetAgeMillis())*time.Millisecond,
 	}
 }
+
+// GatewayToWire converts a gateway to its wire message.
+func GatewayToWire(g tanagerroad.Gateway) *wire.GatewayInfo {
+	return &wire.GatewayInfo{Address: g.Address, Zone: g.Zone, Capacity: g.Capacity}
+}
+
+// GatewayFromWire converts a wire message to a gateway.
+func GatewayFromWire(g *wire.GatewayInfo) tanagerroad.Gateway {
+	return tanagerroad.Gateway{Address: g.GetAddress(), Zone: g.GetZone(), Capacity: g.GetCapacity()}
+}
--- a/server.go
+++ b/server.go
@@ -83,3 +83,10 @@
 	}
 	return slices.Contains(s.Models, model)
 }
+
+// Gateway describes a gateway to other gateways.
+type Gateway struct {
+	Address  string // host:port for other processes
+	Zone     string
+	Capacity float64 // pieces of stages that it can batch in a second; 0: unknown
+}
