--- a/core/owner/owner.go
+++ b/core/owner/owner.go
@@ -66,7 +66,6 @@
 	shards     []shard.Shard
 	avoidUntil map[string]time.Duration // by address of a lost gateway
 	chosen     map[string]string        // owner by shard, without the avoided gateways
-	chosenAt   time.Duration            // when chosen was computed
 	stale      bool                     // chosen must be computed again
 	preferred  map[string]string        // choice of a gateway that has lost no other, by shard
 	changed    map[string]time.Duration // latest change of preferred, by shard
