core/batch, io/gateway: a second copy of an answer is not the answer to the next call

What callers could have seen: a request that reads the stage results of another one.

Cause: a call for pieces carries no id that its answer repeats, so a late second copy of an answer, which arrives on a kept connection as the next call is sent, was taken for the answer to that call if it had as many outcomes.

Ruled out: requests (their answers name their id; others are skipped), connections on which the copy arrives while they are idle (they are closed).

Change: an answer that names a result which the same start of a backend server has named before is not taken; the connection is closed and the pieces are made again. A copy whose outcomes are all failures can't be told apart; it mixes nothing up.

Test: TestSecondAnswerIsTakenForNextCall, red without the check (two of four requests were given the result of another one).

--- a/core/batch/worker.go
+++ b/core/batch/worker.go
@@ -18,10 +18,11 @@
 	limit        float64       // calls a second that it takes; 0: any number
 	limitedUntil time.Duration // the limit allows no call before
 	idleSince    time.Duration
-	results      map[string]storedResult // by handle
-	resultBytes  int64                   // total size of results
-	pendingBytes int64                   // reserved for the results of calls in flight
-	uncontended  bool                    // its last call started without queueing
+	results      map[string]storedResult  // by handle
+	answered     map[string]time.Duration // when an answer named a result, by handle
+	resultBytes  int64                    // total size of results
+	pendingBytes int64                    // reserved for the results of calls in flight
+	uncontended  bool                     // its last call started without queueing
 }
 
 // storedResult is a result that a backend server keeps for later stages.
@@ -30,6 +31,10 @@
 	until time.Duration // expiry
 }
 
+// answerMemory is how long the results that an answer named are remembered: longer than
+// a connection is kept for another call.
+const answerMemory = 15 * time.Second
+
 // unknownResults is the handle under which results of other owners are counted.
 const unknownResults = ""
 
@@ -104,6 +109,32 @@
 	w.resultBytes += rest
 }
 
+// IsRepeated reports whether the outcomes of a call name a result that an earlier answer
+// of the backend server has named. They are a second copy of that answer, which arrived
+// in place of the answer to this call: calls carry no id that answers repeat.
+func (p *Pool) IsRepeated(at time.Duration, server tanagerroad.Announcement, outcomes []tanagerroad.PieceOutcome) bool {
+	w := p.workers[server.ID]
+	if w == nil || w.StartMillis != server.StartMillis {
+		return false
+	}
+	for handle, answeredAt := range w.answered {
+		if at-answeredAt > answerMemory {
+			delete(w.answered, handle)
+		}
+	}
+	for _, o := range outcomes {
+		if _, ok := w.answered[o.Handle]; ok {
+			return true
+		}
+	}
+	for _, o := range outcomes {
+		if o.Handle != "" {
+			w.answered[o.Handle] = at
+		}
+	}
+	return false
+}
+
 // updateWorker updates a backend server's load, slowdown and ejection after a
 // call.
 func (p *Pool) updateWorker(at time.Duration, w *worker, call *Call, outcomes []tanagerroad.PieceOutcome, full bool) {
--- a/io/gateway/batcher.go
+++ b/io/gateway/batcher.go
@@ -350,7 +350,7 @@
 		releaseTimer = time.AfterFunc(inputFetchTime, func() { b.release(inputs) })
 	}
 	overdueTimer := time.AfterFunc(call.Timeout(), func() { b.abandon(name, p, call) })
-	outcomes, full, err := b.send(call, items)
+	outcomes, full, err := b.send(name, call, items)
 	overdueTimer.Stop()
 	b.recordCrash(call, outcomes, err)
 	if outcomes == nil && releaseTimer != nil {
@@ -413,9 +413,19 @@
 	b.dispatch(name, p)
 }
 
+// errRepeatedAnswer is the error of a call that got the answer of an earlier one.
+var errRepeatedAnswer = errors.New("the backend server sent the answer of an earlier call again")
+
+func (b *pieceBatcher) isRepeated(pool string, call *batch.Call, outcomes []tanagerroad.PieceOutcome) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	p := b.pools[pool]
+	return p != nil && p.IsRepeated(b.g.now(), call.Server, outcomes)
+}
+
 // send sends the items to the call's backend server and returns their outcomes.
 // full means that the backend server was busy and executed none of them.
-func (b *pieceBatcher) send(call *batch.Call, items []tanagerroad.PieceItem) (outcomes []tanagerroad.PieceOutcome, full bool, err error) {
+func (b *pieceBatcher) send(name string, call *batch.Call, items []tanagerroad.PieceItem) (outcomes []tanagerroad.PieceOutcome, full bool, err error) {
 	body, err := b.g.config.Dialect.EncodePieceRequest(items)
 	if err != nil {
 		return nil, false, err
@@ -447,6 +457,10 @@
 	if len(outcomes) != len(items) {
 		return nil, false, fmt.Errorf("backend server returned %d outcomes for %d pieces", len(outcomes), len(items))
 	}
+	if b.isRepeated(name, call, outcomes) {
+		res.Discard()
+		return nil, false, errRepeatedAnswer
+	}
 	return outcomes, false, nil
 }
 
--- a/io/gateway/shards_test.go
+++ b/io/gateway/shards_test.go
@@ -1,8 +1,11 @@
 package gateway
 
 import (
+	"bufio"
 	"fmt"
+	"net"
 	"net/http"
+	"net/http/httputil"
 	"testing"
 	"time"
 
@@ -134,3 +137,73 @@
 		t.Errorf("refused by %q while %q has a longer queue: chose %+v, want none", own, other, anchor)
 	}
 }
+
+// TestSecondAnswerIsTakenForNextCall guards against a second copy of an answer that comes
+// when the next call is sent, and that is taken for the answer to it.
+func TestSecondAnswerIsTakenForNextCall(t *testing.T) {
+	p := newPieceServer(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	go repeatAnswers(listener, p.Listener.Addr().String())
+	g, _ := newTestGateway(t, p.backend)
+	g.mu.Lock()
+	g.roster.Apply(g.now(), "c", tanagerroad.Announcement{
+		ID: p.id, Pool: "prep", Address: listener.Addr().String(), Zone: "z", Slots: 4, State: tanagerroad.Serving, Sequence: 1, StartMillis: 2000,
+	})
+	g.applyRoster(g.now())
+	g.mu.Unlock()
+	made := map[string]string{} // request by handle
+	for i := range 4 {
+		request := fmt.Sprint("r", i)
+		results := make(chan *wire.PieceResult, 1)
+		g.batcher("").submit("a", &wire.PieceJob{
+			Number: uint64(i + 1), Request: request, Pool: "prep", Pieces: []uint32{0}, LeftMillis: 3000, SlackMillis: 3000,
+		}, func(r *wire.PieceResult) { results <- r })
+		r := <-results
+		if len(r.GetPieces()) != 1 {
+			t.Fatalf("%s: %v", request, r)
+		}
+		handle := r.GetPieces()[0].GetHandle()
+		if other, ok := made[handle]; ok {
+			t.Errorf("%s was given the result %s of %s", request, handle, other)
+		}
+		made[handle] = request
+	}
+}
+
+// repeatAnswers passes connections on to a server and sends the answer to each request
+// again when the next one arrives.
+func repeatAnswers(listener net.Listener, server string) {
+	for {
+		conn, err := listener.Accept()
+		if err != nil {
+			return // closed
+		}
+		go func() {
+			defer func() { _ = conn.Close() }()
+			var last []byte
+			for requests := bufio.NewReader(conn); ; {
+				request, err := http.ReadRequest(requests)
+				if err != nil {
+					return
+				}
+				request.URL.Scheme, request.URL.Host, request.RequestURI = "http", server, ""
+				response, err := http.DefaultTransport.RoundTrip(request)
+				if err != nil {
+					return
+				}
+				answer, err := httputil.DumpResponse(response, true)
+				if err != nil {
+					return
+				}
+				if _, err := conn.Write(append(last, answer...)); err != nil {
+					return
+				}
+				last = answer
+			}
+		}()
+	}
+}
