core/replica, io/peer: a leader sooner when all instances have restarted

Cause: a replica waited for one to two election timeouts (0.6 s) for a leader's heartbeat although it had known none since its start; a dial to an instance without power, which answers nothing, took a second.

First try, not kept: a quarter of the usual timeout once, after the start.

Change: until a replica has known a leader since its start, its timeouts lie between a quarter of the least one and the least one, again after a split vote. The others refuse its pre-vote where somebody leads, so it disturbs no leader. A dial to another process is given up after 0.4 s, and tried again.

--- a/core/replica/replica.go
+++ b/core/replica/replica.go
@@ -126,6 +126,7 @@
 	rngState        uint64
 	votes           map[string]bool      // votes or pre-votes granted to this replica, by identity
 	peers           map[string]*progress // the other members, by identity; kept by a leader
+	hadLeader       bool                 // a leader was known since the start
 	lastHeartbeat   time.Duration
 	round           uint64             // number of the latest read; appends carry it and replies return it
 	reads           []pendingRead      // oldest first
@@ -137,6 +138,12 @@
 	out Output
 }
 
+// earlyElectionDivisor shortens the least election timeout of a replica that has known no
+// leader since its start. When all replicas have restarted, nobody leads; where somebody
+// leads, the others refuse the pre-vote. The timeouts still differ by most of the
+// configured minimum, so that few votes are split.
+const earlyElectionDivisor = 4
+
 // New returns a replica that continues from stored. If the snapshot has an image,
 // the first Output holds it in Restore.
 func New(config Config, at time.Duration, stored Stored) *Replica {
@@ -290,14 +297,19 @@
 }
 
 // resetElectionTimer restarts the election timer with a random timeout between
-// one and two times the configured minimum.
+// one and two times the configured minimum, or below it if there was no leader yet.
 func (r *Replica) resetElectionTimer(at time.Duration) {
 	// xorshift64 is enough: the timeouts only have to differ between replicas.
 	r.rngState ^= r.rngState << 13
 	r.rngState ^= r.rngState >> 7
 	r.rngState ^= r.rngState << 17
 	r.timerReset = at
-	r.electionTimeout = r.config.ElectionTimeout + time.Duration(r.rngState%uint64(r.config.ElectionTimeout))
+	least, spread := r.config.ElectionTimeout, r.config.ElectionTimeout
+	if !r.hadLeader {
+		least /= earlyElectionDivisor
+		spread -= least
+	}
+	r.electionTimeout = least + time.Duration(r.rngState%uint64(spread))
 }
 
 func (r *Replica) send(to, kind string, m *wire.Message) {
@@ -337,7 +349,7 @@
 func (r *Replica) Tick(at time.Duration) {
 	r.discountPause(at)
 	if r.leader != "" {
-		r.leaderSeen = at
+		r.leaderSeen, r.hadLeader = at, true
 	}
 	if r.role == Leader {
 		r.leaderTick(at)
--- a/io/peer/link.go
+++ b/io/peer/link.go
@@ -22,7 +22,8 @@
 
 // Timeouts and buffer size of a connection.
 const (
-	connectTimeout     = time.Second
+	connectTimeout     = 400 * time.Millisecond // a peer that has no power yet doesn't refuse, and is tried again
+	setupTimeout       = time.Second            // for a client's connection to be set up
 	maxBackoff         = time.Second
 	serverPingInterval = 2 * time.Second // idle time after which a server pings its client
 	serverPingTimeout  = 2 * time.Second // for the client to reply before the connection is closed
@@ -114,7 +115,7 @@
 	server := grpc.NewServer(
 		// A graceful stop waits for connections that are not yet set up, so
 		// this timeout bounds how long a silent client can delay it.
-		grpc.ConnectionTimeout(connectTimeout),
+		grpc.ConnectionTimeout(setupTimeout),
 		grpc.MaxConcurrentStreams(uint32(config.MaxStreams)),
 		grpc.MaxRecvMsgSize(int(config.MaxMessage)),
 		grpc.StatsHandler(meter.statsHandler(Inbound)),
