--- a/core/batch/worker.go
+++ b/core/batch/worker.go
@@ -19,7 +19,7 @@
 	limitedUntil time.Duration // the limit allows no call before
 	idleSince    time.Duration
 	results      map[string]storedResult  // by handle
-	answered     map[string]time.Duration // when an answer named a result, by handle
+	answered     map[string]answeredPiece // by handle
 	resultBytes  int64                    // total size of results
 	pendingBytes int64                    // reserved for the results of calls in flight
 	uncontended  bool                     // its last call started without queueing
@@ -31,6 +31,17 @@
 	until time.Duration // expiry
 }
 
+// answeredPiece is the piece for which an answer named a result.
+type answeredPiece struct {
+	request      string
+	stage, index int
+	at           time.Duration // of the answer
+}
+
+func (a answeredPiece) isSame(q *Piece) bool {
+	return a.request == q.Job.Request && a.stage == q.Job.Stage && a.index == q.Index
+}
+
 // answerMemory is how long the results that an answer named are remembered: longer than
 // a connection is kept for another call.
 const answerMemory = 15 * time.Second
@@ -109,27 +120,28 @@
 	w.resultBytes += rest
 }
 
-// IsRepeated reports whether the outcomes of a call name a result that an earlier answer
-// of the backend server has named. They are a second copy of that answer, which arrived
-// in place of the answer to this call: calls carry no id that answers repeat.
-func (p *Pool) IsRepeated(at time.Duration, server tanagerroad.Announcement, outcomes []tanagerroad.PieceOutcome) bool {
-	w := p.workers[server.ID]
-	if w == nil || w.StartMillis != server.StartMillis {
+// IsRepeated reports whether the outcomes of a call, one for each of its pieces, name a
+// result that an earlier answer of the backend server has named for another piece. They are
+// a second copy of that answer, which arrived in place of the answer to this call: calls
+// carry no id that answers repeat. A piece that is made again may have the same handle.
+func (p *Pool) IsRepeated(at time.Duration, call *Call, outcomes []tanagerroad.PieceOutcome) bool {
+	w := p.workers[call.Server.ID]
+	if w == nil || w.StartMillis != call.Server.StartMillis {
 		return false
 	}
-	for handle, answeredAt := range w.answered {
-		if at-answeredAt > answerMemory {
+	for handle, earlier := range w.answered {
+		if at-earlier.at > answerMemory {
 			delete(w.answered, handle)
 		}
 	}
-	for _, o := range outcomes {
-		if _, ok := w.answered[o.Handle]; ok {
+	for i, o := range outcomes {
+		if earlier, ok := w.answered[o.Handle]; ok && !earlier.isSame(call.Pieces[i]) {
 			return true
 		}
 	}
-	for _, o := range outcomes {
-		if o.Handle != "" {
-			w.answered[o.Handle] = at
+	for i, o := range outcomes {
+		if q := call.Pieces[i]; o.Handle != "" {
+			w.answered[o.Handle] = answeredPiece{q.Job.Request, q.Job.Stage, q.Index, at}
 		}
 	}
 	return false
--- a/core/shard/plan.go
+++ b/core/shard/plan.go
@@ -42,7 +42,7 @@
 // division is how one pool is divided.
 type division struct {
 	level    level
-	capacity map[string]float64
+	capacity map[string]float64                    // pieces a second, by shard
 	servers  map[string][]tanagerroad.Announcement // by shard
 }
 
--- a/io/control/service.go
+++ b/io/control/service.go
@@ -53,7 +53,7 @@
 	clock  tanagerroad.Clock
 	logger *zap.Logger
 
-	mu             sync.Mutex           // guards directory, roster, processes and limits
+	mu             sync.Mutex           // guards the fields down to gatewayVersion
 	directory      *directory.Directory // backend servers, from the notices of their sidecars
 	roster         *roster.Roster       // backend servers that announce themselves to control instances
 	processes      map[string]*process
--- a/io/gateway/batcher.go
+++ b/io/gateway/batcher.go
@@ -106,8 +106,7 @@
 	return b
 }
 
-// allBatchers returns the batchers of all shards that this gateway has jobs of, or had
-// lately.
+// allBatchers returns the batchers of all shards that this gateway has or had jobs of.
 func (g *Gateway) allBatchers() []*pieceBatcher {
 	g.batchersMu.Lock()
 	defer g.batchersMu.Unlock()
@@ -420,7 +419,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	p := b.pools[pool]
-	return p != nil && p.IsRepeated(b.g.now(), call.Server, outcomes)
+	return p != nil && p.IsRepeated(b.g.now(), call, outcomes)
 }
 
 // send sends the items to the call's backend server and returns their outcomes.
