core/batch: old answers are forgotten once in 15 s, not at each answer

Found in reading: IsRepeated went through all results that a backend server had named in 15 s, some 2,000, at each answer. It runs for each call, at the gateways with the most to do. What counts as repeated stays the same: the age is looked at when a handle is found.

--- a/core/batch/worker.go
+++ b/core/batch/worker.go
@@ -1,6 +1,7 @@
 package batch
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -20,6 +21,7 @@
 	idleSince    time.Duration
 	results      map[string]storedResult  // by handle
 	answered     map[string]answeredPiece // by handle
+	forgetAt     time.Duration            // when to look for old entries of answered
 	resultBytes  int64                    // total size of results
 	pendingBytes int64                    // reserved for the results of calls in flight
 	uncontended  bool                     // its last call started without queueing
@@ -120,6 +122,16 @@
 	w.resultBytes += rest
 }
 
+// forgetAnswers drops what was answered too long ago. It looks through the answers once
+// in answerMemory only, since there may be thousands.
+func (w *worker) forgetAnswers(at time.Duration) {
+	if at < w.forgetAt {
+		return
+	}
+	w.forgetAt = at + answerMemory
+	maps.DeleteFunc(w.answered, func(_ string, earlier answeredPiece) bool { return at-earlier.at > answerMemory })
+}
+
 // IsRepeated reports whether the outcomes of a call, one for each of its pieces, name a
 // result that an earlier answer of the backend server has named for another piece. They are
 // a second copy of that answer, which arrived in place of the answer to this call: calls
@@ -129,13 +141,9 @@
 	if w == nil || w.StartMillis != call.Server.StartMillis {
 		return false
 	}
-	for handle, earlier := range w.answered {
-		if at-earlier.at > answerMemory {
-			delete(w.answered, handle)
-		}
-	}
+	w.forgetAnswers(at)
 	for i, o := range outcomes {
-		if earlier, ok := w.answered[o.Handle]; ok && !earlier.isSame(call.Pieces[i]) {
+		if earlier, ok := w.answered[o.Handle]; ok && at-earlier.at <= answerMemory && !earlier.isSame(call.Pieces[i]) {
 			return true
 		}
 	}
