io/gateway, core/event: the log says what had flowed at a server that broke off

The line server-broke-off now counts the attempts that ended with a server by how far their answers had come, and says whether the server refuses connections; answer-clears names the request whose answer took its causes out of the quarantine.

--- a/io/gateway/batcher.go
+++ b/io/gateway/batcher.go
@@ -16,6 +16,7 @@
 	"go.uber.org/zap"
 
 	"tanagerroad"
+	"tanagerroad/core/attempt"
 	"tanagerroad/core/batch"
 	"tanagerroad/core/event"
 	"tanagerroad/core/fleet"
@@ -390,17 +391,21 @@
 		for _, job := range jobs {
 			causes = append(causes, quarantine.JobCause(job.Cause))
 		}
-		b.g.recordBegin(causes)
+		b.g.recordBegin("", causes)
 		return
 	}
 	call.Crashed = endsWithConnection(err) && !isUnsent(err) && b.g.client.Refuses(b.g.ctx, call.Server.Address)
 	if !call.Crashed {
 		return
 	}
+	progress := attempt.Waiting
+	if len(jobs) == 1 { // nothing else was run
+		progress = attempt.Begun
+	}
 	for _, job := range jobs {
 		causes := []quarantine.Cause{quarantine.JobCause(job.Cause)}
 		call.GiveUp = call.GiveUp || b.g.isQuarantined(causes)
-		b.g.recordBrokenAttempt(call.Server, causes, len(jobs) == 1)
+		b.g.recordBrokenAttempt(call.Server, causes, progress)
 	}
 }
 
--- a/io/gateway/crashes.go
+++ b/io/gateway/crashes.go
@@ -33,6 +33,13 @@
 	start int64
 }
 
+// brokenAttempts are the attempts that ended with the connections of one start of a
+// backend server, by how far their answers had come.
+type brokenAttempts struct {
+	suspects                []*wire.CrashSuspect
+	waiting, begun, flowing int
+}
+
 // errQuarantined is the error of a request that was not sent since requests like it
 // have meanwhile been convicted of crashing backend servers.
 var errQuarantined = errors.New("the request is quarantined")
@@ -89,16 +96,20 @@
 func (x *exchange) recordProgress(p attempt.Progress) {
 	if p == attempt.Flowing && x.progress != attempt.Flowing {
 		x.flowing.Store(true)
-		x.g.recordBegin(x.causes)
+		x.g.recordBegin(x.headers.AttemptID, x.causes)
 	}
 	x.progress = p
 }
 
-// recordBegin records that something with these causes got an answer.
-func (g *Gateway) recordBegin(causes []quarantine.Cause) {
+// recordBegin records that something with these causes got an answer. request is the id
+// of the request, or empty for a call for pieces of several.
+func (g *Gateway) recordBegin(request string, causes []quarantine.Cause) {
 	g.mu.Lock()
 	clearable := g.quarantine.RecordBegin(g.now(), causes)
 	g.mu.Unlock()
+	if len(clearable) > 0 {
+		event.AnswerClears.Log(g.config.Logger, zap.String("request", request), zap.Uint64s("fingerprints", clearable))
+	}
 	g.clearCauses(clearable)
 }
 
@@ -117,23 +128,34 @@
 	}
 }
 
-// recordBrokenAttempt records that an attempt ended with its connection before its answer
-// flowed. If the backend server turns out to have crashed, the request is reported.
-func (g *Gateway) recordBrokenAttempt(server tanagerroad.Announcement, causes []quarantine.Cause, begun bool) {
+// recordBrokenAttempt records that an attempt ended with its connection. If the backend
+// server turns out to have crashed, the request is reported unless its answer flowed.
+func (g *Gateway) recordBrokenAttempt(server tanagerroad.Announcement, causes []quarantine.Cause, progress attempt.Progress) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	suspect := &wire.CrashSuspect{Begun: begun}
-	for _, c := range g.quarantine.Suspects(g.now(), causes) {
-		suspect.Causes = append(suspect.Causes, c.ToWire())
+	start := serverStart{server.ID, server.StartMillis}
+	broken := g.broken[start]
+	if broken == nil {
+		broken = &brokenAttempts{}
+		g.broken[start] = broken
+		time.AfterFunc(crashWindow, func() { g.reportCrash(server) })
 	}
-	if len(suspect.GetCauses()) == 0 {
+	switch progress {
+	case attempt.Flowing:
+		broken.flowing++
 		return
+	case attempt.Begun:
+		broken.begun++
+	default:
+		broken.waiting++
 	}
-	start := serverStart{server.ID, server.StartMillis}
-	if g.broken[start] == nil {
-		time.AfterFunc(crashWindow, func() { g.reportCrash(server) })
+	suspect := &wire.CrashSuspect{Begun: progress == attempt.Begun}
+	for _, c := range g.quarantine.Suspects(g.now(), causes) {
+		suspect.Causes = append(suspect.Causes, c.ToWire())
+	}
+	if len(suspect.GetCauses()) > 0 {
+		broken.suspects = append(broken.suspects, suspect)
 	}
-	g.broken[start] = append(g.broken[start], suspect)
 }
 
 // reportCrash reports a backend server to the control instances, with the requests whose
@@ -142,10 +164,14 @@
 	start := serverStart{server.ID, server.StartMillis}
 	crashed := g.client.Refuses(g.ctx, server.Address)
 	g.mu.Lock()
-	suspects := g.broken[start]
+	broken := g.broken[start]
 	delete(g.broken, start)
 	g.mu.Unlock()
-	if !crashed {
+	suspects := broken.suspects
+	event.ServerBrokeOff.Log(g.config.Logger, zap.String("server", server.ID), zap.String("pool", server.Pool), zap.Int64("start", server.StartMillis),
+		zap.Bool("crashed", crashed), zap.Int("waiting", broken.waiting), zap.Int("begun", broken.begun), zap.Int("flowing", broken.flowing),
+		zap.Int("suspects", len(suspects)))
+	if !crashed || len(suspects) == 0 {
 		return
 	}
 	begun := 0
--- a/io/gateway/crashes_test.go
+++ b/io/gateway/crashes_test.go
@@ -17,6 +17,7 @@
 	grpcstatus "google.golang.org/grpc/status"
 
 	"tanagerroad"
+	"tanagerroad/core/attempt"
 	"tanagerroad/core/batch"
 	"tanagerroad/core/quarantine"
 	"tanagerroad/core/registry"
@@ -44,6 +45,18 @@
 	}}})
 }
 
+// brokenSuspects returns the requests whose attempts ended with the connections of the
+// first start of a backend server.
+func brokenSuspects(g *Gateway, server string) []*wire.CrashSuspect {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	broken := g.broken[serverStart{server, 1}]
+	if broken == nil {
+		return nil
+	}
+	return broken.suspects
+}
+
 // TestLostCallsCountAsCrashes guards against jobs that are suspected because a call was lost
 // or not sent, and against those that are not although the backend server crashed.
 func TestLostCallsCountAsCrashes(t *testing.T) {
@@ -71,9 +84,7 @@
 			call.Pieces = append(call.Pieces, &batch.Piece{Job: &batch.Job{ID: string(rune('a' + i)), Cause: uint64(7 + i)}})
 		}
 		g.batcher("").recordCrash(call, c.outcomes, c.err)
-		g.mu.Lock()
-		suspects := g.broken[serverStart{"prep1", 1}]
-		g.mu.Unlock()
+		suspects := brokenSuspects(g, "prep1")
 		want := 0
 		if c.crashed {
 			want = c.jobs
@@ -100,9 +111,7 @@
 			Pieces: []*batch.Piece{{Job: &batch.Job{ID: "a", Cause: cause}}},
 		}
 		g.batcher("").recordCrash(call, nil, io.ErrUnexpectedEOF)
-		g.mu.Lock()
-		defer g.mu.Unlock()
-		return call, len(g.broken[serverStart{"prep1", 1}])
+		return call, len(brokenSuspects(g, "prep1"))
 	}
 	convict(g, 2, 7, true)
 	convict(g, 1, 7, false) // late
@@ -113,7 +122,7 @@
 		t.Error("pieces of another job are given up")
 	}
 	_, before := lose(9)
-	g.recordBegin([]quarantine.Cause{quarantine.JobCause(10)})
+	g.recordBegin("", []quarantine.Cause{quarantine.JobCause(10)})
 	if _, after := lose(10); after != before {
 		t.Errorf("%d suspects, want %d: a job that has just got an answer is none", after, before)
 	}
@@ -128,7 +137,8 @@
 	for id, address := range map[string]string{"up": up, "down": closedAddress(t)} {
 		for cause := range uint64(2) {
 			server := tanagerroad.Announcement{ID: id, Pool: "p", Address: address, StartMillis: 1}
-			g.recordBrokenAttempt(server, []quarantine.Cause{{Fingerprint: cause + 1, Label: "x"}}, cause == 0)
+			progress := []attempt.Progress{attempt.Begun, attempt.Waiting}[cause]
+			g.recordBrokenAttempt(server, []quarantine.Cause{{Fingerprint: cause + 1, Label: "x"}}, progress)
 		}
 	}
 	crashed := func() int { return logs.FilterMessage("server-crashed").Len() }
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -88,13 +88,13 @@
 	roster         *roster.Roster
 	fleet          *fleet.Fleet
 	quarantine     *quarantine.View
-	broken         map[serverStart][]*wire.CrashSuspect // requests whose attempts ended with their connections
-	bases          map[string]string                    // base version of each pool, see package origin
-	baseChanges    uint64                               // of bases
-	retryBudgets   map[string]*limit.Budget             // by pool
-	sources        map[string]*source                   // control instances, by address
-	gateways       []tanagerroad.Gateway                // all gateways, including this one
-	rosterComplete bool                                 // a source has sent its complete roster
+	broken         map[serverStart]*brokenAttempts // attempts that ended with their connections, until that is reported
+	bases          map[string]string               // base version of each pool, see package origin
+	baseChanges    uint64                          // of bases
+	retryBudgets   map[string]*limit.Budget        // by pool
+	sources        map[string]*source              // control instances, by address
+	gateways       []tanagerroad.Gateway           // all gateways, including this one
+	rosterComplete bool                            // a source has sent its complete roster
 
 	seeds     []string // addresses of control instances, from the settings
 	instances []string // addresses of control instances, from their updates
@@ -118,7 +118,7 @@
 		config: config, client: client, ctx: ctx, noticeDue: signal.New(),
 		control: control.NewClient(config.Conns, config.Settings.Control, config.Logger),
 		roster:  roster.New(roster.DefaultConfig()), fleet: fleet.New(regions),
-		quarantine: quarantine.NewView(quarantine.DefaultConfig().Duration), broken: map[serverStart][]*wire.CrashSuspect{},
+		quarantine: quarantine.NewView(quarantine.DefaultConfig().Duration), broken: map[serverStart]*brokenAttempts{},
 		retryBudgets: map[string]*limit.Budget{}, sources: map[string]*source{},
 		batchers: map[string]*pieceBatcher{}, regions: regions,
 		meters:  newMeters(config.Metrics),
--- a/io/gateway/try.go
+++ b/io/gateway/try.go
@@ -66,8 +66,8 @@
 		limitField(now, limit), avoided)
 	end, status, outcome := x.send(choice)
 	x.endTrial()
-	if x.brokenOff && x.progress != attempt.Flowing {
-		g.recordBrokenAttempt(choice.Announcement, x.causes, x.progress == attempt.Begun)
+	if x.brokenOff {
+		g.recordBrokenAttempt(choice.Announcement, x.causes, x.progress)
 	}
 	g.mu.Lock()
 	g.fleet.RecordEnd(g.now(), choice.ID, outcome)
