--- a/core/quarantine/quarantine_test.go
+++ b/core/quarantine/quarantine_test.go
@@ -203,3 +203,42 @@
 		t.Errorf("got entries %v after an answer, want none", ledger.Entries())
 	}
 }
+
+// TestSlowRepeatsAreForgotten guards against a request that crashes each backend server
+// that runs it and that comes back so slowly that its crashes, or its conviction, are
+// forgotten meanwhile.
+func TestSlowRepeatsAreForgotten(t *testing.T) {
+	const (
+		played      = int64(3 * 60 * 60 * 1000)
+		contactTime = 3000 // milliseconds
+		mostLate    = 3
+	)
+	config := quarantine.DefaultConfig()
+	cause := &wire.Cause{Fingerprint: 1, Label: "bad", Exact: true}
+	for _, interval := range []int64{300, 1000, 2000, 9000, 25_000, 40_000, 61_000, 100_000, 300_000, 700_000} {
+		ledger := quarantine.New(config)
+		var crashes []int64
+		late := 0
+		for at := int64(0); at < played; at += interval {
+			ledger.Expire(at)
+			convicted := slices.ContainsFunc(ledger.Entries(), func(c *wire.Conviction) bool { return c.GetConvicted() })
+			if convicted && !ledger.ClaimTrial(at, cause.GetFingerprint()) {
+				continue
+			}
+			if len(crashes) >= crashesThatCount && at > crashes[crashesThatCount-1]+contactTime {
+				late++
+			}
+			server := fmt.Sprint("s", len(crashes))
+			ledger.Report(at+10, &wire.CrashReport{Server: server, Start: 1, Suspects: []*wire.CrashSuspect{{Begun: true, Causes: []*wire.Cause{cause}}}})
+			ledger.Report(at+10+config.SettleTime.Milliseconds(), &wire.CrashReport{Server: server, Start: 1})
+			crashes = append(crashes, at+10)
+		}
+		if late > mostLate {
+			t.Errorf("sent each %d ms: %d times later than %d ms after crash %d of %d, want at most %d", interval, late, contactTime, crashesThatCount, len(crashes), mostLate)
+		}
+	}
+}
+
+// crashesThatCount is the number of crashes after which the users' rule counts a request
+// that comes again.
+const crashesThatCount = 3
