--- a/core/attempt/attempt.go
+++ b/core/attempt/attempt.go
@@ -29,6 +29,9 @@
 	Paused    End = "paused"    // not begun: all backend servers want no requests for a time
 )
 
+// MayHaveRun reports whether the backend server may have run the request.
+func (e End) MayHaveRun() bool { return e == Lost || e == Answered || e == Broken }
+
 // Progress is how far the answer to an attempt has come.
 type Progress string
 
--- a/core/quarantine/fleet_test.go
+++ b/core/quarantine/fleet_test.go
@@ -29,9 +29,12 @@
 	OutageEveryMs int     `json:"outage-every-ms"`
 	OutageSize    int     `json:"outage-size"` // servers that crash together
 	Same          bool    // all sound requests are one that is sent again, and so are those that crash servers
-	HeadLost      bool    `json:"head-lost"` // no header of their answers arrives
-	Ambiguous     bool    `json:"ambiguous"` // so many crashes for so few parts that one may seem to be the cause
+	PoisonSame    bool    `json:"poison-same"` // those that crash servers are one request that is sent again, among others that differ
+	HeadLost      bool    `json:"head-lost"`   // no header of their answers arrives
+	Ambiguous     bool    `json:"ambiguous"`   // so many crashes for so few parts that one may seem to be the cause
 	ContactMs     int     `json:"contact-ms"`
+	StreamMs      int     `json:"stream-ms"`      // longest time that an answer flows; 0: it is whole at once
+	PoisonFlowMs  int     `json:"poison-flow-ms"` // how long those that crash servers flow before; 0: they have no event
 }
 
 // Times of the simulation.
@@ -43,6 +46,9 @@
 	publishDelay  = 150 * time.Millisecond // from a change of the ledger until gateways know
 	downTime      = 2 * time.Second
 	warmUp        = 3 * time.Second // before the first request that crashes servers
+	trialTime     = 4 * time.Second // the most that a trial may take
+	trialClaims   = 5               // the most times that a request asks for one
+	claimInterval = 100 * time.Millisecond
 )
 
 type simRequest struct {
@@ -50,7 +56,9 @@
 	causes  []quarantine.Cause
 	poison  string        // the part that crashes servers; empty: none
 	begins  time.Duration // the header of its answer
-	flows   time.Duration // its first event, or the crash
+	flows   time.Duration // its first event
+	ends    time.Duration // its last event, or the crash
+	resumed bool          // a server has crashed over it or beside it, and it goes on at another
 }
 
 type simServer struct {
@@ -109,16 +117,35 @@
 	})
 }
 
-// crash ends a server. Each gateway reports its requests there that had no event.
+func (s *simulation) serverStart(i int) tanagerroad.Announcement {
+	return tanagerroad.Announcement{ID: fmt.Sprint(i), StartMillis: s.servers[i].start}
+}
+
+// crash ends a server. Each gateway reports its requests there. Streams go on at another
+// server once.
 func (s *simulation) crash(i int) {
 	server := &s.servers[i]
 	reports := map[int][]*wire.CrashSuspect{}
-	for _, r := range server.inFlight {
-		suspect := &wire.CrashSuspect{Begun: s.now >= r.begins}
-		for _, c := range s.views[r.gateway].Suspects(s.now, r.causes) {
+	report := func(gateway int, causes []quarantine.Cause, begun, flowed bool) {
+		suspect := &wire.CrashSuspect{Begun: begun && !flowed, Flowed: flowed}
+		for _, c := range s.views[gateway].Suspects(s.now, causes) {
 			suspect.Causes = append(suspect.Causes, c.ToWire())
 		}
-		reports[r.gateway] = append(reports[r.gateway], suspect)
+		reports[gateway] = append(reports[gateway], suspect)
+	}
+	var goesOn []simRequest
+	for _, r := range server.inFlight {
+		flows := s.now >= r.flows && r.ends > r.flows
+		report(r.gateway, r.causes, s.now >= r.begins, flows)
+		if flows && !r.resumed && r.poison == "" {
+			r.resumed = true
+			goesOn = append(goesOn, r)
+		}
+	}
+	for gateway, v := range s.views {
+		for _, run := range v.TakeEnded(s.serverStart(i)) {
+			report(gateway, run.Causes, true, true)
+		}
 	}
 	for gateway := range s.Gateways {
 		if reports[gateway] == nil {
@@ -135,6 +162,24 @@
 	}
 	server.start++
 	server.downUntil, server.inFlight = s.now+downTime, nil
+	for _, r := range goesOn {
+		if !s.views[r.gateway].Check(s.now, r.causes, 0).Convicted {
+			s.place(r)
+		}
+	}
+}
+
+// place sends a request to a server that is up, and reports whether there was one.
+func (s *simulation) place(r simRequest) bool {
+	first := s.random.IntN(len(s.servers))
+	for i := range s.servers {
+		server := &s.servers[(first+i)%len(s.servers)]
+		if server.downUntil <= s.now {
+			server.inFlight = append(server.inFlight, r)
+			return true
+		}
+	}
+	return false
 }
 
 // send sends one request, or refuses it.
@@ -152,15 +197,19 @@
 	if s.Same {
 		r.causes = quarantine.Causes("/p"+bad, "w", nil, nil)
 	}
+	if poison && s.PoisonSame {
+		r.causes = quarantine.Causes("/p", "w", nil, []tanagerroad.PromptPart{{ID: "f0"}, {ID: "s0"}, {ID: "bad"}})
+	}
 	r.begins = s.now + time.Duration(50+s.random.IntN(350))*time.Millisecond
 	r.flows = r.begins + time.Duration(20+s.random.IntN(80))*time.Millisecond
 	if poison && s.HeadLost {
 		r.begins = r.flows + simulatedTick
 	}
-	verdict := s.views[r.gateway].Check(s.now, r.causes, 0)
-	if verdict.Convicted && verdict.Left <= 0 && s.ledger.ClaimTrial(s.now.Milliseconds(), verdict.Cause.Fingerprint) {
-		s.publish()
-		verdict.Convicted = false
+	r.ends = r.flows
+	if poison {
+		r.ends += time.Duration(s.PoisonFlowMs) * time.Millisecond
+	} else if s.StreamMs > 0 {
+		r.ends += time.Duration(s.random.IntN(s.StreamMs)) * time.Millisecond
 	}
 	if !poison {
 		s.sent++
@@ -171,26 +220,40 @@
 		if isLate {
 			s.sentLate++
 		}
-		if verdict.Convicted {
+		s.admit(r, trialClaims, func() {
 			s.refused++
 			if isLate {
 				s.late++
 			}
-		}
-	}
-	if verdict.Convicted {
+		})
 		return
 	}
-	first := s.random.IntN(len(s.servers))
-	for i := range s.servers {
-		server := &s.servers[(first+i)%len(s.servers)]
-		if server.downUntil <= s.now {
-			server.inFlight = append(server.inFlight, r)
-			if poison {
-				s.arrivals[bad] = append(s.arrivals[bad], s.now)
-			}
+	s.admit(r, trialClaims, func() {})
+}
+
+// admit sends a request to a server, or refuses it. A request with a cause that has only
+// been in flight at crashes asks for a trial several times.
+func (s *simulation) admit(r simRequest, claims int, refuse func()) {
+	verdict := s.views[r.gateway].Check(s.now, r.causes, 0)
+	tried := uint64(0)
+	if verdict.Convicted && verdict.Left <= 0 && s.ledger.ClaimTrial(s.now.Milliseconds(), verdict.Cause.Fingerprint, trialTime) {
+		s.publish()
+		verdict.Convicted, tried = false, verdict.Cause.Fingerprint
+	}
+	if verdict.Convicted {
+		if verdict.Guilty || claims <= 1 {
+			refuse()
 			return
 		}
+		s.after(claimInterval, func() { s.admit(r, claims-1, refuse) })
+		return
+	}
+	sent := s.place(r)
+	if sent && r.poison != "" {
+		s.arrivals[r.poison] = append(s.arrivals[r.poison], s.now)
+	}
+	if !sent && tried != 0 && s.ledger.EndTrial(s.now.Milliseconds(), tried, false) {
+		s.publish()
 	}
 }
 
@@ -203,7 +266,7 @@
 	for i := range s.servers {
 		crashes := false
 		s.servers[i].inFlight = slices.DeleteFunc(s.servers[i].inFlight, func(r simRequest) bool {
-			if s.now < r.flows {
+			if s.now < r.ends {
 				return false
 			}
 			if r.poison != "" {
@@ -211,13 +274,18 @@
 				s.crashes[r.poison] = append(s.crashes[r.poison], s.now)
 				return false
 			}
-			s.clear(s.views[r.gateway].RecordBegin(s.now, r.causes))
+			s.views[r.gateway].RecordEnd(quarantine.EndedRun{At: s.now, Server: s.serverStart(i), Causes: r.causes, Proof: !r.resumed})
 			return true
 		})
 		if crashes {
 			s.crash(i)
 		}
 	}
+	for _, v := range s.views {
+		for _, run := range v.Due(s.now) {
+			s.clear(v.RecordSurvival(s.now, run.SpeaksFor))
+		}
+	}
 	if s.OutageEveryMs > 0 && s.now%(time.Duration(s.OutageEveryMs)*time.Millisecond) < simulatedTick {
 		first := s.random.IntN(len(s.servers))
 		for i := range s.OutageSize {
@@ -246,9 +314,12 @@
 		seeds = 3
 	}
 	for _, f := range readFleets(t) {
-		for seed := range seeds {
-			f.play(t, seed)
-		}
+		t.Run(f.What, func(t *testing.T) {
+			t.Parallel()
+			for seed := range seeds {
+				f.play(t, seed)
+			}
+		})
 	}
 }
 
@@ -291,7 +362,7 @@
 		s.tick()
 	}
 	most := 5 // crashes after which the time counts
-	if f.Same {
+	if f.Same || f.PoisonSame {
 		most = 3
 	}
 	for part, crashes := range s.crashes {
--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -1,26 +1,28 @@
 // Package quarantine decides what crashes backend servers, if it is something that
 // requests have in common: the request itself, sent again, or a part of prompts that are
 // otherwise all different. It is built for two situations that look alike from a single
-// request: a cause that crashes each backend server that begins to answer it, and
-// crashes for other reasons, with whatever requests are in flight.
+// request: a cause that crashes each backend server that runs it, and crashes for other
+// reasons, with whatever requests are in flight.
 //
 // Ledger is the replicated state, which the reports of all gateways reach. View is what
-// one gateway knows. A cause is convicted after MinCrashes crashes at different times in
-// which a request with it was in flight, if no request with it has got an answer since.
+// one gateway knows. Only one thing speaks for a cause: a run that began at the beginning,
+// was answered whole, and that its backend server outlived by SurvivalTime. An event of an
+// answer does not, since a request may crash its server later.
 //
-// A single request that is sent again may crash a whole pool at once, which looks like an
-// outage. It is convicted after MinCrashes backend servers, whenever they crashed, and
-// since it may be a victim its first trial is due at once.
+// A part of prompts is convicted after MinCrashes crashes at different times in which a
+// request with it was in flight, if they speak strongly enough against it. A request that
+// is sent again is convicted after MinCrashes backend servers, whenever they crashed. Since
+// sound requests are in flight at crashes too, its first trial is due at once, and only a
+// crash in a trial makes it explain the crashes of others.
 package quarantine
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"time"
 
-	"google.golang.org/protobuf/proto"
-
 	"tanagerroad/core/wire"
 )
 
@@ -33,13 +35,25 @@
 	MinEvidence  float64
 	ManyCrashes  int
 	ManyEvidence float64
+	// If answers flowed in some of the crashes, it takes ManyCrashes, or MinCrashes of
+	// ManyServers, over MinCrashes requests, that come to FlowingEvidence. They also have to
+	// recur: their number, times their share of all crashes since the first of them, comes
+	// to FlowingRecurrence.
+	ManyServers       int
+	FlowingEvidence   float64
+	FlowingRecurrence float64
+
 	Coincidence  time.Duration // crashes closer together count as one: an outage can take several servers
 	SettleTime   time.Duration // from a crash until all gateways have reported it and those beside it
 	Memory       time.Duration // how long a crash counts
 	TrialWait    time.Duration // from a conviction to its first trial; grows trialWaitGrowth times with each crash in a trial
 	Duration     time.Duration // how long a cause stays convicted without another crash; longest wait for a trial
+	RepeatMemory time.Duration // the same two for a request that is sent again
+	MaxTrials    int           // crashes in trials of such a request after which it is tried no more
 	MaxCrashes   int           // crashes kept
-	MaxSuspects  int           // requests kept for each crash
+	MaxSuspects  int           // requests kept for each crash, and as many whose answers flowed
+	MaxHistories int           // requests whose crashes are kept for RepeatMemory
+	MaxEntries   int           // suspects that are published
 }
 
 // DefaultConfig returns the documented thresholds.
@@ -49,47 +63,49 @@
 		MinEvidence:  1.5,
 		ManyCrashes:  4,
 		ManyEvidence: 0.3,
+
+		ManyServers:       5,
+		FlowingEvidence:   0.55,
+		FlowingRecurrence: 1.6,
+
 		Coincidence:  300 * time.Millisecond,
 		SettleTime:   150 * time.Millisecond,
 		Memory:       time.Minute,
 		TrialWait:    20 * time.Second,
 		Duration:     10 * time.Minute,
+		RepeatMemory: 24 * time.Hour,
+		MaxTrials:    3,
 		MaxCrashes:   256,
 		MaxSuspects:  128,
+		MaxHistories: 4096,
+		MaxEntries:   256,
 	}
 }
 
-// waitingEvidence is how strongly a crash speaks against requests that were all waiting
-// for their answers.
-const waitingEvidence = 0.5
-
-const trialWaitGrowth = 3
-
-// trialTimeout is how long a trial may take before another one may be granted: the
-// process that was granted it may have ended, or found no backend server.
-const trialTimeout = 2 * time.Second
-
-// trialWait returns the time from the conviction or the latest trial until the next trial.
-func trialWait(c *wire.Conviction) time.Duration {
-	wait := time.Duration(c.GetTrialWaitMillis()) * time.Millisecond
-	if c.GetTrial() {
-		wait = max(wait, trialTimeout)
-	}
-	return wait
-}
+// maxMillis is later than all crashes.
+const maxMillis = math.MaxInt64
 
 // Ledger keeps the recent crashes and the convictions. It is deterministic: the same calls
 // lead to the same state.
 type Ledger struct {
 	config    Config
-	crashes   []*wire.CrashReport // oldest first
+	crashes   []*crash                      // oldest first
+	byCause   map[uint64][]*crash           // the same by the fingerprints of the causes in flight
+	common    map[uint64]bool               // fingerprints of the causes in more than one
+	histories map[uint64]*wire.CauseHistory // of exact causes and of all convicted ones
 	convicted map[uint64]*wire.Conviction
+	suspects  []*wire.Conviction // those that Entries returns
 	entries   []*wire.Conviction // what Entries returns
+
+	nextExpiry int64 // Unix time in milliseconds at which a crash of a history expires
 }
 
 // New returns an empty ledger.
 func New(config Config) *Ledger {
-	return &Ledger{config: config, convicted: map[uint64]*wire.Conviction{}}
+	return &Ledger{
+		config: config, byCause: map[uint64][]*crash{}, common: map[uint64]bool{},
+		histories: map[uint64]*wire.CauseHistory{}, convicted: map[uint64]*wire.Conviction{},
+	}
 }
 
 // Report adds a report at a Unix time in milliseconds, and returns the causes to convict.
@@ -99,231 +115,109 @@
 	l.Expire(atMillis)
 	defer l.updateEntries()
 	l.add(atMillis, report)
-	l.explain(atMillis)
+	l.failTrials(atMillis)
 	var out []*wire.Conviction
-	for {
-		s, ok := l.culprit(atMillis)
-		if !ok {
-			return out
-		}
-		conviction := &wire.Conviction{
-			Fingerprint: s.cause.GetFingerprint(), Label: s.cause.GetLabel(), Crashes: uint32(s.crashes), Convicted: true,
-			UntilMillis: atMillis + l.config.Duration.Milliseconds(),
-			SinceMillis: atMillis,
-		}
-		if l.speaksAgainst(&s) {
-			conviction.TrialWaitMillis = l.config.TrialWait.Milliseconds()
-		}
-		l.convicted[conviction.GetFingerprint()] = conviction
-		out = append(out, conviction)
-		l.explain(atMillis)
+	for c := l.convictNext(atMillis); c != nil; c = l.convictNext(atMillis) {
+		out = append(out, c)
 	}
+	l.acquit()
+	return out
 }
 
 // add adds the suspects of a report to its crash.
 func (l *Ledger) add(atMillis int64, report *wire.CrashReport) {
-	i := slices.IndexFunc(l.crashes, func(c *wire.CrashReport) bool {
-		return c.GetServer() == report.GetServer() && c.GetStart() == report.GetStart()
-	})
-	var crash *wire.CrashReport
-	switch {
-	case i >= 0:
-		crash = l.crashes[i]
-	case len(report.GetSuspects()) == 0:
+	if len(report.GetSuspects()) == 0 {
 		return
-	default:
-		crash = &wire.CrashReport{Server: report.GetServer(), Start: report.GetStart(), AtMillis: atMillis}
-		l.crashes = append(l.crashes, crash)
 	}
-	for _, s := range report.GetSuspects() {
-		if !crash.GetExplained() && len(crash.GetSuspects()) < l.config.MaxSuspects {
-			crash.Suspects = append(crash.Suspects, proto.CloneOf(s))
-		}
+	c := l.crashOf(atMillis, report)
+	kept := map[bool]int{}
+	for _, s := range c.GetSuspects() {
+		kept[s.GetFlowed()]++
 	}
-	l.crashes = l.crashes[max(0, len(l.crashes)-l.config.MaxCrashes):]
-}
-
-// suspicion is a cause with the crashes that speak against it.
-type suspicion struct {
-	cause    *wire.Cause
-	rank     int     // its place among the causes of a request, the narrowest one first
-	crashes  int     // crashes at different times
-	servers  int     // starts of backend servers that crashed
-	evidence float64 // a crash that nothing else can explain counts 1
-	lastMs   int64   // time of the latest of them
-}
-
-// suspicions returns the causes of the crashes that happened no later than untilMillis, by
-// fingerprint. Crashes that count as one are left out together if the last of them was later.
-func (l *Ledger) suspicions(untilMillis int64) map[uint64]*suspicion {
-	out := map[uint64]*suspicion{}
-	for first := 0; first < len(l.crashes); {
-		last := first + 1
-		for last < len(l.crashes) && l.crashes[last].GetAtMillis()-l.crashes[first].GetAtMillis() < l.config.Coincidence.Milliseconds() {
-			last++
-		}
-		if l.crashes[last-1].GetAtMillis() <= untilMillis {
-			l.addOutage(out, l.crashes[first:last])
+	for _, s := range report.GetSuspects() {
+		if kept[s.GetFlowed()]++; kept[s.GetFlowed()] <= l.config.MaxSuspects {
+			l.addSuspect(c, s)
 		}
-		first = last
-	}
-	return out
-}
-
-// addOutage adds the crashes of about the same time to the suspicions. They count as one,
-// and speak the less against a cause the more of them it does not explain.
-func (l *Ledger) addOutage(out map[uint64]*suspicion, crashes []*wire.CrashReport) {
-	seen := map[uint64]bool{}
-	for _, crash := range crashes {
-		requests, evidence := likely(crash)
-		inCrash := map[uint64]bool{}
-		for _, request := range requests {
-			for rank, cause := range request.GetCauses() {
-				s := out[cause.GetFingerprint()]
-				if s == nil {
-					s = &suspicion{cause: cause}
-					out[cause.GetFingerprint()] = s
-				}
-				s.rank = max(s.rank, rank)
-				if !seen[cause.GetFingerprint()] {
-					seen[cause.GetFingerprint()] = true
-					s.crashes++
-				}
-				if !inCrash[cause.GetFingerprint()] {
-					inCrash[cause.GetFingerprint()] = true
-					s.servers++
-					s.evidence += evidence / float64(len(crashes))
-				}
-				s.lastMs = crash.GetAtMillis()
+		for _, cause := range s.GetCauses() {
+			if cause.GetExact() || l.convicted[cause.GetFingerprint()] != nil {
+				l.remember(c, cause)
 			}
 		}
 	}
 }
 
-// likely returns the requests that probably crashed the backend server, and how strongly
-// the crash speaks against each. A server that has begun to answer a request is more
-// likely to crash over it than over one that waits.
-func likely(crash *wire.CrashReport) (requests []*wire.CrashSuspect, evidence float64) {
-	for _, s := range crash.GetSuspects() {
-		if s.GetBegun() {
-			requests = append(requests, s)
-		}
+// convictNext convicts the next cause that is to be, or nil if there is none. A request
+// that is sent again comes before what different ones share and flows: it may explain the
+// same crashes, and a trial will tell.
+func (l *Ledger) convictNext(atMillis int64) *wire.Conviction {
+	settled := atMillis - l.config.SettleTime.Milliseconds()
+	explained := l.explained()
+	e := l.evaluate(settled, explained)
+	if s, ok := e.culprit(e.speaksAgainst); ok {
+		return l.convict(atMillis, s.cause, s.outages, l.config.TrialWait)
 	}
-	if len(requests) > 0 {
-		return requests, 1 / float64(len(requests))
+	if h := l.repeated(settled, explained); h != nil {
+		return l.convict(atMillis, h.GetCause(), len(h.GetCrashes()), 0)
 	}
-	return crash.GetSuspects(), waitingEvidence / float64(len(crash.GetSuspects()))
-}
-
-// Suspect is what the ledger holds against a cause that is not convicted.
-type Suspect struct {
-	Label    string
-	Outages  int     // crashes at different times
-	Servers  int     // starts of backend servers that crashed
-	Evidence float64 // a crash that nothing else can explain counts 1
-}
-
-// Strongest returns the cause that is in the most crashes, of several that with the most
-// evidence. The label is empty if there is none.
-func (l *Ledger) Strongest() Suspect {
-	var best Suspect
-	for _, s := range l.suspicions(math.MaxInt64) {
-		next := Suspect{Label: s.cause.GetLabel(), Outages: s.crashes, Servers: s.servers, Evidence: s.evidence}
-		if cmp.Or(cmp.Compare(next.Servers, best.Servers), cmp.Compare(next.Evidence, best.Evidence), cmp.Compare(next.Label, best.Label)) > 0 {
-			best = next
-		}
+	if attributed := l.attributed(); len(attributed) > len(explained) {
+		e = l.evaluate(settled, attributed)
 	}
-	return best
-}
-
-// culprit returns the cause to convict next. Of several it chooses the narrowest one,
-// which takes the fewest other requests with it.
-func (l *Ledger) culprit(atMillis int64) (suspicion, bool) {
-	var best *suspicion
-	for _, s := range l.suspicions(atMillis - l.config.SettleTime.Milliseconds()) {
-		if !l.isCulprit(s) {
-			continue
-		}
-		if best == nil || cmp.Or(cmp.Compare(s.rank, best.rank), cmp.Compare(best.evidence, s.evidence), cmp.Compare(s.cause.GetFingerprint(), best.cause.GetFingerprint())) < 0 {
-			best = s
-		}
+	if s, ok := e.culprit(e.flowsAgainst); ok {
+		return l.convict(atMillis, s.cause, s.outages, l.config.TrialWait)
 	}
-	if best == nil {
-		return suspicion{}, false
-	}
-	return *best, true
-}
-
-// isCulprit reports whether a cause is to be convicted.
-func (l *Ledger) isCulprit(s *suspicion) bool {
-	return l.speaksAgainst(s) || s.cause.GetExact() && s.servers >= l.config.MinCrashes
-}
-
-// speaksAgainst reports whether the crashes speak so strongly against a cause that no
-// trial is needed.
-func (l *Ledger) speaksAgainst(s *suspicion) bool {
-	return s.crashes >= l.config.MinCrashes && s.evidence >= l.config.MinEvidence ||
-		s.crashes >= l.config.ManyCrashes && s.evidence >= l.config.ManyEvidence
+	return nil
 }
 
-// explain marks the crashes that a convicted cause explains, so that they do not speak
-// against what else was in flight. They are kept, since later reports of the same crash
-// may hold only other requests.
-func (l *Ledger) explain(atMillis int64) {
-	for _, crash := range l.crashes {
-		requests, _ := likely(crash)
-		for _, s := range requests {
-			for _, cause := range s.GetCauses() {
-				if c := l.convicted[cause.GetFingerprint()]; c != nil {
-					crash.Explained, crash.Suspects = true, nil
-					l.failTrial(atMillis, c)
-				}
-			}
-		}
+// convict convicts a cause, with the time until its first trial.
+func (l *Ledger) convict(atMillis int64, cause *wire.Cause, crashes int, trialWait time.Duration) *wire.Conviction {
+	keep := l.config.Duration
+	if cause.GetExact() {
+		keep = l.config.RepeatMemory
 	}
-}
-
-// failTrial prolongs a conviction if a trial of it was under way.
-func (l *Ledger) failTrial(atMillis int64, c *wire.Conviction) {
-	if !c.GetTrial() {
-		return
+	c := &wire.Conviction{
+		Fingerprint: cause.GetFingerprint(), Label: cause.GetLabel(), Crashes: uint32(crashes), Convicted: true,
+		SinceMillis: atMillis, UntilMillis: atMillis + keep.Milliseconds(), KeepMillis: keep.Milliseconds(), TrialWaitMillis: trialWait.Milliseconds(),
 	}
-	next := proto.CloneOf(c)
-	next.Trial, next.SinceMillis = false, atMillis
-	next.TrialWaitMillis = min(max(trialWaitGrowth*c.GetTrialWaitMillis(), l.config.TrialWait.Milliseconds()), l.config.Duration.Milliseconds())
-	next.UntilMillis = atMillis + next.GetTrialWaitMillis() + l.config.Duration.Milliseconds()
-	l.convicted[c.GetFingerprint()] = next
+	l.convicted[c.GetFingerprint()] = c
+	for _, crash := range l.byCause[c.GetFingerprint()] {
+		l.remember(crash, cause)
+	}
+	return c
 }
 
-// ClaimTrial grants a trial of a convicted cause if one is due. It reports whether it did.
-func (l *Ledger) ClaimTrial(atMillis int64, fingerprint uint64) bool {
+// isGuilty reports whether a cause is convicted for more than having been in flight: it
+// explains the crashes that it was in.
+func (l *Ledger) isGuilty(fingerprint uint64) bool {
 	c := l.convicted[fingerprint]
-	if c == nil || atMillis-c.GetSinceMillis() < trialWait(c).Milliseconds() {
-		return false
-	}
-	next := proto.CloneOf(c)
-	next.Trial, next.SinceMillis = true, atMillis
-	l.convicted[fingerprint] = next
-	l.updateEntries()
-	return true
+	return c != nil && c.GetTrialWaitMillis() > 0
 }
 
-// Clear takes a cause out of the quarantine: a request with it got an answer without a
-// crash. It reports whether the cause was convicted or a suspect.
+// Clear takes a cause out of the quarantine: a request with it was answered whole, and its
+// backend server outlived it. It reports whether the cause was convicted or a suspect.
 func (l *Ledger) Clear(fingerprint uint64) bool {
-	listed := slices.ContainsFunc(l.entries, func(c *wire.Conviction) bool { return c.GetFingerprint() == fingerprint })
-	delete(l.convicted, fingerprint)
-	for _, crash := range l.crashes {
-		for _, s := range crash.GetSuspects() {
-			s.Causes = slices.DeleteFunc(s.GetCauses(), func(c *wire.Cause) bool { return c.GetFingerprint() == fingerprint })
-		}
+	isCause := func(c *wire.Conviction) bool { return c.GetFingerprint() == fingerprint }
+	listed, guilty := slices.ContainsFunc(l.entries, isCause), l.isGuilty(fingerprint)
+	l.forget(fingerprint)
+	for _, c := range l.byCause[fingerprint] {
+		c.remove(fingerprint)
+	}
+	delete(l.byCause, fingerprint)
+	delete(l.common, fingerprint)
+	switch {
+	case guilty: // its crashes speak against others again
+		l.updateEntries()
+	case listed:
+		l.suspects = slices.DeleteFunc(l.suspects, isCause)
+		l.mergeEntries()
 	}
-	l.updateEntries()
 	return listed
 }
 
-// isSuspect reports whether one more crash convicts a cause.
-func (l *Ledger) isSuspect(s *suspicion) bool { return s.crashes >= l.config.MinCrashes-1 }
+// forget drops a cause's conviction and its history.
+func (l *Ledger) forget(fingerprint uint64) {
+	delete(l.convicted, fingerprint)
+	delete(l.histories, fingerprint)
+}
 
 // Expire drops the crashes and convictions whose time has passed. It reports whether
 // there were any.
@@ -331,12 +225,13 @@
 	before := len(l.convicted) + len(l.crashes)
 	for fingerprint, c := range l.convicted {
 		if c.GetUntilMillis() <= atMillis {
-			delete(l.convicted, fingerprint)
+			l.forget(fingerprint)
 		}
 	}
-	l.crashes = slices.DeleteFunc(l.crashes, func(c *wire.CrashReport) bool {
-		return atMillis-c.GetAtMillis() > l.config.Memory.Milliseconds()
-	})
+	for len(l.crashes) > 0 && atMillis-l.crashes[0].GetAtMillis() > l.config.Memory.Milliseconds() {
+		l.dropOldest()
+	}
+	l.expireHistories(atMillis)
 	if len(l.convicted)+len(l.crashes) == before {
 		return false
 	}
@@ -344,36 +239,73 @@
 	return true
 }
 
-// Entries returns the convicted causes and those that one more crash convicts, the
-// suspects, in ascending order of their fingerprints.
+// Entries returns the convicted causes, and the suspects: those that different requests
+// share and that one more crash may convict. They are in ascending order of their
+// fingerprints.
 func (l *Ledger) Entries() []*wire.Conviction { return l.entries }
 
+// SameEntries reports whether two lists of entries say the same to gateways.
+func SameEntries(a, b []*wire.Conviction) bool {
+	return slices.EqualFunc(a, b, func(x, y *wire.Conviction) bool {
+		return x == y || !x.GetConvicted() && !y.GetConvicted() && x.GetFingerprint() == y.GetFingerprint()
+	})
+}
+
+// updateEntries finds the suspects.
 func (l *Ledger) updateEntries() {
-	l.entries = nil
-	for _, c := range l.convicted {
-		l.entries = append(l.entries, c)
-	}
-	for fingerprint, s := range l.suspicions(math.MaxInt64) {
-		if l.isSuspect(s) {
-			l.entries = append(l.entries, &wire.Conviction{
-				Fingerprint: fingerprint, Label: s.cause.GetLabel(), Crashes: uint32(s.crashes), UntilMillis: s.lastMs + l.config.Memory.Milliseconds(),
+	l.suspects = nil
+	e := l.evaluate(maxMillis, l.explained())
+	for fingerprint := range l.common {
+		n := e.count(fingerprint)
+		if n < l.config.MinCrashes-1 || l.convicted[fingerprint] != nil {
+			continue
+		}
+		if s := e.suspicion(fingerprint); !s.cause.GetExact() {
+			l.suspects = append(l.suspects, &wire.Conviction{
+				Fingerprint: fingerprint, Label: s.cause.GetLabel(), Crashes: uint32(n), UntilMillis: s.lastMs + l.config.Memory.Milliseconds(),
 			})
 		}
 	}
+	slices.SortFunc(l.suspects, func(a, b *wire.Conviction) int {
+		return cmp.Or(cmp.Compare(b.GetCrashes(), a.GetCrashes()), cmp.Compare(a.GetFingerprint(), b.GetFingerprint()))
+	})
+	l.suspects = l.suspects[:min(len(l.suspects), l.config.MaxEntries)]
+	l.mergeEntries()
+}
+
+// mergeEntries puts the suspects and the convictions together.
+func (l *Ledger) mergeEntries() {
+	l.entries = slices.AppendSeq(slices.Clone(l.suspects), maps.Values(l.convicted))
 	slices.SortFunc(l.entries, func(a, b *wire.Conviction) int { return cmp.Compare(a.GetFingerprint(), b.GetFingerprint()) })
 }
 
 // Crashes returns the crashes for a snapshot, oldest first.
-func (l *Ledger) Crashes() []*wire.CrashReport { return l.crashes }
+func (l *Ledger) Crashes() []*wire.CrashReport {
+	out := make([]*wire.CrashReport, len(l.crashes))
+	for i, c := range l.crashes {
+		out[i] = c.CrashReport
+	}
+	return out
+}
 
-// Restore replaces the state with that of a snapshot: what Crashes and Entries returned.
-func (l *Ledger) Restore(crashes []*wire.CrashReport, entries []*wire.Conviction) {
+// Restore replaces the state with that of a snapshot: what Crashes, Entries and Histories
+// returned.
+func (l *Ledger) Restore(crashes []*wire.CrashReport, entries []*wire.Conviction, histories []*wire.CauseHistory) {
 	*l = *New(l.config)
-	l.crashes = crashes
+	for _, report := range crashes {
+		c := newCrash(report)
+		l.crashes = append(l.crashes, c)
+		for fingerprint := range c.members {
+			l.addToCause(fingerprint, c)
+		}
+	}
 	for _, c := range entries {
 		if c.GetConvicted() {
 			l.convicted[c.GetFingerprint()] = c
 		}
 	}
+	for _, h := range histories {
+		l.histories[h.GetCause().GetFingerprint()] = h
+	}
 	l.updateEntries()
 }
--- a/core/quarantine/quarantine_test.go
+++ b/core/quarantine/quarantine_test.go
@@ -69,7 +69,7 @@
 			case s.Clear != "":
 				l.Clear(fingerprint(s.Clear))
 			default:
-				if granted := l.ClaimTrial(s.AtMs, fingerprint(s.Trial)); granted != s.Granted {
+				if granted := l.ClaimTrial(s.AtMs, fingerprint(s.Trial), 0); granted != s.Granted {
 					t.Errorf("%s: step %d: trial granted: %v, want %v", script.What, i, granted, s.Granted)
 				}
 			}
@@ -87,7 +87,7 @@
 				t.Errorf("%s: step %d: got suspects %v and convicted %v, want %v and %v", script.What, i, suspected, convicted, s.Suspects, s.Convicted)
 			}
 			restored := quarantine.New(quarantine.DefaultConfig())
-			restored.Restore(l.Crashes(), l.Entries())
+			restored.Restore(l.Crashes(), l.Entries(), l.Histories())
 			l = restored
 		}
 	}
@@ -184,7 +184,7 @@
 	}
 	claim := func(at int64, want bool) {
 		t.Helper()
-		if granted := ledger.ClaimTrial(at, request.GetFingerprint()); granted != want {
+		if granted := ledger.ClaimTrial(at, request.GetFingerprint(), 0); granted != want {
 			t.Errorf("%d ms: trial granted: %t, want %t", at, granted, want)
 		}
 	}
@@ -222,7 +222,7 @@
 		for at := int64(0); at < played; at += interval {
 			ledger.Expire(at)
 			convicted := slices.ContainsFunc(ledger.Entries(), func(c *wire.Conviction) bool { return c.GetConvicted() })
-			if convicted && !ledger.ClaimTrial(at, cause.GetFingerprint()) {
+			if convicted && !ledger.ClaimTrial(at, cause.GetFingerprint(), 0) {
 				continue
 			}
 			if len(crashes) >= crashesThatCount && at > crashes[crashesThatCount-1]+contactTime {
--- a/core/quarantine/view.go
+++ b/core/quarantine/view.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"cmp"
 	"strconv"
 	"strings"
 	"time"
@@ -11,9 +12,18 @@
 	"tanagerroad/core/wire"
 )
 
-// beginMemory is how long an answer that began clears the causes of its request: a crash
-// within this time does not make them suspects.
-const beginMemory = time.Second
+const (
+	// SurvivalTime is how long a backend server has to outlive a request, so that the
+	// request is no reason for its end.
+	SurvivalTime = time.Second
+	// partSurvivalTime is the same for the parts of its prompt, which many requests share.
+	partSurvivalTime = 300 * time.Millisecond
+	// proofMemory is how long a run that a backend server outlived speaks for the causes of
+	// its request: a crash within this time does not make them suspects.
+	proofMemory = 5 * time.Second
+	// clearInterval is the shortest time between two attempts to clear a cause.
+	clearInterval = time.Second
+)
 
 const (
 	maxParts = 32 // shared parts of one prompt that are considered, the last ones
@@ -83,22 +93,26 @@
 	clearedAt time.Duration // when the gateway last asked to clear it; 0: never
 }
 
-// View is what one gateway knows of the quarantine, and of the answers that have begun.
+// View is what one gateway knows of the quarantine, and of the runs that backend servers
+// have outlived.
 type View struct {
 	duration time.Duration
 	version  uint64
 	entries  map[uint64]*entry
-	begun    map[uint64]time.Duration // time of the latest answer that began, by fingerprint
+	proven   map[uint64]time.Duration // time of the latest run that speaks for a cause, by fingerprint
+	ended    []EndedRun               // within SurvivalTime, oldest first
+	checked  int                      // number of them that ended longer than partSurvivalTime ago
 }
 
-// NewView returns an empty view. duration is how long a conviction lasts: a view that
-// hears of no change drops it by itself.
+// NewView returns an empty view. duration is how long a conviction lasts that does not say
+// so itself: a view that hears of no change drops it.
 func NewView(duration time.Duration) *View {
-	return &View{duration: duration, entries: map[uint64]*entry{}, begun: map[uint64]time.Duration{}}
+	return &View{duration: duration, entries: map[uint64]*entry{}, proven: map[uint64]time.Duration{}}
 }
 
 // Apply replaces the entries by those of a control instance, unless the view holds newer
-// ones. It returns the causes to clear, since requests with them have just got answers.
+// ones. It returns the causes to clear, since backend servers have just outlived requests
+// with them.
 func (v *View) Apply(at time.Duration, q *wire.Quarantine) (changed bool, clearable []uint64) {
 	if q.GetVersion() <= v.version {
 		return false, nil
@@ -115,7 +129,7 @@
 			}
 		}
 		v.entries[c.GetFingerprint()] = e
-		if v.hasBegun(at, c.GetFingerprint()) {
+		if v.isProven(at, c.GetFingerprint()) {
 			clearable = append(clearable, c.GetFingerprint())
 		}
 	}
@@ -125,6 +139,7 @@
 // Verdict is what a view says of a request.
 type Verdict struct {
 	Convicted bool
+	Guilty    bool          // more speaks against the cause than that it was in flight at crashes
 	Cause     Cause         // the first convicted one
 	Left      time.Duration // until the next trial of the cause; at most 0: one is due
 }
@@ -137,49 +152,42 @@
 	}
 	for _, c := range causes {
 		e := v.entries[c.Fingerprint]
-		if e == nil || !e.GetConvicted() || c.Fingerprint == exempt || at-e.since >= v.duration {
+		if e == nil || !e.GetConvicted() || c.Fingerprint == exempt || at-e.since >= v.keep(e) {
 			continue
 		}
-		return Verdict{Convicted: true, Cause: c, Left: e.since + trialWait(e.Conviction) - at}
+		return Verdict{Convicted: true, Guilty: e.GetTrialWaitMillis() > 0, Cause: c, Left: e.since + trialDelay(e.Conviction) - at}
 	}
 	return Verdict{}
 }
 
-// RecordBegin records that a request with these causes has got the first event of an
-// answer, or the whole of one without events. It returns the causes to clear.
-func (v *View) RecordBegin(at time.Duration, causes []Cause) (clearable []uint64) {
-	for _, c := range causes {
-		v.begun[c.Fingerprint] = at
-		if e := v.entries[c.Fingerprint]; e != nil && (e.clearedAt == 0 || at-e.clearedAt > beginMemory) {
-			e.clearedAt = at
-			clearable = append(clearable, c.Fingerprint)
-		}
-	}
-	return clearable
+// keep returns how long a conviction lasts in the view.
+func (v *View) keep(e *entry) time.Duration {
+	return cmp.Or(time.Duration(e.GetKeepMillis())*time.Millisecond, v.duration)
 }
 
-func (v *View) hasBegun(at time.Duration, fingerprint uint64) bool {
-	begun, ok := v.begun[fingerprint]
-	return ok && at-begun <= beginMemory
-}
-
-// Suspects returns those causes of a request that was in flight at a crash that may have
-// brought it about: no other request with them has just got an answer.
+// Suspects returns those causes of a request that was in flight at a crash, or had just
+// ended, that may have brought it about: no backend server has just outlived another
+// request with them.
 func (v *View) Suspects(at time.Duration, causes []Cause) []Cause {
 	var out []Cause
 	for _, c := range causes {
-		if !v.hasBegun(at, c.Fingerprint) {
+		if !v.isProven(at, c.Fingerprint) {
 			out = append(out, c)
 		}
 	}
 	return out
 }
 
-// Expire drops the begun answers that no longer count.
+func (v *View) isProven(at time.Duration, fingerprint uint64) bool {
+	proven, ok := v.proven[fingerprint]
+	return ok && at-proven <= proofMemory
+}
+
+// Expire drops the proofs that no longer count.
 func (v *View) Expire(at time.Duration) {
-	for fingerprint, begun := range v.begun {
-		if at-begun > beginMemory {
-			delete(v.begun, fingerprint)
+	for fingerprint, proven := range v.proven {
+		if at-proven > proofMemory {
+			delete(v.proven, fingerprint)
 		}
 	}
 }
--- a/core/quarantine/view_test.go
+++ b/core/quarantine/view_test.go
@@ -56,20 +56,20 @@
 	}
 
 	at := 2 * duration
-	if clearable := v.RecordBegin(at, causes); !slices.Equal(clearable, []uint64{second}) {
-		t.Errorf("an answer clears %v, want the listed part", clearable)
+	if clearable := v.RecordSurvival(at, causes); !slices.Equal(clearable, []uint64{second}) {
+		t.Errorf("a run that a server has outlived clears %v, want the listed part", clearable)
 	}
-	if clearable := v.RecordBegin(at+time.Millisecond, causes); clearable != nil {
-		t.Errorf("another answer clears %v again", clearable)
+	if clearable := v.RecordSurvival(at+time.Millisecond, causes); clearable != nil {
+		t.Errorf("another one clears %v again", clearable)
 	}
 	if got := v.Suspects(at+500*time.Millisecond, causes); got != nil {
-		t.Errorf("suspects %v soon after an answer", got)
+		t.Errorf("suspects %v soon after such a run", got)
 	}
 	if _, clearable := v.Apply(at+600*time.Millisecond, list(7, false)); !slices.Equal(clearable, []uint64{second}) {
-		t.Errorf("a new suspect clears %v, want the part that just got an answer", clearable)
+		t.Errorf("a new suspect clears %v, want the part that a server has just outlived", clearable)
 	}
-	v.Expire(at + 2*time.Second)
-	if got := v.Suspects(at+2*time.Second, causes); len(got) != 3 {
-		t.Errorf("suspects %v long after an answer, want all causes", got)
+	v.Expire(at + 6*time.Second)
+	if got := v.Suspects(at+6*time.Second, causes); len(got) != 3 {
+		t.Errorf("suspects %v long after such a run, want all causes", got)
 	}
 }
--- a/core/registry/image.go
+++ b/core/registry/image.go
@@ -21,6 +21,7 @@
 		Reports:    r.crashReports,
 		Crashes:    r.causes.Crashes(),
 		Causes:     r.causes.Entries(),
+		Histories:  r.causes.Histories(),
 		Seals:      r.seals,
 		Catalog:    r.catalog,
 		Origins:    r.origins.Origins(),
@@ -83,7 +84,7 @@
 	}
 	r.crashReports = image.GetReports()
 	r.seals = image.GetSeals()
-	r.causes.Restore(image.GetCrashes(), image.GetCauses())
+	r.causes.Restore(image.GetCrashes(), image.GetCauses(), image.GetHistories())
 	r.catalog = image.GetCatalog()
 	r.origins.Restore(image.GetBases(), image.GetBaseChanges(), image.GetOrigins())
 	for _, f := range image.GetFences() {
--- a/core/registry/registry.go
+++ b/core/registry/registry.go
@@ -174,6 +174,8 @@
 		return r.applyCrashReport(body.CrashReport)
 	case *wire.Command_ClaimTrial:
 		return r.applyClaimTrial(body.ClaimTrial)
+	case *wire.Command_EndTrial:
+		return r.applyEndTrial(body.EndTrial)
 	case *wire.Command_ClearCauses:
 		return r.applyClearCauses(body.ClearCauses)
 	case *wire.Command_RecordOrigins:
@@ -458,13 +460,14 @@
 }
 
 // applyCrashReport adds a crash report of a gateway or a sidecar. The outcome's reason
-// names the causes that it convicts.
+// names what it convicts.
 func (r *Registry) applyCrashReport(report *wire.CrashReport) *wire.Outcome {
+	before := r.causes.Entries()
 	var labels []string
 	for _, c := range r.causes.Report(r.latestMillis, report) {
 		labels = append(labels, c.GetLabel())
 	}
-	if len(r.causes.Entries()) > 0 {
+	if !quarantine.SameEntries(before, r.causes.Entries()) {
 		r.quarantineVersion++
 	}
 	return &wire.Outcome{Kind: Accepted, Reason: strings.Join(labels, ", ")}
@@ -476,13 +479,21 @@
 
 // applyClaimTrial grants a trial of a convicted cause to one process.
 func (r *Registry) applyClaimTrial(c *wire.ClaimTrial) *wire.Outcome {
-	if !r.causes.ClaimTrial(r.latestMillis, c.GetFingerprint()) {
+	if !r.causes.ClaimTrial(r.latestMillis, c.GetFingerprint(), time.Duration(c.GetTimeoutMillis())*time.Millisecond) {
 		return &wire.Outcome{Kind: AlreadyClaimed, Reason: "no trial is due"}
 	}
 	r.quarantineVersion++
 	return &wire.Outcome{Kind: Granted}
 }
 
+// applyEndTrial ends a trial whose request is not sent again.
+func (r *Registry) applyEndTrial(e *wire.EndTrial) *wire.Outcome {
+	if r.causes.EndTrial(r.latestMillis, e.GetFingerprint(), e.GetSent()) {
+		r.quarantineVersion++
+	}
+	return &wire.Outcome{Kind: Accepted}
+}
+
 // applyClearCauses takes causes out of the quarantine.
 func (r *Registry) applyClearCauses(c *wire.ClearCauses) *wire.Outcome {
 	for _, fingerprint := range c.GetFingerprints() {
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -147,6 +147,13 @@
 	return ok && d.StartMillis == startMillis
 }
 
+// IsLeaving reports whether this start of a backend server leaves, as an answer stated or
+// its announcements say.
+func (r *Roster) IsLeaving(id string, startMillis int64) bool {
+	rec, ok := r.records[id]
+	return r.HasDeparted(id, startMillis) || ok && rec.announcement.StartMillis == startMillis && rec.announcement.State != tanagerroad.Serving
+}
+
 // Departures returns the backend servers of a pool that would be usable if they had not
 // stated in an answer that they leave, sorted by id.
 func (r *Roster) Departures(pool string) []Departure {
--- a/io/control/client.go
+++ b/io/control/client.go
@@ -139,6 +139,14 @@
 	return c.commit(ctx, &wire.Command{Body: &wire.Command_CrashReport{CrashReport: again}})
 }
 
+// EndTrial ends the trial of a convicted cause. sent says whether something with the cause
+// may have run.
+func (c *Client) EndTrial(ctx context.Context, fingerprint uint64, sent bool) error {
+	ctx, cancel := context.WithTimeout(ctx, reportRetention)
+	defer cancel()
+	return c.commit(ctx, &wire.Command{Body: &wire.Command_EndTrial{EndTrial: &wire.EndTrial{Fingerprint: fingerprint, Sent: sent}}})
+}
+
 // ClearCauses takes causes out of the quarantine.
 func (c *Client) ClearCauses(ctx context.Context, fingerprints []uint64) error {
 	ctx, cancel := context.WithTimeout(ctx, reportRetention)
--- a/io/gateway/batcher.go
+++ b/io/gateway/batcher.go
@@ -387,11 +387,9 @@
 func (b *pieceBatcher) recordCrash(call *batch.Call, outcomes []tanagerroad.PieceOutcome, err error) {
 	jobs := call.Jobs()
 	if outcomes != nil {
-		var causes []quarantine.Cause
 		for _, job := range jobs {
-			causes = append(causes, quarantine.JobCause(job.Cause))
+			b.g.recordEnd(call.Server, []quarantine.Cause{quarantine.JobCause(job.Cause)}, true)
 		}
-		b.g.recordBegin("", causes)
 		return
 	}
 	call.Crashed = endsWithConnection(err) && !isUnsent(err) && b.g.client.Refuses(b.g.ctx, call.Server.Address)
--- a/io/gateway/crashes.go
+++ b/io/gateway/crashes.go
@@ -1,20 +1,17 @@
 package gateway
 
 import (
-	"context"
 	"errors"
 	"os"
+	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
 	"tanagerroad"
 	"tanagerroad/core/attempt"
 	"tanagerroad/core/event"
-	"tanagerroad/core/limit"
 	"tanagerroad/core/quarantine"
-	"tanagerroad/core/registry"
 	"tanagerroad/core/wire"
 	"tanagerroad/io/http1"
 )
@@ -23,8 +20,9 @@
 	// crashWindow is how long the attempts that end with a backend server are
 	// collected before they are reported.
 	crashWindow = 100 * time.Millisecond
-	// trialClaimTimeout bounds how long a request waits for the grant of a trial.
-	trialClaimTimeout = 500 * time.Millisecond
+	// survivalCheckInterval is how often it is checked which backend servers have outlived
+	// the runs that have ended.
+	survivalCheckInterval = 100 * time.Millisecond
 )
 
 // serverStart is one start of a backend server.
@@ -33,6 +31,10 @@
 	start int64
 }
 
+func startOf(server tanagerroad.Announcement) serverStart {
+	return serverStart{server.ID, server.StartMillis}
+}
+
 // brokenAttempts are the attempts that ended with the connections of one start of a
 // backend server, by how far their answers had come.
 type brokenAttempts struct {
@@ -40,183 +42,144 @@
 	waiting, begun, flowing int
 }
 
-// errQuarantined is the error of a request that was not sent since requests like it
-// have meanwhile been convicted of crashing backend servers.
-var errQuarantined = errors.New("the request is quarantined")
-
-// isQuarantined reports whether one of the causes is convicted.
-func (g *Gateway) isQuarantined(causes []quarantine.Cause) bool {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.quarantine.Check(g.now(), causes, 0).Convicted
-}
-
-// checkQuarantine returns errQuarantined, and sets the reason and the retry delay, if
-// requests like this one crash backend servers.
-func (x *exchange) checkQuarantine() error {
-	x.g.mu.Lock()
-	verdict := x.g.quarantine.Check(x.g.now(), x.allCauses, x.trialOf.Load())
-	x.g.mu.Unlock()
-	if !verdict.Convicted {
-		return nil
-	}
-	x.reason = "quarantined: requests with the " + verdict.Cause.Label + " crash backend servers"
-	x.retryAfter = limit.RetryAfter(max(verdict.Left, defaultRetryDelay), xxhash.Sum64String(x.headers.AttemptID))
-	return errQuarantined
-}
-
-// claimTrial makes the request a trial of its convicted cause if one is due and no other
-// gateway has been granted it.
-func (x *exchange) claimTrial() {
-	x.g.mu.Lock()
-	verdict := x.g.quarantine.Check(x.g.now(), x.allCauses, 0)
-	x.g.mu.Unlock()
-	if !verdict.Convicted || verdict.Left > 0 {
-		return
-	}
-	ctx, cancel := context.WithTimeout(x.ctx, trialClaimTimeout)
-	defer cancel()
-	outcome, err := x.g.control.Propose(ctx, &wire.Command{Body: &wire.Command_ClaimTrial{ClaimTrial: &wire.ClaimTrial{Fingerprint: verdict.Cause.Fingerprint}}})
-	if err != nil || outcome.GetKind() != registry.Granted {
-		return
-	}
-	x.trialOf.Store(verdict.Cause.Fingerprint)
-	event.QuarantineTrial.Log(x.g.config.Logger, zap.String("request", x.headers.AttemptID), zap.String("cause", verdict.Cause.Label))
-}
-
-// endTrial ends the request's trial, if it is one, unless its answer flows: it is not
-// sent again.
-func (x *exchange) endTrial() {
-	if !x.flowing.Load() {
-		x.trialOf.Store(0)
-	}
-}
-
 // recordProgress records how far the answer to the current attempt has come.
 func (x *exchange) recordProgress(p attempt.Progress) {
-	if p == attempt.Flowing && x.progress != attempt.Flowing {
+	if p == attempt.Flowing {
 		x.flowing.Store(true)
-		x.g.recordBegin(x.headers.AttemptID, x.causes)
 	}
 	x.progress = p
 }
 
-// recordBegin records that something with these causes got an answer. request is the id
-// of the request, or empty for a call for pieces of several.
-func (g *Gateway) recordBegin(request string, causes []quarantine.Cause) {
-	g.mu.Lock()
-	clearable := g.quarantine.RecordBegin(g.now(), causes)
-	g.mu.Unlock()
-	if len(clearable) > 0 {
-		event.AnswerClears.Log(g.config.Logger, zap.String("request", request), zap.Uint64s("fingerprints", clearable))
-	}
-	g.clearCauses(clearable)
-}
-
-// clearCauses asks the control instances to take causes out of the quarantine.
-func (g *Gateway) clearCauses(fingerprints []uint64) {
-	if len(fingerprints) == 0 {
-		return
-	}
-	go func() { g.logReportFailed(g.control.ClearCauses(g.ctx, fingerprints)) }()
-}
-
-// logReportFailed logs the error of a report, if there is one.
-func (g *Gateway) logReportFailed(err error) {
-	if err != nil {
-		event.ReportFailed.Log(g.config.Logger, zap.Error(err))
-	}
-}
-
 // recordBrokenAttempt records that an attempt ended with its connection. If the backend
-// server turns out to have crashed, the request is reported unless its answer flowed.
+// server turns out to have crashed, the request is reported.
 func (g *Gateway) recordBrokenAttempt(server tanagerroad.Announcement, causes []quarantine.Cause, progress attempt.Progress) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	start := serverStart{server.ID, server.StartMillis}
-	broken := g.broken[start]
-	if broken == nil {
-		broken = &brokenAttempts{}
-		g.broken[start] = broken
-		time.AfterFunc(crashWindow, func() { g.reportCrash(server) })
-	}
+	broken := g.brokenAttempts(server)
 	switch progress {
 	case attempt.Flowing:
 		broken.flowing++
-		return
 	case attempt.Begun:
 		broken.begun++
 	default:
 		broken.waiting++
 	}
-	suspect := &wire.CrashSuspect{Begun: progress == attempt.Begun}
-	for _, c := range g.quarantine.Suspects(g.now(), causes) {
-		suspect.Causes = append(suspect.Causes, c.ToWire())
+	broken.addSuspect(&wire.CrashSuspect{Begun: progress == attempt.Begun, Flowed: progress == attempt.Flowing}, g.quarantine.Suspects(g.now(), causes))
+}
+
+// brokenAttempts returns the attempts that ended with a backend server, which are reported
+// after crashWindow. g.mu must be held.
+func (g *Gateway) brokenAttempts(server tanagerroad.Announcement) *brokenAttempts {
+	broken := g.broken[startOf(server)]
+	if broken == nil {
+		broken = &brokenAttempts{}
+		g.broken[startOf(server)] = broken
+		time.AfterFunc(crashWindow, func() { g.reportCrash(server) })
+	}
+	return broken
+}
+
+// addSuspect adds a request with the causes that may have brought the crash about.
+func (b *brokenAttempts) addSuspect(s *wire.CrashSuspect, causes []quarantine.Cause) {
+	for _, c := range causes {
+		s.Causes = append(s.Causes, c.ToWire())
 	}
-	if len(suspect.GetCauses()) > 0 {
-		broken.suspects = append(broken.suspects, suspect)
+	if len(causes) > 0 {
+		b.suspects = append(b.suspects, s)
 	}
 }
 
 // reportCrash reports a backend server to the control instances, with the requests whose
 // attempts ended with it, unless it still accepts connections.
 func (g *Gateway) reportCrash(server tanagerroad.Announcement) {
-	start := serverStart{server.ID, server.StartMillis}
 	crashed := g.client.Refuses(g.ctx, server.Address)
 	g.mu.Lock()
-	broken := g.broken[start]
-	delete(g.broken, start)
-	g.mu.Unlock()
-	suspects := broken.suspects
+	defer g.mu.Unlock()
+	broken := g.broken[startOf(server)]
+	delete(g.broken, startOf(server))
 	event.ServerBrokeOff.Log(g.config.Logger, zap.String("server", server.ID), zap.String("pool", server.Pool), zap.Int64("start", server.StartMillis),
 		zap.Bool("crashed", crashed), zap.Int("waiting", broken.waiting), zap.Int("begun", broken.begun), zap.Int("flowing", broken.flowing),
-		zap.Int("suspects", len(suspects)))
-	if !crashed || len(suspects) == 0 {
+		zap.Int("suspects", len(broken.suspects)))
+	if !crashed {
 		return
 	}
-	begun := 0
+	if g.roster.IsLeaving(server.ID, server.StartMillis) {
+		broken.keepExact()
+	}
+	if len(broken.suspects) == 0 {
+		return
+	}
+	begun, flowed := 0, 0
 	var labels []string
-	for _, s := range suspects {
+	for _, s := range broken.suspects {
 		if s.GetBegun() {
 			begun++
 		}
+		if s.GetFlowed() {
+			flowed++
+		}
 		for _, c := range s.GetCauses() {
 			labels = append(labels, c.GetLabel())
 		}
 	}
 	g.meters.count("servers.crashed")
 	event.ServerCrashed.Log(g.config.Logger, zap.String("server", server.ID), zap.String("pool", server.Pool), zap.Int64("start", server.StartMillis),
-		zap.Int("suspects", len(suspects)), zap.Int("begun", begun), zap.Strings("causes", labels))
-	g.logReportFailed(g.control.ReportCrash(g.ctx, &wire.CrashReport{Server: server.ID, Start: server.StartMillis, Suspects: suspects}))
+		zap.Int("suspects", len(broken.suspects)), zap.Int("begun", begun), zap.Int("flowed", flowed), zap.Strings("causes", labels[:min(len(labels), maxLoggedCauses)]))
+	report := &wire.CrashReport{Server: server.ID, Start: server.StartMillis, Suspects: broken.suspects}
+	go func() { g.logReportFailed(g.control.ReportCrash(g.ctx, report)) }()
 }
 
-// applyQuarantine applies a quarantine that a control instance sent, and ends the requests
-// that it convicts and whose answers do not flow yet. g.mu must be held.
-func (g *Gateway) applyQuarantine(q *wire.Quarantine) {
-	now := g.now()
-	changed, clearable := g.quarantine.Apply(now, q)
-	if !changed {
-		return
+// maxLoggedCauses bounds the causes in the line of a crash.
+const maxLoggedCauses = 32
+
+// keepExact leaves out what different requests share: a backend server that leaves may end
+// with those that are in flight, one by one.
+func (b *brokenAttempts) keepExact() {
+	for _, s := range b.suspects {
+		s.Causes = slices.DeleteFunc(s.GetCauses(), func(c *wire.Cause) bool { return !c.GetExact() })
 	}
-	g.clearCauses(clearable)
-	var convicted, suspected []string
-	for _, c := range q.GetConvictions() {
-		if c.GetConvicted() {
-			convicted = append(convicted, c.GetLabel())
-		} else {
-			suspected = append(suspected, c.GetLabel())
-		}
+	b.suspects = slices.DeleteFunc(b.suspects, func(s *wire.CrashSuspect) bool { return len(s.GetCauses()) == 0 })
+}
+
+// recordEnd records that a run at a backend server has ended without it. proof says that the
+// run began at the beginning and was answered whole.
+func (g *Gateway) recordEnd(server tanagerroad.Announcement, causes []quarantine.Cause, proof bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.quarantine.RecordEnd(quarantine.EndedRun{At: g.now(), Server: server, Causes: causes, Proof: proof})
+	if g.survivalTimer == nil {
+		g.survivalTimer = time.AfterFunc(survivalCheckInterval, g.checkSurvival)
+	}
+}
+
+// checkSurvival checks which backend servers have outlived the runs that ended there.
+func (g *Gateway) checkSurvival() {
+	g.mu.Lock()
+	now, wall := g.now(), time.Now()
+	due := g.quarantine.Due(now)
+	g.survivalTimer = nil
+	if g.quarantine.HasEnded() && g.ctx.Err() == nil {
+		g.survivalTimer = time.AfterFunc(survivalCheckInterval, g.checkSurvival)
 	}
-	event.QuarantineChanged.Log(g.config.Logger, zap.Uint64("version", q.GetVersion()), zap.Strings("convicted", convicted), zap.Strings("suspected", suspected))
-	g.stopMu.Lock()
-	defer g.stopMu.Unlock()
-	for x, cancel := range g.cancels {
-		if g.quarantine.Check(now, x.allCauses, x.trialOf.Load()).Convicted && !x.flowing.Load() {
-			cancel(errQuarantined)
+	g.mu.Unlock()
+	for _, run := range due {
+		if g.client.LivenessSince(run.Server.Address, wall.Add(run.At-now)) == http1.Alive {
+			g.recordSurvival(run)
 		}
 	}
 }
 
+// recordSurvival records that a backend server has outlived a run.
+func (g *Gateway) recordSurvival(run quarantine.Survival) {
+	g.mu.Lock()
+	clearable := g.quarantine.RecordSurvival(g.now(), run.SpeaksFor)
+	g.mu.Unlock()
+	if len(clearable) > 0 {
+		event.SurvivalClears.Log(g.config.Logger, zap.String("server", run.Server.ID), zap.Uint64s("fingerprints", clearable))
+	}
+	g.clearCauses(clearable)
+}
+
 // isUnsent reports whether an error means that no byte of a request was written.
 func isUnsent(err error) bool {
 	var unsent *http1.UnsentError
--- a/io/gateway/crashes_test.go
+++ b/io/gateway/crashes_test.go
@@ -122,9 +122,9 @@
 		t.Error("pieces of another job are given up")
 	}
 	_, before := lose(9)
-	g.recordBegin("", []quarantine.Cause{quarantine.JobCause(10)})
+	g.recordSurvival(quarantine.Survival{SpeaksFor: []quarantine.Cause{quarantine.JobCause(10)}})
 	if _, after := lose(10); after != before {
-		t.Errorf("%d suspects, want %d: a job that has just got an answer is none", after, before)
+		t.Errorf("%d suspects, want %d: a job that a server has just outlived is none", after, before)
 	}
 }
 
--- a/io/gateway/exchange.go
+++ b/io/gateway/exchange.go
@@ -104,7 +104,9 @@
 	causes      []quarantine.Cause // what may make the request crash backend servers
 	allCauses   []quarantine.Cause // the same, and what may make its pieces do so
 	trialOf     atomic.Uint64      // fingerprint of the convicted cause that the request is a trial of; 0: none
+	trial       trial              // the latest that was granted
 	progress    attempt.Progress   // of the answer to the latest attempt
+	whole       bool               // its answer is whole
 	brokenOff   bool               // the latest attempt ended with its connection
 	flowing     atomic.Bool        // an answer has got as far as attempt.Flowing
 	received    received           // in the latest attempt
@@ -253,8 +255,8 @@
 // serve runs the request's stages, then makes attempts at backend servers until
 // one yields a final answer or none may follow.
 func (x *exchange) serve() {
-	x.claimTrial()
-	if x.checkQuarantine() != nil {
+	defer x.endTrial()
+	if x.passQuarantine() != nil {
 		x.endUnsent()
 		return
 	}
@@ -274,7 +276,7 @@
 		}
 	}
 	for {
-		if x.checkQuarantine() != nil {
+		if x.passQuarantine() != nil {
 			x.endUnsent()
 			return
 		}
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -89,6 +89,7 @@
 	fleet          *fleet.Fleet
 	quarantine     *quarantine.View
 	broken         map[serverStart]*brokenAttempts // attempts that ended with their connections, until that is reported
+	survivalTimer  *time.Timer                     // calls checkSurvival; nil if no run has ended
 	bases          map[string]string               // base version of each pool, see package origin
 	baseChanges    uint64                          // of bases
 	retryBudgets   map[string]*limit.Budget        // by pool
--- a/io/gateway/stages.go
+++ b/io/gateway/stages.go
@@ -187,6 +187,7 @@
 	for _, n := range job.Pieces {
 		message.Pieces = append(message.Pieces, uint32(n))
 	}
+	x.trial.sent = x.trial.sent || x.isPieceTrial()
 	j.submitted = x.g.owners.submit(message, func(result *wire.PieceResult) { s.results <- result })
 	s.jobs[message.GetNumber()] = j
 }
--- a/io/gateway/try.go
+++ b/io/gateway/try.go
@@ -27,7 +27,7 @@
 // there was none.
 func (x *exchange) attempt() (attempt.End, int) {
 	g := x.g
-	x.received, x.server, x.progress, x.brokenOff = received{}, "", attempt.Waiting, false
+	x.received, x.server, x.progress, x.brokenOff, x.whole = received{}, "", attempt.Waiting, false, false
 	request := fleet.Request{
 		Pool: x.pool, From: g.config.Settings.Place(), Exclude: x.exclude, PromptParts: x.headers.PromptParts, Software: x.software,
 		TieBreak: xxhash.Sum64String(x.headers.AttemptID),
@@ -64,10 +64,17 @@
 		zap.Int("reported", choice.ReportedLoad), zap.Duration("report-age", choice.ReportAge), zap.Int("kept", choice.CachedTokens),
 		zap.Int("candidates", choice.Candidates), zap.Uint64("roster", version), zap.Duration("left", x.deadline-now), zap.Int("try", x.retryState.Attempts()),
 		limitField(now, limit), avoided)
+	begins := !x.committed && x.headers.LastEventID == ""
 	end, status, outcome := x.send(choice)
-	x.endTrial()
-	if x.brokenOff {
+	switch {
+	case x.brokenOff:
 		g.recordBrokenAttempt(choice.Announcement, x.causes, x.progress)
+	case end.MayHaveRun():
+		g.recordEnd(choice.Announcement, x.causes, begins && x.whole)
+	}
+	if end.MayHaveRun() {
+		x.trial.sent = true
+		x.endTrial()
 	}
 	g.mu.Lock()
 	g.fleet.RecordEnd(g.now(), choice.ID, outcome)
@@ -242,6 +249,7 @@
 		x.recordProgress(attempt.Flowing)
 	}
 	if len(body) < maxBufferedBody {
+		x.whole = isSuccess(res.StatusCode)
 		x.buffered = &bufferedAnswer{res, body}
 		return attempt.Answered
 	}
@@ -249,13 +257,28 @@
 	if _, err := x.w.Write(body); err != nil {
 		return attempt.Answered // the caller has disconnected
 	}
-	if _, err := io.CopyBuffer(onlyWriter{x.w}, res, make([]byte, copyBufferSize)); err != nil {
+	rest := &erringReader{Reader: res}
+	if _, err := io.CopyBuffer(onlyWriter{x.w}, rest, make([]byte, copyBufferSize)); err != nil {
+		x.brokenOff = endsWithConnection(rest.err)
 		x.reason = "the answer was cut short: " + err.Error()
 		return attempt.Broken
 	}
+	x.whole = true
 	return attempt.Answered
 }
 
+// erringReader keeps the error that reading ended with.
+type erringReader struct {
+	io.Reader
+	err error
+}
+
+func (r *erringReader) Read(p []byte) (int, error) {
+	n, err := r.Reader.Read(p)
+	r.err = err
+	return n, err
+}
+
 // onlyWriter hides a writer's ReadFrom method, so that io.CopyBuffer uses the
 // given buffer.
 type onlyWriter struct{ io.Writer }
@@ -290,6 +313,7 @@
 		}
 		if ended && err == nil {
 			x.writeHeader(res, 0)
+			x.whole = true
 			return attempt.Answered
 		}
 		if err == nil && len(x.splitter.Rest()) > maxEventSize {
--- a/io/http1/client.go
+++ b/io/http1/client.go
@@ -74,6 +74,9 @@
 	idle   map[string][]*connection // by address
 	closed bool
 
+	openMu sync.Mutex
+	open   map[string]map[*connection]bool // idle or in use, by address
+
 	// Opened counts new connections, Reused counts requests sent on idle ones, and
 	// StrayResponses counts unsolicited responses and responses to other requests.
 	Opened, Reused, StrayResponses atomic.Int64
@@ -81,6 +84,10 @@
 
 type connection struct {
 	net.Conn
+	client      *Client
+	address     string
+	opened      time.Time
+	inUse       atomic.Bool
 	limited     *limitedReader // reads from Conn, for reader
 	reader      *bufio.Reader
 	idleSince   time.Time
@@ -89,7 +96,7 @@
 
 // New returns a client and the function that closes its idle connections.
 func New() (*Client, func()) {
-	c := &Client{idle: map[string][]*connection{}, clock: time.Now}
+	c := &Client{idle: map[string][]*connection{}, open: map[string]map[*connection]bool{}, clock: time.Now}
 	c.dialer = net.Dialer{
 		Timeout:         connectTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveProbes},
@@ -230,6 +237,7 @@
 			break
 		}
 		if conn.usable(c.clock()) {
+			conn.inUse.Store(true)
 			c.Reused.Add(1)
 			return conn, nil
 		}
@@ -241,7 +249,82 @@
 		return nil, err
 	}
 	limited := &limitedReader{reader: raw, left: unlimited}
-	return &connection{Conn: raw, limited: limited, reader: bufio.NewReaderSize(limited, readBufferSize), idleTimeout: defaultIdleTimeout}, nil
+	conn := &connection{
+		Conn: raw, client: c, address: r.Address, opened: c.clock(),
+		limited: limited, reader: bufio.NewReaderSize(limited, readBufferSize), idleTimeout: defaultIdleTimeout,
+	}
+	conn.inUse.Store(true)
+	c.openMu.Lock()
+	defer c.openMu.Unlock()
+	if c.open[r.Address] == nil {
+		c.open[r.Address] = map[*connection]bool{}
+	}
+	c.open[r.Address][conn] = true
+	return conn, nil
+}
+
+// Close closes the connection.
+func (conn *connection) Close() error {
+	if c := conn.client; c != nil {
+		c.openMu.Lock()
+		delete(c.open[conn.address], conn)
+		if len(c.open[conn.address]) == 0 {
+			delete(c.open, conn.address)
+		}
+		c.openMu.Unlock()
+	}
+	return conn.Conn.Close()
+}
+
+// Liveness is what connections tell of the process at an address.
+type Liveness string
+
+// Liveness values.
+const (
+	Alive   Liveness = "alive"   // it is the same process, and it runs or is silent
+	Ended   Liveness = "ended"   // it has closed connections, as it does when it ends
+	Unknown Liveness = "unknown" // there is no connection
+)
+
+// LivenessSince returns what became of the process that listened on address at a time in
+// the past. Nothing is sent.
+func (c *Client) LivenessSince(address string, since time.Time) Liveness {
+	c.openMu.Lock()
+	defer c.openMu.Unlock()
+	out := Unknown
+	for conn := range c.open[address] {
+		switch {
+		case conn.opened.After(since):
+		case conn.inUse.Load() || !conn.isClosed():
+			return Alive
+		default:
+			out = Ended
+		}
+	}
+	return out
+}
+
+// isClosed reports whether the other end has closed an idle connection.
+func (conn *connection) isClosed() bool {
+	n, err := conn.peek()
+	return n == 0 && !errors.Is(err, syscall.EAGAIN)
+}
+
+// peek returns the number of bytes, at most one, that could be read without waiting. The
+// error is syscall.EAGAIN if there are none now, and nil if there will never be any.
+func (conn *connection) peek() (n int, err error) {
+	raw, err := conn.Conn.(syscall.Conn).SyscallConn()
+	if err != nil {
+		return 0, err
+	}
+	controlErr := raw.Control(func(fd uintptr) { // Read would wait for another one
+		var peeked [1]byte
+		n, _, err = syscall.Recvfrom(int(fd), peeked[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	})
+	if controlErr != nil {
+		return 0, controlErr
+	}
+	return n, err
 }
 
 // limitedReader returns an error instead of more than a number of bytes.
@@ -292,6 +375,7 @@
 // putIdle keeps conn for reuse, or closes it if there are enough idle connections.
 func (c *Client) putIdle(address string, conn *connection) {
 	conn.idleSince = c.clock()
+	conn.inUse.Store(false)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.closed || len(c.idle[address]) >= maxIdlePerServer {
@@ -330,18 +414,8 @@
 	if now.Sub(conn.idleSince) >= conn.idleTimeout || conn.reader.Buffered() > 0 {
 		return false
 	}
-	raw, err := conn.Conn.(syscall.Conn).SyscallConn()
-	if err != nil {
-		return false
-	}
-	noData := false
-	err = raw.Read(func(fd uintptr) bool {
-		var peeked [1]byte
-		_, _, err := syscall.Recvfrom(int(fd), peeked[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		noData = errors.Is(err, syscall.EAGAIN)
-		return true
-	})
-	return err == nil && noData
+	_, err := conn.peek()
+	return errors.Is(err, syscall.EAGAIN)
 }
 
 // send writes the request. A long body is written in the background while the
