io/gateway, io/http1: a request is suspected though its run had ended

Cause: only attempts that ended with the server's connection were looked at. The same class in another place: a server that is back within 0.1 s, when it is asked whether it listens, counted as one that had not crashed.

That the server crashed is seen at the connections that were open when the run ended, closed by the other end or refused meanwhile, and asked once. If it accepts connections, or nothing is known, its requests wait 5 s for an announcement of a new start at the address. Of a server that leaves only requests are suspected, not what different ones share, since its planned stop may end what is in flight.

--- a/io/gateway/crashes.go
+++ b/io/gateway/crashes.go
@@ -20,6 +20,9 @@
 	// crashWindow is how long the attempts that end with a backend server are
 	// collected before they are reported.
 	crashWindow = 100 * time.Millisecond
+	// confirmTime is how long a backend server that broke off and accepts connections may
+	// take to announce that it has started again.
+	confirmTime = 5 * time.Second
 	// survivalCheckInterval is how often it is checked which backend servers have outlived
 	// the runs that have ended.
 	survivalCheckInterval = 100 * time.Millisecond
@@ -38,6 +41,8 @@
 // brokenAttempts are the attempts that ended with the connections of one start of a
 // backend server, by how far their answers had come.
 type brokenAttempts struct {
+	server                  tanagerroad.Announcement
+	at                      time.Duration
 	suspects                []*wire.CrashSuspect
 	waiting, begun, flowing int
 }
@@ -72,7 +77,7 @@
 func (g *Gateway) brokenAttempts(server tanagerroad.Announcement) *brokenAttempts {
 	broken := g.broken[startOf(server)]
 	if broken == nil {
-		broken = &brokenAttempts{}
+		broken = &brokenAttempts{server: server, at: g.now()}
 		g.broken[startOf(server)] = broken
 		time.AfterFunc(crashWindow, func() { g.reportCrash(server) })
 	}
@@ -90,7 +95,8 @@
 }
 
 // reportCrash reports a backend server to the control instances, with the requests whose
-// attempts ended with it, unless it still accepts connections.
+// attempts ended with it or just before it, unless it still accepts connections. In that
+// case it is reported if it has started again.
 func (g *Gateway) reportCrash(server tanagerroad.Announcement) {
 	crashed := g.client.Refuses(g.ctx, server.Address)
 	g.mu.Lock()
@@ -100,9 +106,29 @@
 	event.ServerBrokeOff.Log(g.config.Logger, zap.String("server", server.ID), zap.String("pool", server.Pool), zap.Int64("start", server.StartMillis),
 		zap.Bool("crashed", crashed), zap.Int("waiting", broken.waiting), zap.Int("begun", broken.begun), zap.Int("flowing", broken.flowing),
 		zap.Int("suspects", len(broken.suspects)))
-	if !crashed {
+	if crashed {
+		g.reportBroken(broken)
 		return
 	}
+	g.awaitConfirmation(broken)
+}
+
+// awaitConfirmation keeps attempts that ended with a backend server, or might have, until
+// it is known whether it has started again. g.mu must be held.
+func (g *Gateway) awaitConfirmation(broken *brokenAttempts) {
+	if earlier := g.unconfirmed[startOf(broken.server)]; earlier != nil {
+		broken.suspects = append(earlier.suspects, broken.suspects...)
+		broken.suspects = broken.suspects[max(0, len(broken.suspects)-maxUnconfirmed):]
+	}
+	g.unconfirmed[startOf(broken.server)] = broken
+}
+
+// reportBroken reports the crash of a backend server. g.mu must be held.
+func (g *Gateway) reportBroken(broken *brokenAttempts) {
+	server := broken.server
+	for _, run := range g.quarantine.TakeEnded(server) {
+		broken.addSuspect(&wire.CrashSuspect{Flowed: true}, g.quarantine.Suspects(g.now(), run.Causes))
+	}
 	if g.roster.IsLeaving(server.ID, server.StartMillis) {
 		broken.keepExact()
 	}
@@ -129,6 +155,9 @@
 	go func() { g.logReportFailed(g.control.ReportCrash(g.ctx, report)) }()
 }
 
+// maxUnconfirmed bounds the requests that are kept of one backend server.
+const maxUnconfirmed = 64
+
 // maxLoggedCauses bounds the causes in the line of a crash.
 const maxLoggedCauses = 32
 
@@ -141,6 +170,27 @@
 	b.suspects = slices.DeleteFunc(b.suspects, func(s *wire.CrashSuspect) bool { return len(s.GetCauses()) == 0 })
 }
 
+// confirmCrashes reports the backend servers that broke off, accepted connections and have
+// started again. g.mu must be held.
+func (g *Gateway) confirmCrashes(now time.Duration) {
+	if len(g.unconfirmed) == 0 {
+		return
+	}
+	usable := g.roster.Usable()
+	for start, broken := range g.unconfirmed {
+		if now-broken.at > confirmTime {
+			delete(g.unconfirmed, start)
+			continue
+		}
+		if slices.ContainsFunc(usable, func(a tanagerroad.Announcement) bool {
+			return a.Address == broken.server.Address && a.StartMillis > broken.server.StartMillis
+		}) {
+			delete(g.unconfirmed, start)
+			g.reportBroken(broken)
+		}
+	}
+}
+
 // recordEnd records that a run at a backend server has ended without it. proof says that the
 // run began at the beginning and was answered whole.
 func (g *Gateway) recordEnd(server tanagerroad.Announcement, causes []quarantine.Cause, proof bool) {
@@ -163,12 +213,52 @@
 	}
 	g.mu.Unlock()
 	for _, run := range due {
-		if g.client.LivenessSince(run.Server.Address, wall.Add(run.At-now)) == http1.Alive {
+		switch g.client.LivenessSince(run.Server.Address, wall.Add(run.At-now)) {
+		case http1.Alive:
 			g.recordSurvival(run)
+		case http1.Ended:
+			g.recordServerEnd(run)
+		default:
+			g.resolveUnknown(run)
 		}
 	}
 }
 
+// recordServerEnd records that a backend server has closed its connections after a run
+// there. If it turns out to have crashed, the request is reported.
+func (g *Gateway) recordServerEnd(run quarantine.Survival) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	broken := g.brokenAttempts(run.Server)
+	if run.Last { // otherwise it is still there when the crash is reported
+		broken.addSuspect(&wire.CrashSuspect{Flowed: true}, g.quarantine.Suspects(g.now(), run.Causes))
+	}
+}
+
+// resolveUnknown deals with a run at a backend server to which no connection is open. If
+// it matters now, the server is asked whether it listens; otherwise its next announcement
+// will tell whether it has started again.
+func (g *Gateway) resolveUnknown(run quarantine.Survival) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.quarantine.IsListed(run.Causes) {
+		go func() {
+			if g.client.Refuses(g.ctx, run.Server.Address) {
+				g.recordServerEnd(run)
+				return
+			}
+			g.recordSurvival(run)
+		}()
+		return
+	}
+	if run.Last {
+		broken := &brokenAttempts{server: run.Server, at: run.At}
+		broken.addSuspect(&wire.CrashSuspect{Flowed: true}, g.quarantine.Suspects(run.At, run.Causes))
+		broken.keepExact()
+		g.awaitConfirmation(broken)
+	}
+}
+
 // recordSurvival records that a backend server has outlived a run.
 func (g *Gateway) recordSurvival(run quarantine.Survival) {
 	g.mu.Lock()
--- a/io/gateway/crashes_test.go
+++ b/io/gateway/crashes_test.go
@@ -153,6 +153,61 @@
 	}
 }
 
+// TestQuickRestartIsNoCrash guards against a crash that nobody reports, since the backend
+// server has started again before it was asked whether it listens.
+func TestQuickRestartIsNoCrash(t *testing.T) {
+	core, logs := observer.New(zap.InfoLevel)
+	g, _ := newLoggedGateway(t, zap.New(core))
+	server := tanagerroad.Announcement{ID: "up", Pool: "p", Address: newBackend(t, "up", good).Listener.Addr().String(), StartMillis: 1, State: tanagerroad.Serving}
+	other := server
+	other.ID, other.Address = "other", newBackend(t, "other", good).Listener.Addr().String()
+	for _, s := range []tanagerroad.Announcement{server, other} {
+		g.recordBrokenAttempt(s, []quarantine.Cause{{Fingerprint: 1, Label: "x"}}, attempt.Waiting)
+	}
+	eventually(func() bool { return logs.FilterMessage("server-broke-off").Len() == 2 })
+	server.StartMillis = 2
+	g.mu.Lock()
+	for _, a := range []tanagerroad.Announcement{server, other} {
+		g.roster.Apply(g.now(), "c", a)
+	}
+	g.applyRoster(g.now())
+	g.mu.Unlock()
+	crashed := logs.FilterMessage("server-crashed").All()
+	if len(crashed) != 1 || crashed[0].ContextMap()["server"] != "up" {
+		t.Errorf("reported %v, want the server that has started again", crashed)
+	}
+}
+
+// TestCrashBehindAnswerIsNoCrash guards against a request that is not suspected, since its
+// run had ended when its backend server crashed.
+func TestCrashBehindAnswerIsNoCrash(t *testing.T) {
+	core, logs := observer.New(zap.InfoLevel)
+	g, _ := newLoggedGateway(t, zap.New(core))
+	b := newBackend(t, "up", good)
+	server := tanagerroad.Announcement{ID: "up", Pool: "p", Address: b.Listener.Addr().String(), StartMillis: 1, State: tanagerroad.Serving}
+	g.mu.Lock()
+	g.roster.Apply(g.now(), "c", server)
+	g.mu.Unlock()
+	conn, err := g.client.Do(t.Context(), http1.Request{Address: server.Address, Method: http.MethodGet, Target: "/", Host: "h"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := io.ReadAll(conn); err != nil {
+		t.Fatal(err)
+	}
+	conn.Close()
+	g.recordEnd(server, []quarantine.Cause{{Fingerprint: 1, Label: "x", Exact: true}}, true)
+	b.CloseClientConnections()
+	b.Close()
+	if !eventually(func() bool { return logs.FilterMessage("server-crashed").Len() > 0 }) {
+		t.Fatal("no crash reported")
+	}
+	got := logs.FilterMessage("server-crashed").All()[0].ContextMap()
+	if got["server"] != "up" || got["suspects"] != int64(1) || got["flowed"] != int64(1) {
+		t.Errorf("reported %v, want the request that had ended", got)
+	}
+}
+
 // fakeControl is a control instance that answers proposed trials as a test says.
 type fakeControl struct {
 	wire.UnimplementedControlServer
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -89,6 +89,7 @@
 	fleet          *fleet.Fleet
 	quarantine     *quarantine.View
 	broken         map[serverStart]*brokenAttempts // attempts that ended with their connections, until that is reported
+	unconfirmed    map[serverStart]*brokenAttempts // those at servers that accept connections
 	survivalTimer  *time.Timer                     // calls checkSurvival; nil if no run has ended
 	bases          map[string]string               // base version of each pool, see package origin
 	baseChanges    uint64                          // of bases
@@ -119,7 +120,7 @@
 		config: config, client: client, ctx: ctx, noticeDue: signal.New(),
 		control: control.NewClient(config.Conns, config.Settings.Control, config.Logger),
 		roster:  roster.New(roster.DefaultConfig()), fleet: fleet.New(regions),
-		quarantine: quarantine.NewView(quarantine.DefaultConfig().Duration), broken: map[serverStart]*brokenAttempts{},
+		quarantine: quarantine.NewView(quarantine.DefaultConfig().Duration), broken: map[serverStart]*brokenAttempts{}, unconfirmed: map[serverStart]*brokenAttempts{},
 		retryBudgets: map[string]*limit.Budget{}, sources: map[string]*source{},
 		batchers: map[string]*pieceBatcher{}, regions: regions,
 		meters:  newMeters(config.Metrics),
--- a/io/gateway/watch.go
+++ b/io/gateway/watch.go
@@ -181,6 +181,7 @@
 // held.
 func (g *Gateway) applyRoster(now time.Duration) {
 	g.fleet.Update(g.roster.Usable())
+	g.confirmCrashes(now)
 	g.divide(now)
 }
 
--- a/io/http1/client.go
+++ b/io/http1/client.go
@@ -11,6 +11,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"strconv"
@@ -37,7 +38,8 @@
 	maxInterimResponses = 4               // 1xx responses before the final one
 	maxStrayResponses   = 2               // responses to other requests before the one to this request
 	maxStrayBody        = 256 << 10       // bytes; the body of a response to another request is skipped up to this size
-	optTCPUserTimeout   = 0x12            // TCP_USER_TIMEOUT, which package syscall does not define
+	endedMemory         = 10 * time.Second
+	optTCPUserTimeout   = 0x12 // TCP_USER_TIMEOUT, which package syscall does not define
 )
 
 // Request is an HTTP request to a backend server.
@@ -76,6 +78,7 @@
 
 	openMu sync.Mutex
 	open   map[string]map[*connection]bool // idle or in use, by address
+	ended  map[string]time.Time            // when a connection was last found closed by the other end, or refused, by address
 
 	// Opened counts new connections, Reused counts requests sent on idle ones, and
 	// StrayResponses counts unsolicited responses and responses to other requests.
@@ -96,7 +99,7 @@
 
 // New returns a client and the function that closes its idle connections.
 func New() (*Client, func()) {
-	c := &Client{idle: map[string][]*connection{}, open: map[string]map[*connection]bool{}, clock: time.Now}
+	c := &Client{idle: map[string][]*connection{}, open: map[string]map[*connection]bool{}, ended: map[string]time.Time{}, clock: time.Now}
 	c.dialer = net.Dialer{
 		Timeout:         connectTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveProbes},
@@ -241,11 +244,17 @@
 			c.Reused.Add(1)
 			return conn, nil
 		}
+		if conn.isClosed() {
+			c.recordEnded(r.Address)
+		}
 		_ = conn.Close() // idle for too long, closed by the server, or unsolicited data
 	}
 	c.Opened.Add(1)
 	raw, err := c.dialer.DialContext(ctx, "tcp", r.Address)
 	if err != nil {
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			c.recordEnded(r.Address)
+		}
 		return nil, err
 	}
 	limited := &limitedReader{reader: raw, left: unlimited}
@@ -276,13 +285,20 @@
 	return conn.Conn.Close()
 }
 
+// recordEnded records that the process at an address has ended, as its connections show.
+func (c *Client) recordEnded(address string) {
+	c.openMu.Lock()
+	defer c.openMu.Unlock()
+	c.ended[address] = c.clock()
+}
+
 // Liveness is what connections tell of the process at an address.
 type Liveness string
 
 // Liveness values.
 const (
 	Alive   Liveness = "alive"   // it is the same process, and it runs or is silent
-	Ended   Liveness = "ended"   // it has closed connections, as it does when it ends
+	Ended   Liveness = "ended"   // it has closed connections, as it does when it ends, or refuses them
 	Unknown Liveness = "unknown" // there is no connection
 )
 
@@ -292,6 +308,9 @@
 	c.openMu.Lock()
 	defer c.openMu.Unlock()
 	out := Unknown
+	if c.ended[address].After(since) {
+		out = Ended
+	}
 	for conn := range c.open[address] {
 		switch {
 		case conn.opened.After(since):
@@ -389,6 +408,9 @@
 // and those that have been idle for too long.
 func (c *Client) PruneIdle(addresses map[string]bool) {
 	now := c.clock()
+	c.openMu.Lock()
+	maps.DeleteFunc(c.ended, func(_ string, at time.Time) bool { return now.Sub(at) > endedMemory })
+	c.openMu.Unlock()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for address, list := range c.idle {
--- a/io/http1/conn_test.go
+++ b/io/http1/conn_test.go
@@ -315,3 +315,52 @@
 		t.Error("an address that was not asked counts as refusing")
 	}
 }
+
+// TestEndedServerLooksAlive guards against a backend server that has ended and started
+// again, and that is taken for the one that ran a request.
+func TestEndedServerLooksAlive(t *testing.T) {
+	for what, c := range map[string]struct {
+		close, request bool
+		want           Liveness
+	}{
+		"it runs":                               {false, false, Alive},
+		"it runs, and answers another request":  {false, true, Alive},
+		"it has closed its connection":          {true, false, Ended},
+		"it has, and another request was first": {true, true, Ended},
+	} {
+		closing := make(chan struct{})
+		address := startBackend(t, func(conn net.Conn, reader *bufio.Reader) {
+			go func() {
+				<-closing
+				_ = conn.Close()
+			}()
+			echo(conn, reader)
+		})
+		client, closeClient := New()
+		call := func() {
+			res, err := client.Do(t.Context(), Request{Address: address, Method: http.MethodGet, Target: "/x", Host: "h"})
+			if err != nil {
+				return // the new start closes its connections as well
+			}
+			_, _ = io.ReadAll(res)
+			res.Close()
+		}
+		before := time.Now()
+		call()
+		ended := time.Now()
+		if got := client.LivenessSince(address, before); got != Unknown {
+			t.Errorf("%s: before the first connection: got %s, want %s", what, got, Unknown)
+		}
+		if c.close {
+			close(closing)
+			time.Sleep(20 * time.Millisecond)
+		}
+		if c.request {
+			call()
+		}
+		if got := client.LivenessSince(address, ended); got != c.want {
+			t.Errorf("%s: got %s, want %s", what, got, c.want)
+		}
+		closeClient()
+	}
+}
