io/gateway: sound pieces of a request do not speak for the others

Callers saw: a request of which one piece crashes the servers of a stage came back without end (TestPieceBesideSoundOnesKeepsCrashingServers: 60 arrivals of a piece too many where it is the last of six pieces, 66 where it is in the second stage of the same pool).

Cause: any answer to a call for pieces took the whole request out of the quarantine, for its pool: the call with its other pieces, the stage before, even a call in which each piece was reported late, without room or failed.

Change: the pieces of each stage are a cause of their own, and a run of them speaks for it once all of them are made, if the server of the last call outlives it. Calls that were answered still count as runs that a server may crash behind.

--- a/core/quarantine/view.go
+++ b/core/quarantine/view.go
@@ -63,10 +63,12 @@
 // truncate returns the beginning of a text that a caller sent, for a label.
 func truncate(text string) string { return strings.ToValidUTF8(text[:min(len(text), maxLabel)], "") }
 
-// PieceCause returns what may make the pieces of a request crash the backend servers of a
-// pool, given the request's own cause: they may run in one pool and crash another.
-func PieceCause(request Cause, pool string) Cause {
-	return JobCause(xxhash.Sum64String("pieces\x00" + pool + "\x00" + strconv.FormatUint(request.Fingerprint, 16)))
+// PieceCause returns what may make the pieces of one stage of a request crash the backend
+// servers of a pool, given the request's own cause: other stages may be sound, and the same
+// stage may run in another pool after a change of the configuration.
+func PieceCause(request Cause, pool string, stage int) Cause {
+	fields := []string{"pieces", pool, strconv.Itoa(stage), strconv.FormatUint(request.Fingerprint, 16)}
+	return JobCause(xxhash.Sum64String(strings.Join(fields, "\x00")))
 }
 
 const pieceLabel = "pieces of a request"
--- a/io/gateway/batcher.go
+++ b/io/gateway/batcher.go
@@ -68,6 +68,7 @@
 	pool      string
 	number    uint64 // of the job on its stream
 	remaining int    // pieces without an outcome
+	failed    bool   // a piece was not made
 	deliver   func(*wire.PieceResult)
 }
 
@@ -356,13 +357,23 @@
 	overdueTimer := time.AfterFunc(call.Timeout(), func() { b.abandon(name, p, call) })
 	outcomes, full, err := b.send(name, call, items)
 	overdueTimer.Stop()
-	b.recordCrash(call, outcomes, err)
+	if outcomes == nil {
+		b.recordCrash(call, err)
+	}
 	if outcomes == nil && releaseTimer != nil {
 		releaseTimer.Stop()
 	}
 	if inputs := call.ReleasableInputs(); outcomes != nil && releaseTimer == nil && len(inputs) > 0 {
 		b.release(inputs)
 	}
+	whole := b.complete(name, p, call, outcomes, full, err)
+	if outcomes != nil {
+		b.recordEnd(call, whole)
+	}
+}
+
+// complete completes a call, and returns the jobs whose pieces are all made now.
+func (b *pieceBatcher) complete(name string, p *batch.Pool, call *batch.Call, outcomes []tanagerroad.PieceOutcome, full bool, err error) (whole []*batch.Job) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := b.g.now()
@@ -374,28 +385,30 @@
 		}
 	}
 	if outcomes == nil {
-		failed = len(items)
+		failed = len(call.Pieces)
 	}
-	event.PiecesEnded.Log(b.g.config.Logger, zap.String("pool", name), zap.String("server", call.Server.ID), zap.Int("pieces", len(items)),
+	event.PiecesEnded.Log(b.g.config.Logger, zap.String("pool", name), zap.String("server", call.Server.ID), zap.Int("pieces", len(call.Pieces)),
 		zap.Int("failed", failed), zap.Duration("took", now-call.Started), zap.Bool("full", full), zap.Error(err))
-	b.deliverResults(name, p, results)
+	whole = b.deliverResults(name, p, results)
 	b.dispatch(name, p)
+	return whole
 }
 
-// recordCrash records whether the backend server crashed during a call, or which jobs it
-// ran without.
-func (b *pieceBatcher) recordCrash(call *batch.Call, outcomes []tanagerroad.PieceOutcome, err error) {
-	jobs := call.Jobs()
-	if outcomes != nil {
-		for _, job := range jobs {
-			b.g.recordEnd(call.Server, []quarantine.Cause{quarantine.JobCause(job.Cause)}, true)
-		}
-		return
+// recordEnd records that the jobs of a call have run at its backend server, and which of
+// them are whole.
+func (b *pieceBatcher) recordEnd(call *batch.Call, whole []*batch.Job) {
+	for _, job := range call.Jobs() {
+		b.g.recordEnd(call.Server, []quarantine.Cause{quarantine.JobCause(job.Cause)}, slices.Contains(whole, job))
 	}
+}
+
+// recordCrash records whether the backend server crashed during a call that got no answer.
+func (b *pieceBatcher) recordCrash(call *batch.Call, err error) {
 	call.Crashed = endsWithConnection(err) && !isUnsent(err) && b.g.client.Refuses(b.g.ctx, call.Server.Address)
 	if !call.Crashed {
 		return
 	}
+	jobs := call.Jobs()
 	progress := attempt.Waiting
 	if len(jobs) == 1 { // nothing else was run
 		progress = attempt.Begun
@@ -471,8 +484,8 @@
 }
 
 // deliverResults delivers the outcomes of pieces to the gateways that submitted
-// their jobs. b.mu must be held.
-func (b *pieceBatcher) deliverResults(name string, p *batch.Pool, results []batch.PieceResult) {
+// their jobs, and returns the jobs whose pieces are all made. b.mu must be held.
+func (b *pieceBatcher) deliverResults(name string, p *batch.Pool, results []batch.PieceResult) (whole []*batch.Job) {
 	replies := map[string]*wire.PieceResult{}
 	for _, result := range results {
 		queued, ok := b.jobs[result.Job.ID]
@@ -489,6 +502,7 @@
 		}
 		reply.Pieces = append(reply.Pieces, &wire.PieceDone{Piece: uint32(result.Piece), Handle: result.Handle, Reason: result.Reason, Zone: result.Zone})
 		queued.remaining--
+		queued.failed = queued.failed || result.Handle == ""
 	}
 	wait := b.wait()
 	for id, reply := range replies {
@@ -497,9 +511,13 @@
 		if queued.remaining <= 0 {
 			delete(b.jobs, id)
 			p.Remove(id)
+			if !queued.failed {
+				whole = append(whole, queued.job)
+			}
 		}
 		queued.deliver(reply)
 	}
+	return whole
 }
 
 // release releases results of any pools and starts the calls that the freed memory
--- a/io/gateway/crashes_test.go
+++ b/io/gateway/crashes_test.go
@@ -83,7 +83,11 @@
 		for i := range c.jobs {
 			call.Pieces = append(call.Pieces, &batch.Piece{Job: &batch.Job{ID: string(rune('a' + i)), Cause: uint64(7 + i)}})
 		}
-		g.batcher("").recordCrash(call, c.outcomes, c.err)
+		if b := g.batcher(""); c.outcomes == nil {
+			b.recordCrash(call, c.err)
+		} else {
+			b.recordEnd(call, nil)
+		}
 		suspects := brokenSuspects(g, "prep1")
 		want := 0
 		if c.crashed {
@@ -110,7 +114,7 @@
 			Server: tanagerroad.Announcement{ID: "prep1", Pool: "prep", Address: closedAddress(t), StartMillis: 1},
 			Pieces: []*batch.Piece{{Job: &batch.Job{ID: "a", Cause: cause}}},
 		}
-		g.batcher("").recordCrash(call, nil, io.ErrUnexpectedEOF)
+		g.batcher("").recordCrash(call, io.ErrUnexpectedEOF)
 		return call, len(brokenSuspects(g, "prep1"))
 	}
 	convict(g, 2, 7, true)
--- a/io/gateway/exchange.go
+++ b/io/gateway/exchange.go
@@ -191,8 +191,8 @@
 	}
 	x.causes = quarantine.Causes(x.r.Host+x.target(), x.workspace, body, x.headers.PromptParts)
 	x.allCauses = slices.Clone(x.causes)
-	for _, stage := range x.route.Stages {
-		x.allCauses = append(x.allCauses, quarantine.PieceCause(x.causes[0], stage.Pool))
+	for i, stage := range x.route.Stages {
+		x.allCauses = append(x.allCauses, quarantine.PieceCause(x.causes[0], stage.Pool, i))
 	}
 	event.RequestArrived.Log(g.config.Logger, zap.String("request", x.headers.AttemptID), zap.String("route", x.route.Name))
 	return true
--- a/io/gateway/stages.go
+++ b/io/gateway/stages.go
@@ -178,7 +178,7 @@
 		Request: x.headers.AttemptID, Pool: job.Pool, Stage: uint32(job.Stage), Inputs: job.Inputs,
 		LeftMillis: (job.Deadline - now).Milliseconds(), SlackMillis: (job.Due - now).Milliseconds(),
 		Priority: int32(x.priority), ResultBytes: uint32(job.Bytes), Zone: job.Zone, PullBytes: uint32(job.CrossZoneBytes), LastUse: j.lastUse, Shard: j.shard, Begun: x.committed || x.headers.LastEventID != "",
-		Cause: quarantine.PieceCause(x.causes[0], job.Pool).Fingerprint,
+		Cause: quarantine.PieceCause(x.causes[0], job.Pool, job.Stage).Fingerprint,
 	}
 	if len(job.Inputs) == 0 {
 		message.Key = x.headers.PieceKey
