io/gateway, core/quarantine: crash reports wait for the control instances

After a longer loss of the leader a request has crashed servers that nothing is held against it for; three more follow, and three trials, where three arrivals are allowed.

One command for all servers that crash in a row also replaces one for each of them.

TestCrashReportIsDropped is red on the code before (no report after 6 s without a leader; adapted to its command). TestLateReportsAreOneOutage cannot be built on it.

--- a/core/quarantine/evidence.go
+++ b/core/quarantine/evidence.go
@@ -83,14 +83,16 @@
 	}
 }
 
-// crashOf returns the crash that a report is about.
+// crashOf returns the crash that a report is about, which happened at a Unix time in
+// milliseconds unless it is known already.
 func (l *Ledger) crashOf(atMillis int64, report *wire.CrashReport) *crash {
 	digest := startDigest(report)
 	if i := slices.IndexFunc(l.crashes, func(c *crash) bool { return c.digest == digest }); i >= 0 {
 		return l.crashes[i]
 	}
 	c := newCrash(&wire.CrashReport{Server: report.GetServer(), Start: report.GetStart(), AtMillis: atMillis})
-	l.crashes = append(l.crashes, c)
+	i, _ := slices.BinarySearchFunc(l.crashes, atMillis+1, func(c *crash, at int64) int { return cmp.Compare(c.GetAtMillis(), at) })
+	l.crashes = slices.Insert(l.crashes, i, c)
 	for len(l.crashes) > l.config.MaxCrashes {
 		l.dropOldest()
 	}
--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -110,13 +110,15 @@
 	}
 }
 
-// Report adds a report at a Unix time in milliseconds, and returns the causes to convict.
+// Report adds reports at a Unix time in milliseconds, and returns the causes to convict.
 // A crash counts only after SettleTime, when it is known what else crashed: whoever
 // reported it calls again then, without suspects.
-func (l *Ledger) Report(atMillis int64, report *wire.CrashReport) []*wire.Conviction {
+func (l *Ledger) Report(atMillis int64, reports ...*wire.CrashReport) []*wire.Conviction {
 	l.Expire(atMillis)
 	defer l.updateEntries()
-	l.add(atMillis, report)
+	for _, report := range reports {
+		l.add(atMillis-report.GetAgeMillis(), report)
+	}
 	l.failTrials(atMillis)
 	var out []*wire.Conviction
 	for c := l.convictNext(atMillis); c != nil; c = l.convictNext(atMillis) {
@@ -126,7 +128,7 @@
 	return out
 }
 
-// add adds the suspects of a report to its crash.
+// add adds the suspects of a report about a crash at a Unix time in milliseconds.
 func (l *Ledger) add(atMillis int64, report *wire.CrashReport) {
 	if len(report.GetSuspects()) == 0 {
 		return
--- a/core/quarantine/quarantine_test.go
+++ b/core/quarantine/quarantine_test.go
@@ -204,6 +204,23 @@
 	}
 }
 
+// TestLateReportsAreOneOutage guards against crashes at different times that count as one
+// since they were reported together.
+func TestLateReportsAreOneOutage(t *testing.T) {
+	ledger := quarantine.New(quarantine.DefaultConfig())
+	var reports []*wire.CrashReport
+	for i, age := range []int64{5000, 9000, 1000} {
+		reports = append(reports, &wire.CrashReport{
+			Server: fmt.Sprint("s", i), Start: 1, AgeMillis: age,
+			Suspects: suspects([][]string{{fmt.Sprint("r", i), "bad"}}, true),
+		})
+	}
+	convicted := ledger.Report(20_000, reports...)
+	if len(convicted) != 1 || convicted[0].GetLabel() != "bad" {
+		t.Errorf("got convictions %v, want one of what is in all three crashes", convicted)
+	}
+}
+
 // TestSlowRepeatsAreForgotten guards against a request that crashes each backend server
 // that runs it and that comes back so slowly that its crashes, or its conviction, are
 // forgotten meanwhile.
--- a/core/registry/registry.go
+++ b/core/registry/registry.go
@@ -171,7 +171,9 @@
 	case *wire.Command_PutCatalog:
 		return r.applyPutCatalog(body.PutCatalog.GetCatalog())
 	case *wire.Command_CrashReport:
-		return r.applyCrashReport(body.CrashReport)
+		return r.applyCrashReports(body.CrashReport)
+	case *wire.Command_CrashReports:
+		return r.applyCrashReports(body.CrashReports.GetReports()...)
 	case *wire.Command_ClaimTrial:
 		return r.applyClaimTrial(body.ClaimTrial)
 	case *wire.Command_EndTrial:
@@ -459,12 +461,12 @@
 	return &wire.Outcome{Kind: Accepted}
 }
 
-// applyCrashReport adds a crash report of a gateway or a sidecar. The outcome's reason
-// names what it convicts.
-func (r *Registry) applyCrashReport(report *wire.CrashReport) *wire.Outcome {
+// applyCrashReports adds the crash reports of a gateway or a sidecar. The outcome's reason
+// names what they convict.
+func (r *Registry) applyCrashReports(reports ...*wire.CrashReport) *wire.Outcome {
 	before := r.causes.Entries()
 	var labels []string
-	for _, c := range r.causes.Report(r.latestMillis, report) {
+	for _, c := range r.causes.Report(r.latestMillis, reports...) {
 		labels = append(labels, c.GetLabel())
 	}
 	if !quarantine.SameEntries(before, r.causes.Entries()) {
--- a/io/control/client.go
+++ b/io/control/client.go
@@ -123,7 +123,7 @@
 	return &wire.Outcome{Kind: registry.NoQuorum, Reason: "no leader with a quorum could be reached"}, nil
 }
 
-// reportRetention bounds the attempts to commit a crash report.
+// reportRetention bounds the attempts to commit a report.
 const reportRetention = 5 * time.Second
 
 // ReportCrash reports the crash of a backend server, and once more when the reports of
@@ -131,12 +131,24 @@
 func (c *Client) ReportCrash(ctx context.Context, report *wire.CrashReport) error {
 	ctx, cancel := context.WithTimeout(ctx, reportRetention)
 	defer cancel()
-	if err := c.commit(ctx, &wire.Command{Body: &wire.Command_CrashReport{CrashReport: report}}); err != nil {
+	if err := c.ReportCrashes(ctx, []*wire.CrashReport{report}); err != nil {
 		return err
 	}
+	return c.SettleCrashes(ctx)
+}
+
+// ReportCrashes reports the crashes of backend servers. They count after SettleCrashes.
+func (c *Client) ReportCrashes(ctx context.Context, reports []*wire.CrashReport) error {
+	return c.commit(ctx, &wire.Command{Body: &wire.Command_CrashReports{CrashReports: &wire.CrashReports{Reports: reports}}})
+}
+
+// SettleCrashes has the crashes counted that were reported, when the reports of other
+// processes must have arrived.
+func (c *Client) SettleCrashes(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, reportRetention)
+	defer cancel()
 	sleep(ctx, quarantine.DefaultConfig().SettleTime+reportDelay)
-	again := &wire.CrashReport{Server: report.GetServer(), Start: report.GetStart()}
-	return c.commit(ctx, &wire.Command{Body: &wire.Command_CrashReport{CrashReport: again}})
+	return c.ReportCrashes(ctx, nil)
 }
 
 // EndTrial ends the trial of a convicted cause. sent says whether something with the cause
--- a/io/gateway/crashes.go
+++ b/io/gateway/crashes.go
@@ -151,8 +151,7 @@
 	g.meters.count("servers.crashed")
 	event.ServerCrashed.Log(g.config.Logger, zap.String("server", server.ID), zap.String("pool", server.Pool), zap.Int64("start", server.StartMillis),
 		zap.Int("suspects", len(broken.suspects)), zap.Int("begun", begun), zap.Int("flowed", flowed), zap.Strings("causes", labels[:min(len(labels), maxLoggedCauses)]))
-	report := &wire.CrashReport{Server: server.ID, Start: server.StartMillis, Suspects: broken.suspects}
-	go func() { g.logReportFailed(g.control.ReportCrash(g.ctx, report)) }()
+	g.crashReports.add(broken.at, &wire.CrashReport{Server: server.ID, Start: server.StartMillis, Suspects: broken.suspects})
 }
 
 // maxUnconfirmed bounds the requests that are kept of one backend server.
--- a/io/gateway/crashes_test.go
+++ b/io/gateway/crashes_test.go
@@ -217,9 +217,11 @@
 	wire.UnimplementedControlServer
 	grant string // kind of the outcome; empty: an error
 
-	mu      sync.Mutex
-	trials  int
-	cleared []uint64
+	mu       sync.Mutex
+	trials   int
+	cleared  []uint64
+	downTill time.Time           // until then it answers no crash reports
+	reports  []*wire.CrashReport // that it has accepted
 }
 
 func (f *fakeControl) Propose(_ context.Context, command *wire.Command) (*wire.Outcome, error) {
@@ -232,12 +234,42 @@
 			return nil, grpcstatus.Error(codes.Unavailable, "no control instance")
 		}
 		return &wire.Outcome{Kind: f.grant}, nil
+	case *wire.Command_CrashReports:
+		if time.Now().Before(f.downTill) {
+			return nil, grpcstatus.Error(codes.Unavailable, "no leader")
+		}
+		f.reports = append(f.reports, body.CrashReports.GetReports()...)
 	case *wire.Command_ClearCauses:
 		f.cleared = append(f.cleared, body.ClearCauses.GetFingerprints()...)
 	}
 	return &wire.Outcome{Kind: registry.Accepted}, nil
 }
 
+// TestCrashReportIsDropped guards against crashes that are forgotten since no control
+// instance could be told of them for some seconds.
+func TestCrashReportIsDropped(t *testing.T) {
+	if testing.Short() {
+		t.Skip("waits for control instances that are away")
+	}
+	t.Parallel()
+	const away = 6 * time.Second
+	control := &fakeControl{downTill: time.Now().Add(away)}
+	address, _ := newPeer(t, func(s *grpc.Server) { wire.RegisterControlServer(s, control) })
+	g, _ := newTestGateway(t)
+	g.SetControlAddresses([]string{address})
+	g.recordBrokenAttempt(tanagerroad.Announcement{ID: "s", Pool: "p", Address: closedAddress(t), StartMillis: 1}, []quarantine.Cause{{Fingerprint: 1}}, attempt.Waiting)
+	time.Sleep(away)
+	reports := func() []*wire.CrashReport {
+		control.mu.Lock()
+		defer control.mu.Unlock()
+		return control.reports
+	}
+	eventually(func() bool { return len(reports()) > 0 })
+	if got := reports(); len(got) != 1 || got[0].GetAgeMillis() < away.Milliseconds()-1000 {
+		t.Errorf("got the reports %v after %v, want one with its age", got, away)
+	}
+}
+
 // TestConvictionsStay guards against a conviction that outlasts its cause, since no request
 // is tried, and against more than one request that is.
 func TestConvictionsStay(t *testing.T) {
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -72,6 +72,7 @@
 	control       *control.Client
 	owners        *ownerClient
 	origins       *originRecorder
+	crashReports  *crashReporter
 	ctx           context.Context
 	noticeDue     *signal.Signal // makes the watches send a notice immediately
 	draining      atomic.Bool
@@ -132,6 +133,8 @@
 	g.owners = newOwnerClient(g)
 	origins, closeOrigins := newOriginRecorder(g)
 	g.origins = origins
+	crashReports, closeCrashReports := newCrashReporter(g)
+	g.crashReports = crashReports
 	watches, closeWatches := control.NewWatchSet(g.watcher)
 	g.watches = watches
 	g.mu.Lock()
@@ -160,6 +163,7 @@
 		cancel()
 		closeWatches()
 		closeOrigins()
+		closeCrashReports()
 		<-housekeepingDone
 		closeClient()
 	}
--- a/io/quorum/quorum.go
+++ b/io/quorum/quorum.go
@@ -490,18 +490,29 @@
 		event.Convicted.Log(q.config.Logger, zap.Uint64("fingerprint", crash.GetFingerprint()),
 			zap.String("route", crash.GetRoute()), zap.String("verdict", outcome.GetReason()))
 	}
-	if report := command.GetCrashReport(); len(report.GetSuspects()) > 0 || report != nil && outcome.GetReason() != "" {
-		strongest := q.registry.StrongestSuspect()
-		event.CrashReported.Log(q.config.Logger, zap.String("server", report.GetServer()), zap.Int64("start", report.GetStart()),
-			zap.Int("suspects", len(report.GetSuspects())), zap.String("convicted", outcome.GetReason()),
-			zap.String("strongest", strongest.Label), zap.Int("outages", strongest.Outages), zap.Int("servers", strongest.Servers),
-			zap.Float64("evidence", strongest.Evidence))
+	if reports := command.GetCrashReports(); len(reports.GetReports()) > 0 || outcome.GetReason() != "" && reports != nil {
+		q.logCrashes(reports.GetReports(), outcome.GetReason())
 	}
 	if c := command.GetClearCauses(); c != nil {
 		event.CausesCleared.Log(q.config.Logger, zap.Uint64s("fingerprints", c.GetFingerprints()))
 	}
 }
 
+// logCrashes logs the backend servers that were reported to have crashed, and what that
+// convicts.
+func (q *Quorum) logCrashes(reports []*wire.CrashReport, convicted string) {
+	suspects := 0
+	var servers []string
+	for _, report := range reports {
+		servers = append(servers, fmt.Sprintf("%s/%d", report.GetServer(), report.GetStart()))
+		suspects += len(report.GetSuspects())
+	}
+	strongest := q.registry.StrongestSuspect()
+	event.CrashReported.Log(q.config.Logger, zap.Strings("servers", servers), zap.Int("suspects", suspects), zap.String("convicted", convicted),
+		zap.String("strongest", strongest.Label), zap.Int("outages", strongest.Outages), zap.Int("in-crashes", strongest.Servers),
+		zap.Float64("evidence", strongest.Evidence))
+}
+
 // finishReads serves the reads that were confirmed, or fails the others.
 func (q *Quorum) finishReads(tokens []uint64, ok bool) {
 	for _, token := range tokens {
