io/gateway: a refused call for pieces gives its connection up

A server that writes the refusal of a call for pieces once more, on the connection that the next call uses, had that call counted as refused while it ran: its pieces were made a second time, and the results of the first took room until they expired. Calls carry no id by which a copy could be told, so the connection of a refused call is closed now.

--- a/io/gateway/batcher.go
+++ b/io/gateway/batcher.go
@@ -467,6 +467,7 @@
 		return nil, false, err
 	}
 	if res.StatusCode != http.StatusOK {
+		res.Discard() // a second copy would be taken for the answer to the next call
 		return nil, reply.NotRun && res.StatusCode == http.StatusServiceUnavailable, fmt.Errorf("backend server answered with status %d", res.StatusCode)
 	}
 	outcomes, err = b.g.config.Dialect.DecodePieceOutcomes(answer)
--- a/io/gateway/shards_test.go
+++ b/io/gateway/shards_test.go
@@ -174,6 +174,38 @@
 	}
 }
 
+// TestRefusedCallIsTakenForNextCall guards against a second copy of a refusal that is taken
+// for the answer to the next call, whose pieces are then made twice.
+func TestRefusedCallIsTakenForNextCall(t *testing.T) {
+	p := newPieceServer(t)
+	p.status = func(call int64) int {
+		if call == 1 {
+			return http.StatusServiceUnavailable
+		}
+		return 0
+	}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	go repeatAnswers(listener, p.Listener.Addr().String())
+	g, _ := newTestGateway(t, p.backend)
+	g.mu.Lock()
+	g.roster.Apply(g.now(), "c", tanagerroad.Announcement{
+		ID: p.id, Pool: "prep", Address: listener.Addr().String(), Zone: "z", Slots: 4, State: tanagerroad.Serving, Sequence: 1, StartMillis: 2000,
+	})
+	g.applyRoster(g.now())
+	g.mu.Unlock()
+	results := make(chan *wire.PieceResult, 1)
+	g.batcher("").submit("a", &wire.PieceJob{
+		Number: 1, Request: "r", Pool: "prep", Pieces: []uint32{0}, LeftMillis: 3000, SlackMillis: 3000,
+	}, func(r *wire.PieceResult) { results <- r })
+	if r := <-results; len(r.GetPieces()) != 1 || r.GetPieces()[0].GetHandle() == "" || p.calls.Load() != 2 {
+		t.Errorf("got %v after %d calls, want a result of the second one", r, p.calls.Load())
+	}
+}
+
 // repeatAnswers passes connections on to a server and sends the answer to each request
 // again when the next one arrives.
 func repeatAnswers(listener net.Listener, server string) {
