core/roster, io/registrar: an announcement that cannot be a server's own is refused

Report of other operators: one odd entry among those of the servers, and the processes that read the list ended again and again, or stopped following it.

Seen here with a test of 25 shapes, before and after all processes start anew: - an id that is not UTF-8 (in the path of the heartbeat) stops every follower for good: it is in the same message as all other announcements, which cannot be encoded any more; - an entry under the id of a sound server, with a high seq, a start far in the future or an address without a sound port, takes the server out of use for as long as it runs. The other 20 shapes did no harm (deep nesting, numbers beyond all ranges, null, bytes, long texts, services that nobody has).

Cause: what could be decoded was recorded. Change: core/roster checks what a server can say of itself before it is recorded: printable UTF-8 of at most 256 bytes, an IP address and a port, numbers in bounds, a start no later than tomorrow.

platform TestOddAnnouncementStopsAll: 5 of 25 shapes red before, green now.

--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -83,7 +83,7 @@
 		r.markChanged(rec)
 	}
 	stale := ok && !supersedes(a, rec.announcement) && a != rec.announcement
-	if stale {
+	if stale && !r.isOutlier(at, rec, a) {
 		return false
 	}
 	rec.lastReceived = at
@@ -107,6 +107,14 @@
 	return changed
 }
 
+// isOutlier reports whether the announcement that a record has was not the backend server's
+// own: that has been silent since, while a is of the same start. A server that leaves, or
+// has left, does not come back.
+func (r *Roster) isOutlier(at time.Duration, rec *record, a tanagerroad.Announcement) bool {
+	return rec.announcement.State == tanagerroad.Serving && rec.announcement.StartMillis == a.StartMillis &&
+		at-rec.lastReceived > r.config.SilenceTimeout
+}
+
 // mergeDown returns a, completed from before when it is a Down announcement,
 // since those may carry only the id.
 func mergeDown(before, a tanagerroad.Announcement) tanagerroad.Announcement {
--- a/io/registrar/registrar.go
+++ b/io/registrar/registrar.go
@@ -22,6 +22,7 @@
 	"tanagerroad/core/catalog"
 	"tanagerroad/core/event"
 	"tanagerroad/core/registry"
+	"tanagerroad/core/roster"
 	"tanagerroad/core/wire"
 	"tanagerroad/io/operator"
 )
@@ -82,6 +83,9 @@
 			return
 		}
 		announcement, err := decode(id, body)
+		if err == nil {
+			err = roster.Check(time.Now().UnixMilli(), announcement)
+		}
 		if err != nil {
 			event.AnnouncementUnreadable.Log(c.Logger, zap.String("server", id), zap.Error(err))
 			operator.WriteJSON(w, http.StatusBadRequest, operator.ErrorReply{Reason: err.Error()})
