io/gateway: a request with a billion pieces does not end the gateway

Counts beyond the route's stages counted too.

Change: a request whose stages have more than 4,096 pieces together is answered 400; only the stages that the route has count.

platform TestOddHeaderStopsOtherRequests, the case "many pieces": before, the test process ended; now the odd ones get 400 and all others are served.

--- a/io/gateway/exchange.go
+++ b/io/gateway/exchange.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"slices"
@@ -47,6 +48,8 @@
 	// pauseSpread is the time over which requests are spread after all backend
 	// servers of a pool wanted none.
 	pauseSpread = 300 * time.Millisecond
+	// maxPieces bounds the pieces of a request; memory is kept for the results of all.
+	maxPieces = 4096
 	// copyBufferSize is the size of the buffer for forwarding answers, in bytes.
 	copyBufferSize = 8 << 10
 )
@@ -164,6 +167,10 @@
 		x.answer(http.StatusUnauthorized, "no workspace holds this key")
 		return false
 	}
+	if x.pieces() > maxPieces {
+		x.answer(http.StatusBadRequest, fmt.Sprintf("the stages have more than %d pieces", maxPieces))
+		return false
+	}
 	timeout := x.headers.Timeout
 	if timeout <= 0 {
 		timeout = defaultTimeout
@@ -201,6 +208,15 @@
 	return true
 }
 
+// pieces returns the number of pieces that all stages of the route have.
+func (x *exchange) pieces() int {
+	sum := 0
+	for _, n := range x.headers.PieceCounts[:min(len(x.headers.PieceCounts), len(x.route.Stages))] {
+		sum += n
+	}
+	return sum
+}
+
 // hashFraction returns a number in [0, 1) that is derived from a request's id and
 // evenly distributed over ids.
 func hashFraction(id string) float64 { return float64(xxhash.Sum64String(id)>>11) / (1 << 53) }
--- a/io/gateway/stages.go
+++ b/io/gateway/stages.go
@@ -58,10 +58,7 @@
 	// One result for each piece, and for each job and loss of an owner. The
 	// factor of 3 covers the first run of the pipeline and its two restarts.
 	// Sends must not block.
-	bufferSize := (maxOwnerLosses + maxRefusals) * (1 + len(x.route.Stages))
-	for _, n := range x.headers.PieceCounts {
-		bufferSize += n
-	}
+	bufferSize := (maxOwnerLosses+maxRefusals)*(1+len(x.route.Stages)) + x.pieces()
 	home := zone
 	if home == "" {
 		home = x.g.config.Settings.Zone
