io/gateway: a header that is not UTF-8 does not end the stream to an owner

Change: such a request is answered 400 if its route has stages. Others pass on what the caller sent.

--- a/io/gateway/exchange.go
+++ b/io/gateway/exchange.go
@@ -13,6 +13,7 @@
 	"strings"
 	"sync/atomic"
 	"time"
+	"unicode/utf8"
 
 	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
@@ -167,6 +168,10 @@
 		x.answer(http.StatusUnauthorized, "no workspace holds this key")
 		return false
 	}
+	if len(x.route.Stages) > 0 && !x.canTravel() {
+		x.answer(http.StatusBadRequest, "a request with stages needs an id, a piece key and prompt parts in UTF-8")
+		return false
+	}
 	if x.pieces() > maxPieces {
 		x.answer(http.StatusBadRequest, fmt.Sprintf("the stages have more than %d pieces", maxPieces))
 		return false
@@ -208,6 +213,13 @@
 	return true
 }
 
+// canTravel reports whether messages between gateways, and calls for pieces, can carry what
+// the request's headers say.
+func (x *exchange) canTravel() bool {
+	texts := append(x.partIDs(), x.headers.AttemptID, x.headers.PieceKey)
+	return !slices.ContainsFunc(texts, func(s string) bool { return !utf8.ValidString(s) })
+}
+
 // pieces returns the number of pieces that all stages of the route have.
 func (x *exchange) pieces() int {
 	sum := 0
