io/gateway: an odd handle is a piece that was not made

A backend server's answer to a call for pieces was passed on whatever its handles hold: with a comma the list of inputs has one more, so that a request may be given what is not its own; a megabyte of it does not fit the messages between gateways; a line end or a space ends up in a header.

Change: a handle of more than 256 bytes, or with anything but printable ASCII without commas, is no result; the piece is made again. TestOddHandleIsPassedOn: all five red before.

--- a/io/gateway/batcher.go
+++ b/io/gateway/batcher.go
@@ -477,6 +477,11 @@
 	if len(outcomes) != len(items) {
 		return nil, false, fmt.Errorf("backend server returned %d outcomes for %d pieces", len(outcomes), len(items))
 	}
+	for i, o := range outcomes {
+		if o.Handle != "" && !isHandle(o.Handle) || len(o.Reason) > maxHandle {
+			outcomes[i] = tanagerroad.PieceOutcome{Reason: tanagerroad.PieceError}
+		}
+	}
 	if b.isRepeated(name, call, outcomes) {
 		res.Discard()
 		return nil, false, errRepeatedAnswer
@@ -484,6 +489,15 @@
 	return outcomes, false, nil
 }
 
+// maxHandle is the maximum size of a result's handle, in bytes.
+const maxHandle = 256
+
+// isHandle reports whether a text can be the handle of a result: one in a list that is
+// separated by commas in a header.
+func isHandle(text string) bool {
+	return len(text) <= maxHandle && !strings.ContainsFunc(text, func(r rune) bool { return r <= ' ' || r > '~' || r == ',' })
+}
+
 // deliverResults delivers the outcomes of pieces to the gateways that submitted
 // their jobs, and returns the jobs whose pieces are all made. b.mu must be held.
 func (b *pieceBatcher) deliverResults(name string, p *batch.Pool, results []batch.PieceResult) (whole []*batch.Job) {
--- a/io/gateway/shards_test.go
+++ b/io/gateway/shards_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"bufio"
+	"encoding/json"
 	"fmt"
 	"net"
 	"net/http"
 	"net/http/httputil"
+	"strings"
 	"testing"
 	"time"
 
@@ -206,6 +208,35 @@
 	}
 }
 
+// TestOddHandleIsPassedOn guards against a handle that other gateways or the header of a
+// request cannot carry, or that they take for two.
+func TestOddHandleIsPassedOn(t *testing.T) {
+	for what, odd := range map[string]string{
+		"a comma": "a:1/x,b:1/y", "a line end": "a:1/x\nEvil: 1", "a space": "a:1/x y", "long": strings.Repeat("x", 1<<20), "no ASCII": "a:1/é",
+	} {
+		p := newPieceServer(t)
+		p.outcome = func(call int64) *string {
+			if call > 1 {
+				return nil
+			}
+			text, err := json.Marshal([]tanagerroad.PieceOutcome{{Handle: odd}})
+			if err != nil {
+				t.Error(err)
+			}
+			return new(string(text))
+		}
+		g, _ := newTestGateway(t, p.backend, p.second)
+		results := make(chan *wire.PieceResult, 1)
+		g.batcher("").submit("a", &wire.PieceJob{
+			Number: 1, Request: "r", Pool: "prep", Pieces: []uint32{0}, LeftMillis: 3000, SlackMillis: 3000,
+		}, func(r *wire.PieceResult) { results <- r })
+		r := <-results
+		if len(r.GetPieces()) != 1 || !strings.Contains(r.GetPieces()[0].GetHandle(), "2-r-0-0") {
+			t.Errorf("%s: got %.200v, want the result of the second call", what, r)
+		}
+	}
+}
+
 // repeatAnswers passes connections on to a server and sends the answer to each request
 // again when the next one arrives.
 func repeatAnswers(listener net.Listener, server string) {
