core/stage, io/backend: a result before the crash speaks for no request

Change: how a request begins is reported however far its answer had come, with a cause that tells different requests apart. If nothing runs when the server ends, what completed within a second before is reported, unless the end was planned; what runs is the likelier cause, and a popular request would be suspected at each crash otherwise. A suspect is cleared once its server has outlived it by a second.

--- a/core/quarantine/view.go
+++ b/core/quarantine/view.go
@@ -78,6 +78,12 @@
 	return Cause{Fingerprint: fingerprint, Label: pieceLabel, Exact: true}
 }
 
+// DifferentRequest returns a cause that tells requests apart which are convicted elsewhere,
+// by their own fingerprints: a ledger counts how many different ones share another cause.
+func DifferentRequest(fingerprint uint64) Cause {
+	return Cause{Fingerprint: xxhash.Sum64String("different\x00" + strconv.FormatUint(fingerprint, 16)), Label: "request"}
+}
+
 // PrefixCause returns the cause that requests have in common whose inputs begin alike.
 // digest is the digest of that beginning; 0: the input is too short, and there is none.
 func PrefixCause(digest uint64) Cause {
--- a/core/stage/stage.go
+++ b/core/stage/stage.go
@@ -13,6 +13,7 @@
 	"tanagerroad"
 	"tanagerroad/core/chart"
 	"tanagerroad/core/limit"
+	"tanagerroad/core/quarantine"
 )
 
 //go:embed attempt.json
@@ -90,6 +91,8 @@
 	Retention   time.Duration           `json:"retention,omitempty"`   // with Retain
 	Start       int                     `json:"start,omitempty"`       // with Announce, Leave and Pause: generation of the backend server
 	Pause       time.Duration           `json:"pause,omitempty"`       // with Pause; maxPause counts at most
+	LastSeen    time.Duration           `json:"last-seen,omitempty"`   // with Crash: when the backend server was last heard of; 0: now
+	Planned     bool                    `json:"planned,omitempty"`     // with Crash: it had said that it leaves
 }
 
 // Action kinds.
@@ -211,7 +214,7 @@
 	case Finish, Fail, LoseContact, Refuse:
 		out = s.endAttempt(at, e)
 	case Crash:
-		out = s.crash(at)
+		out = s.crash(at, e)
 	case Cancel:
 		out = s.cancel(at, e)
 	case Query:
@@ -472,18 +475,24 @@
 	}
 }
 
-// crash ends all running attempts and reports the fingerprint of each. A
-// fingerprint is reported as alone only if the attempt was required to run alone
+// crash ends all running attempts and reports the fingerprint of each, or of those that
+// have just completed if none runs. A fingerprint is reported as alone only if the attempt was required to run alone
 // and nothing else ran at any time during it.
-func (s *Scheduler) crash(at time.Duration) []Action {
+func (s *Scheduler) crash(at time.Duration, e Event) []Action {
+	lastSeen := cmp.Or(e.LastSeen, at)
 	s.state, s.pausedUntil = tanagerroad.Down, 0
-	var keys []tanagerroad.AttemptKey
+	var keys, ended []tanagerroad.AttemptKey
 	for key, a := range s.attempts {
-		if a.state == Running {
+		switch {
+		case a.state == Running:
 			keys = append(keys, key)
+		case a.state == Done && !e.Planned && lastSeen-a.stateSince < quarantine.SurvivalTime:
+			ended = append(ended, key)
 		}
 	}
-	slices.SortFunc(keys, func(x, y tanagerroad.AttemptKey) int { return cmp.Compare(x.String(), y.String()) })
+	byKey := func(x, y tanagerroad.AttemptKey) int { return cmp.Compare(x.String(), y.String()) }
+	slices.SortFunc(keys, byKey)
+	slices.SortFunc(ended, byKey)
 	var out []Action
 	for _, key := range keys {
 		a := s.attempts[key]
@@ -500,6 +509,13 @@
 			Action{Kind: ReportCrash, Key: key, Fingerprint: a.Fingerprint, Alone: a.Alone && !a.overlapped},
 			Action{Kind: ReportOutcome, Key: key, State: a.state, Reason: "crashed"})
 	}
+	if len(keys) > 0 {
+		ended = nil // what runs is more likely to be the cause
+	}
+	for _, key := range ended {
+		a := s.attempts[key]
+		out = append(out, Action{Kind: ReportCrash, Key: key, Fingerprint: a.Fingerprint, Alone: a.Alone && !a.overlapped && len(ended) == 1})
+	}
 	return append(out, s.rejectQueued(at, "the backend server is down", 0)...)
 }
 
--- a/io/backend/announce.go
+++ b/io/backend/announce.go
@@ -98,7 +98,7 @@
 	restarted := previous.Pool != "" && previous.Generation != a.Generation
 	if restarted {
 		// The calls in flight died with the previous process.
-		s.step(stage.Event{Kind: stage.Crash})
+		s.step(stage.Event{Kind: stage.Crash, LastSeen: s.announcedAt, Planned: s.scheduler.State() == tanagerroad.Leaving})
 		s.setLimit(0)
 	}
 	if s.client == nil || previous.Address != a.Address {
--- a/io/backend/sidecar.go
+++ b/io/backend/sidecar.go
@@ -54,7 +54,8 @@
 	ID          string           `json:"id"`       // unique, so that a report sent twice counts once
 	Cleared     bool             `json:"harmless"` // not a crash: a suspected request ran alone without one
 	Start       int64            `json:"start"`    // generation of the backend server that crashed
-	Prefix      quarantine.Cause `json:"prefix"`   // zero: the input is short, or the answer had begun to arrive
+	Prefix      quarantine.Cause `json:"prefix"`   // zero: the input is short
+	Flowed      bool             `json:"flowed"`   // a part of the answer had arrived
 }
 
 // Sidecar runs attempts on one backend server, serves their results to entries and
@@ -317,15 +318,40 @@
 	}
 	if r != nil {
 		report.Route, report.Start = r.request.GetRoute(), int64(s.announced.Generation)
-		if r.size() == 0 {
-			report.Prefix = prefixOf(r.request)
-		}
+		report.Prefix, report.Flowed = prefixOf(r.request), r.size() > 0
+	}
+	if report.Cleared {
+		s.afterSurvival(func() { s.publish(report) })
+		return
 	}
 	// Publish waits for the handlers, and they must not wait for the lock that the
 	// caller holds.
+	s.goroutines.Go(func() { s.publish(report) })
+}
+
+func (s *Sidecar) publish(report CrashReport) {
+	if err := bus.Publish(s.config.Bus, TopicCrash, report); err != nil {
+		event.BusFailed.Log(s.config.Logger, zap.Error(err))
+	}
+}
+
+// afterSurvival calls f if the backend server outlives what has just ended there. The
+// caller holds the lock.
+func (s *Sidecar) afterSurvival(f func()) {
+	start := s.announced.Generation
 	s.goroutines.Go(func() {
-		if err := bus.Publish(s.config.Bus, TopicCrash, report); err != nil {
-			event.BusFailed.Log(s.config.Logger, zap.Error(err))
+		timer := time.NewTimer(quarantine.SurvivalTime)
+		defer timer.Stop()
+		select {
+		case <-s.ctx.Done():
+			return
+		case <-timer.C:
+		}
+		s.mu.Lock()
+		survived := s.announced.Generation == start && s.scheduler.State() != tanagerroad.Down
+		s.mu.Unlock()
+		if survived {
+			f()
 		}
 	})
 }
@@ -340,7 +366,10 @@
 func (s *Sidecar) reportPrefix(c CrashReport) {
 	err := s.control.ReportCrash(s.ctx, &wire.CrashReport{
 		Server: s.config.Settings.Process, Start: c.Start,
-		Suspects: []*wire.CrashSuspect{{Begun: true, Causes: []*wire.Cause{c.Prefix.ToWire()}}},
+		Suspects: []*wire.CrashSuspect{{
+			Begun: !c.Flowed, Flowed: c.Flowed,
+			Causes: []*wire.Cause{quarantine.DifferentRequest(c.Fingerprint).ToWire(), c.Prefix.ToWire()},
+		}},
 	})
 	if err != nil {
 		event.ReportFailed.Log(s.config.Logger, zap.Error(err))
@@ -358,7 +387,7 @@
 		return
 	}
 	delete(s.quarantine, prefix) // until the next update: once is enough
-	s.goroutines.Go(func() {
+	s.afterSurvival(func() {
 		if err := s.control.ClearCauses(s.ctx, []uint64{prefix}); err != nil {
 			event.ReportFailed.Log(s.config.Logger, zap.Error(err))
 		}
@@ -453,11 +482,12 @@
 // server, it did not run; all other running calls are suspected of having crashed
 // the server. The caller holds the lock.
 func (s *Sidecar) handleServerExit(key tanagerroad.AttemptKey, result outcome) {
+	planned := s.scheduler.State() == tanagerroad.Leaving
 	s.step(stage.Event{Kind: stage.Announce, State: tanagerroad.Down, Start: s.announced.Generation})
 	if result.kind == notRun {
 		s.step(stage.Event{Kind: stage.Refuse, Key: key})
 	}
-	s.step(stage.Event{Kind: stage.Crash})
+	s.step(stage.Event{Kind: stage.Crash, Planned: planned})
 	s.noticeDue.Broadcast()
 }
 
--- a/io/demo/demo_test.go
+++ b/io/demo/demo_test.go
@@ -339,6 +339,54 @@
 	}
 }
 
+// TestCrashBehindAnswersIsNotHeldAgainstThem guards against requests that crash every
+// backend server after a part of their answers, or all of it, because of how they begin or
+// as a whole, and that are taken for sound since they were answered. Three may reach
+// servers later than 3 s after the third crash, of different ones after the fifth.
+func TestCrashBehindAnswersIsNotHeldAgainstThem(t *testing.T) {
+	const contactTime, mostLate = 3 * time.Second, 3
+	for what, c := range map[string]struct {
+		route   string
+		same    bool // one request, sent again with new ids
+		crashes int  // from which on the time counts
+	}{
+		"a request, behind its whole answer":         {"history", true, 3},
+		"a request, halfway through its stream":      {"assist", true, 3},
+		"requests that begin alike, halfway through": {"assist", false, 5},
+	} {
+		t.Run(what, func(t *testing.T) {
+			t.Parallel()
+			cluster, ctx := startCluster(t, nil)
+			body := standin.FaultMidway + strings.Repeat("a", 300)
+			var countsFrom time.Time
+			late := 0
+			for i := range 16 {
+				sent := time.Now()
+				before := crashCount(cluster)
+				request := load.Request{ID: fmt.Sprint("late-", i), Route: c.route, Body: []byte(body), Repeatable: true}
+				if !c.same {
+					request.Body = fmt.Append(request.Body, i)
+				}
+				call(t, ctx, cluster, i%3, request)
+				time.Sleep(1500 * time.Millisecond) // the servers are back
+				after := crashCount(cluster)
+				if !countsFrom.IsZero() && sent.After(countsFrom) && after > before {
+					late++
+				}
+				if countsFrom.IsZero() && after >= c.crashes {
+					countsFrom = time.Now().Add(contactTime)
+				}
+			}
+			if n := crashCount(cluster); n < 2 || late > mostLate {
+				t.Errorf("%d requests reached servers later than %v after crash %d of %d, want at most %d", late, contactTime, c.crashes, n, mostLate)
+			}
+			if other := call(t, ctx, cluster, 1, load.Request{Route: c.route, Body: []byte(strings.Repeat("b", 300)), Repeatable: true}); !other.Verified {
+				t.Errorf("another request of the route was not answered: %+v", other)
+			}
+		})
+	}
+}
+
 // crashCount returns the number of crashes of all stand-ins.
 func crashCount(c *demo.Cluster) int {
 	n := 0
--- a/io/standin/standin.go
+++ b/io/standin/standin.go
@@ -35,6 +35,9 @@
 	FaultHang  = "fault:hang"  // never answer
 	FaultBreak = "fault:break" // close the connection once, halfway through the stream; model engines only
 	FaultSlow  = "fault:slow"  // take slowFactor times as long
+	// FaultMidway crashes a model engine halfway through the stream, and a service right
+	// behind its answer.
+	FaultMidway = "fault:midway"
 )
 
 // Timing of a stand-in.
@@ -42,6 +45,7 @@
 	announceInterval = 500 * time.Millisecond
 	restartDelay     = 300 * time.Millisecond // from a crash to the restart, and between attempts to listen again
 	slowFactor       = 10
+	midwayDelay      = 100 * time.Millisecond
 )
 
 // Server is one fake backend server. It announces itself to its sidecar.
@@ -272,6 +276,13 @@
 	answer := Answer(s.config, input)
 	w.Header().Set(backend.HeaderDigest, strconv.FormatUint(xxhash.Sum64(answer), 16))
 	_, _ = w.Write(answer) // fails only if the sidecar has disconnected
+	if contains(input, FaultMidway) {
+		s.goroutines.Go(func() {
+			if sleep(s.ctx, midwayDelay) {
+				s.Crash()
+			}
+		})
+	}
 }
 
 // contains reports whether an input requests a fault.
@@ -365,7 +376,14 @@
 		return
 	}
 	st := s.newStream(r, input)
-	s.writeEvents(r.Context(), w, st, 0, contains(input, FaultBreak))
+	var atHalf func()
+	switch {
+	case contains(input, FaultBreak):
+		atHalf = func() { s.closeConn(w) }
+	case contains(input, FaultMidway):
+		atHalf = s.Crash
+	}
+	s.writeEvents(r.Context(), w, st, 0, atHalf)
 }
 
 // newStream registers a stream for the attempt named by the request's headers.
@@ -384,9 +402,9 @@
 }
 
 // writeEvents sends the stream's events from a byte offset on, one token per
-// tokenInterval since the stream's start, and then the end event. With breakHalfway
-// it closes the connection halfway instead.
-func (s *Server) writeEvents(ctx context.Context, w http.ResponseWriter, st *stream, from int, breakHalfway bool) {
+// tokenInterval since the stream's start, and then the end event. Unless atHalf is nil it
+// calls that halfway instead.
+func (s *Server) writeEvents(ctx context.Context, w http.ResponseWriter, st *stream, from int, atHalf func()) {
 	w.Header().Set("Content-Type", "text/event-stream")
 	controller := http.NewResponseController(w)
 	words := strings.SplitAfter(string(st.answer), " ")
@@ -395,8 +413,8 @@
 		if word == "" {
 			continue
 		}
-		if breakHalfway && i == len(words)/2 {
-			s.closeConn(w)
+		if atHalf != nil && i == len(words)/2 {
+			atHalf()
 			return
 		}
 		if !sleepUntil(ctx, st.ctx, st.start.Add(time.Duration(i+1)*st.tokenInterval)) {
@@ -441,7 +459,7 @@
 		http.Error(w, "no such stream", http.StatusNotFound)
 		return
 	}
-	s.writeEvents(r.Context(), w, st, from, false)
+	s.writeEvents(r.Context(), w, st, from, nil)
 }
 
 // cancel stops and removes a stream; it also succeeds if there is none.
