--- a/core/registry/registry.go
+++ b/core/registry/registry.go
@@ -50,6 +50,7 @@
 	MaxTotalAnswerBytes int           // of all kept answers together; beyond that, claims are kept without their answers
 	QuarantineDuration  time.Duration // how long a convicted fingerprint is refused
 	SuspicionDuration   time.Duration // how long a suspect fingerprint runs only alone
+	RecentSuspicion     time.Duration // how long no other suspect takes the place of one
 	MaxFingerprints     int           // suspect and convicted fingerprints kept
 	MaxCrashReports     int           // crash report ids kept, so that a resent report counts once
 }
@@ -63,8 +64,9 @@
 		ClaimRetention:      15 * time.Minute,
 		MaxAnswerBytes:      16 << 10,
 		MaxTotalAnswerBytes: 16 << 20,
-		QuarantineDuration:  10 * time.Minute,
-		SuspicionDuration:   time.Minute,
+		QuarantineDuration:  24 * time.Hour,
+		SuspicionDuration:   24 * time.Hour,
+		RecentSuspicion:     time.Minute,
 		MaxFingerprints:     1024,
 		MaxCrashReports:     1024,
 	}
@@ -410,6 +412,26 @@
 	return a.GetRequest() == b.GetRequest() && a.GetStage() == b.GetStage() && a.GetAttempt() == b.GetAttempt()
 }
 
+// dropOldSuspect drops the suspect fingerprint whose latest crash was the longest ago, if
+// that is not recent. It reports whether there was one.
+func (r *Registry) dropOldSuspect() bool {
+	recent := r.latestMillis + (r.config.SuspicionDuration - r.config.RecentSuspicion).Milliseconds()
+	var oldest *wire.Conviction
+	for _, c := range r.quarantined {
+		if c.GetConvicted() || c.GetUntilMillis() > recent {
+			continue
+		}
+		if oldest == nil || cmp.Or(cmp.Compare(c.GetUntilMillis(), oldest.GetUntilMillis()), compareConvictions(c, oldest)) < 0 {
+			oldest = c
+		}
+	}
+	if oldest == nil {
+		return false
+	}
+	delete(r.quarantined, oldest.GetFingerprint())
+	return true
+}
+
 // applyCrash counts a crash against a fingerprint, which becomes a suspect or is
 // convicted. The outcome's reason is the resulting state.
 func (r *Registry) applyCrash(c *wire.Crash) *wire.Outcome {
@@ -418,7 +440,7 @@
 	}
 	previous, ok := r.quarantined[c.GetFingerprint()]
 	if !ok {
-		if len(r.quarantined) >= r.config.MaxFingerprints {
+		if len(r.quarantined) >= r.config.MaxFingerprints && !r.dropOldSuspect() {
 			return &wire.Outcome{Kind: LimitReached, Reason: "as many fingerprints as may be kept"}
 		}
 		previous = &wire.Conviction{Fingerprint: c.GetFingerprint(), Route: c.GetRoute()}
--- a/core/registry/registry_test.go
+++ b/core/registry/registry_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -239,3 +240,38 @@
 		t.Errorf("the report, once there is room: %v, and %d fingerprints are kept, want it accepted and kept", o, len(r.Quarantine().GetConvictions()))
 	}
 }
+
+// TestSlowCrashesAreForgotten guards against a request that crashes backend servers so
+// slowly that each crash is forgotten before the next, or its conviction before it comes
+// again, and against old suspects that keep new ones out.
+func TestSlowCrashesAreForgotten(t *testing.T) {
+	config := registry.DefaultConfig()
+	config.MaxFingerprints = 2
+	r := registry.New(config)
+	crash := func(fingerprint uint64, atMillis int64, alone bool) *wire.Outcome {
+		return r.Apply(uint64(atMillis), &wire.Command{AtMillis: atMillis, Body: &wire.Command_Crash{Crash: &wire.Crash{
+			Fingerprint: fingerprint, Report: fmt.Sprint(fingerprint, atMillis), Alone: alone,
+		}}})
+	}
+	const minute = int64(60_000)
+	crash(1, 0, false)
+	crash(1, 30*minute, true)
+	isConvicted := func(fingerprint uint64) bool {
+		return slices.ContainsFunc(r.Quarantine().GetConvictions(), func(c *wire.Conviction) bool {
+			return c.GetFingerprint() == fingerprint && c.GetConvicted()
+		})
+	}
+	if !isConvicted(1) {
+		t.Error("two crashes half an hour apart, in one of them alone: not convicted")
+	}
+	crash(2, 31*minute, false)
+	if o := crash(3, 31*minute+1, false); o.GetKind() != registry.LimitReached {
+		t.Errorf("a report beyond the limit takes the place of a recent suspect: %v", o)
+	}
+	if o := crash(3, 90*minute, false); o.GetKind() != registry.Accepted {
+		t.Errorf("a report beyond the limit, an hour after the oldest suspect: %v, want it accepted", o)
+	}
+	if !isConvicted(1) {
+		t.Error("the conviction is forgotten after an hour")
+	}
+}
