--- a/core/quarantine/quarantine_test.go
+++ b/core/quarantine/quarantine_test.go
@@ -259,3 +259,44 @@
 // crashesThatCount is the number of crashes after which the users' rule counts a request
 // that comes again.
 const crashesThatCount = 3
+
+// BenchmarkZoneLoss reports the crashes of a hundred backend servers, by 105 gateways that
+// each have two requests at every one, and tells what the state comes to.
+func BenchmarkZoneLoss(b *testing.B) {
+	const gateways, servers, requests = 105, 100, 2
+	report := func(gateway int) []*wire.CrashReport {
+		var out []*wire.CrashReport
+		for server := range servers {
+			r := &wire.CrashReport{Server: fmt.Sprint("i-", server), Start: 1}
+			for n := range requests {
+				own := fmt.Sprint(gateway, "/", server, "/", n)
+				s := &wire.CrashSuspect{Flowed: true}
+				for i, name := range []string{"request to h/" + own, fmt.Sprint("prompt part s", (gateway*servers+server*requests+n)%512), fmt.Sprint("prompt part f", server%20)} {
+					s.Causes = append(s.Causes, &wire.Cause{Fingerprint: fingerprint(name), Label: name, Exact: i == 0})
+				}
+				r.Suspects = append(r.Suspects, s)
+			}
+			out = append(out, r)
+		}
+		return out
+	}
+	var l *quarantine.Ledger
+	for range b.N {
+		l = quarantine.New(quarantine.DefaultConfig())
+		for gateway := range gateways {
+			l.Report(int64(gateway), report(gateway)...)
+		}
+		for gateway := range gateways {
+			l.Report(int64(170 + gateway))
+		}
+	}
+	size := 0
+	for _, c := range l.Crashes() {
+		size += proto.Size(c)
+	}
+	for _, h := range l.Histories() {
+		size += proto.Size(h)
+	}
+	b.ReportMetric(float64(size), "bytes")
+	b.ReportMetric(float64(proto.Size(&wire.CrashReports{Reports: report(0)})), "bytes/command")
+}
