core/wire, platform: messages and fields of the parts under heavy load

Decoded from configurations: allowed regions, cold times and rates; from answers: the fourth figure of a load report, with which the header was no load report at all before. Nothing uses them yet.

--- a/catalog.go
+++ b/catalog.go
@@ -39,9 +39,10 @@
 	Targets          []Target
 	MaxServers       int // most backend servers that one request may run on
 	Stages           []CatalogStage
-	Public           bool // no API key is needed
-	PromptAffinity   bool // requests list the shared parts of their prompt, for cache affinity
-	Resumable        bool // another backend server can continue a stream after its last complete event
+	Public           bool     // no API key is needed
+	PromptAffinity   bool     // requests list the shared parts of their prompt, for cache affinity
+	Resumable        bool     // another backend server can continue a stream after its last complete event
+	Regions          []string // in which requests may be served and stored; empty: all
 }
 
 // Target is a pool that receives a share of a route's requests.
@@ -66,6 +67,10 @@
 	MaxConns   int // connections that one backend server accepts from all callers together
 	Engine     *EngineTraits
 	Pieces     *PieceTraits
+	// A backend server is cold for ColdTime after its start. A cold one takes ColdPerSecond
+	// requests a second from all gateways together; 0: any number.
+	ColdTime      time.Duration
+	ColdPerSecond float64
 }
 
 // EngineTraits describes the backend servers of a pool of model engines.
@@ -99,7 +104,8 @@
 type CatalogWorkspace struct {
 	Name     string
 	APIKeys  []string
-	Priority *int // overrides the route's priority
+	Priority *int     // overrides the route's priority
+	Regions  []string // in which requests may be served and stored, beside the route's; empty: all
 }
 
 // CallerLimits limits the size of callers' requests.
--- a/dialect.go
+++ b/dialect.go
@@ -59,6 +59,7 @@
 	Running      int    // requests executing on the backend server
 	Waiting      int    // requests queued on the backend server
 	Slots        int    // requests that the backend server executes at once; 0: load not specified
+	WorkPercent  int    // how long work takes on its machine now; 100: as usual; 0: not specified
 }
 
 // PieceItem asks a backend server to run one piece of a stage.
@@ -95,6 +96,8 @@
 	Deregister  string // shutdown of a backend server; its id follows
 	RunPieces   string // on a backend server
 	FreePieces  string // on a backend server
+	// On a control instance; the name of an availability zone follows.
+	BeginEvacuation, FinishEvacuation string
 }
 
 // Dialect encodes and decodes the headers and documents of the platform that
