--- a/core/quarantine/evidence.go
+++ b/core/quarantine/evidence.go
@@ -330,9 +330,32 @@
 			best, found = s, true
 		}
 	}
+	if found && !best.cause.GetExact() {
+		best = e.widest(best)
+	}
 	return best, found
 }
 
+// widest returns the cause that was in the most crashes, if that is more than the culprit
+// was in, at as many outages and equally narrow. A sound part that many requests have is in
+// many of the crashes of another one; convicted first, it would explain these.
+func (e *evaluation) widest(culprit suspicion) suspicion {
+	best := culprit
+	for fingerprint := range e.ledger.common {
+		if e.ledger.isGuilty(fingerprint) || e.count(fingerprint) < culprit.outages {
+			continue
+		}
+		s := e.suspicion(fingerprint)
+		if s.rank != culprit.rank || s.cause.GetExact() || s.requests < e.ledger.config.MinCrashes || s.servers <= culprit.servers {
+			continue
+		}
+		if cmp.Or(cmp.Compare(best.servers, s.servers), cmp.Compare(best.outages, s.outages), cmp.Compare(fingerprint, best.cause.GetFingerprint())) < 0 {
+			best = s
+		}
+	}
+	return best
+}
+
 // Suspect is what the ledger holds against a cause that is not convicted.
 type Suspect struct {
 	Label    string
--- a/core/quarantine/quarantine_test.go
+++ b/core/quarantine/quarantine_test.go
@@ -204,6 +204,33 @@
 	}
 }
 
+// TestSoundPartExplainsCrashesOfAnother guards against a sound part of prompts, which was in
+// some of the crashes of another one, that is convicted and explains these crashes away.
+func TestSoundPartExplainsCrashesOfAnother(t *testing.T) {
+	config := quarantine.DefaultConfig()
+	ledger := quarantine.New(config)
+	var convicted []*wire.Conviction
+	crash := func(at int64, requests ...*wire.CrashSuspect) {
+		server := fmt.Sprint("s", at)
+		convicted = append(convicted, ledger.Report(at, &wire.CrashReport{Server: server, Start: 1, Suspects: requests})...)
+		convicted = append(convicted, ledger.Report(at+config.SettleTime.Milliseconds(), &wire.CrashReport{Server: server, Start: 1})...)
+	}
+	for _, at := range []int64{0, 600, 1200} {
+		for i := range int64(2) { // a stream that crashes its server goes on at another and crashes it too
+			at := at + i*config.SettleTime.Milliseconds()
+			flowing := suspects([][]string{{fmt.Sprint("r", at), "bad"}}, false)
+			flowing[0].Flowed = true
+			if i == 0 {
+				flowing = append(flowing, suspects([][]string{{fmt.Sprint("t", at), "sound"}}, true)...)
+			}
+			crash(at, flowing...)
+		}
+	}
+	if len(convicted) != 1 || convicted[0].GetLabel() != "bad" {
+		t.Errorf("got convictions %v, want one of the part that was in all crashes", convicted)
+	}
+}
+
 // TestLateReportsAreOneOutage guards against crashes at different times that count as one
 // since they were reported together.
 func TestLateReportsAreOneOutage(t *testing.T) {
