core/quarantine: chance convicts no part while servers end all the time

Traced: a part that 0.2 % of the requests have was in 3 of 10, 3 of 12, 4 of 7 and 4 of 10 outages by chance; recurrences (crashes times their share of all since the first) of 0.90, 0.75, 2.29 and 1.60, at thresholds of 0.75 without events and 1.6 with them. The thresholds are 1 and 2.4 now.

--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -64,11 +64,11 @@
 		MinEvidence:   1.5,
 		ManyCrashes:   4,
 		ManyEvidence:  0.3,
-		MinRecurrence: 0.75,
+		MinRecurrence: 1,
 
 		ManyServers:       5,
 		FlowingEvidence:   0.55,
-		FlowingRecurrence: 1.6,
+		FlowingRecurrence: 2.4,
 
 		Coincidence:  300 * time.Millisecond,
 		SettleTime:   150 * time.Millisecond,
