core/fleet, core/shard, core/batch, io/gateway: requests stay in allowed regions

A request whose route or workspace names allowed regions was sent to any backend server of its pool. Now Fleet.Pick, the home of a prompt, the end of a pause, the choice of a shard and the calls of a batch take only backend servers whose zone is known to be in an allowed region. A request keeps the regions of the configuration that it began with. Jobs carry them to the owner, whose admission control counts the allowed capacity, and, ahead of a request, the pieces that only these servers may execute or their share of all: counting all queued pieces against the allowed servers alone would refuse requests of a shard that spans regions at a third of its load. Without an allowed backend server a request is refused before its stages, and queued pieces fail at once.

The scripts of core/fleet and core/shard were red with each of their guards taken out.

--- a/core/batch/batch.go
+++ b/core/batch/batch.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"tanagerroad"
+	"tanagerroad/core/region"
 )
 
 const (
@@ -81,6 +82,7 @@
 	Zone           string        // preferred availability zone; empty: any
 	CrossZoneBytes int           // bytes transferred between zones if executed outside Zone
 	LastUse        bool          // no other stage reads the inputs
+	Regions        region.Set    // of the backend servers that may execute it
 	Begun          bool          // of a stream that goes on
 	Cause          uint64        // fingerprint of what may make it crash backend servers; 0: none
 	alone          bool          // a call with it crashed a backend server: it shares none any more
@@ -126,11 +128,13 @@
 const (
 	ReasonDeadlinePassed = "deadline passed"
 	ReasonNoServer       = "no backend server"
+	ReasonNotAllowed     = "no backend server in an allowed region"
 )
 
 // Pool holds the queued pieces and the backend servers of one pool.
 type Pool struct {
 	traits   tanagerroad.PieceTraits
+	regions  map[string]string // by zone
 	workers  map[string]*worker
 	queue    []*Piece
 	jobs     map[string]*Job
@@ -155,7 +159,7 @@
 		if !ok || w.StartMillis != a.StartMillis || w.Address != a.Address {
 			w = &worker{slowdown: 1, results: map[string]storedResult{}, answered: map[string]answeredPiece{}, idleSince: at}
 		}
-		w.Announcement = a
+		w.Announcement, w.region = a, p.regions[a.Zone]
 		next[a.ID] = w
 	}
 	p.workers = next
@@ -189,12 +193,15 @@
 	return time.Duration(float64(p.traits.CallTime+time.Duration(p.traits.MaxBatch/2)*p.traits.PieceTime) * p.slowdown)
 }
 
-// Capacity returns the throughput of the pool with full calls, in pieces per
-// second.
-func (p *Pool) Capacity() float64 {
+// Capacity returns the throughput of the pool's backend servers in the allowed regions
+// with full calls, in pieces per second.
+func (p *Pool) Capacity(regions region.Set) float64 {
 	full := p.traits.CallTime + time.Duration(p.traits.MaxBatch)*p.traits.PieceTime
 	perWorker, calls := 1/(full.Seconds()*max(p.slowdown, 0.1)), 0.0
 	for _, w := range p.workers {
+		if !regions.Allows(w.region) {
+			continue
+		}
 		if w.limit > 0 {
 			calls += min(w.limit, perWorker)
 		} else {
@@ -207,18 +214,17 @@
 // PredictEnd returns when a job would finish if it were added now: after the
 // pieces ahead of it, processed at full capacity, and its own call.
 func (p *Pool) PredictEnd(at time.Duration, job *Job) time.Duration {
-	ahead, own := 0, job.orderKey(at, "")
-	for _, q := range p.queue {
-		if q.Job.orderKey(at, "") < own {
-			ahead++
-		}
-	}
+	own := job.orderKey(at, "")
+	ahead := p.load(job.Regions, 0, 0, func(other *Job) bool { return other.orderKey(at, "") < own })
 	wait := time.Duration(0)
-	if c := p.Capacity(); c > 0 {
-		wait = time.Duration(float64(ahead) / c * float64(time.Second))
+	if c := p.Capacity(job.Regions); c > 0 {
+		wait = time.Duration(ahead / c * float64(time.Second))
 	}
 	nextFree := time.Duration(-1)
 	for _, w := range p.workers {
+		if !job.Regions.Allows(w.region) {
+			continue
+		}
 		if busy := max(0, w.freeAt-at, w.pausedUntil-at, w.limitedUntil-at); nextFree < 0 || busy < nextFree {
 			nextFree = busy
 		}
@@ -274,15 +280,19 @@
 	return key
 }
 
-// Expire removes the queued pieces whose deadline has passed and returns their
-// outcomes.
+// Expire removes the queued pieces whose deadline has passed, or that no backend server
+// may execute any more, and returns their outcomes.
 func (p *Pool) Expire(at time.Duration) []PieceResult {
 	var out []PieceResult
 	p.queue = slices.DeleteFunc(p.queue, func(q *Piece) bool {
+		reason := ReasonDeadlinePassed
 		if q.Job.Deadline > at {
-			return false
+			if p.HasAllowed(q.Job.Regions) {
+				return false
+			}
+			reason = ReasonNotAllowed
 		}
-		out = append(out, PieceResult{Job: q.Job, Piece: q.Index, Reason: ReasonDeadlinePassed})
+		out = append(out, PieceResult{Job: q.Job, Piece: q.Index, Reason: reason})
 		return true
 	})
 	return out
@@ -345,7 +355,7 @@
 		}
 		size := int64(len(group)) * job.size()
 		shared := len(call.Pieces) > 0 && (job.alone || call.Pieces[0].Job.alone)
-		if shared || p.defers(at, job, w) || len(call.Pieces)+len(group) > p.traits.MaxBatch || size > free && (size <= p.traits.ResultSpace || w.resultBytes+w.pendingBytes > 0) {
+		if !job.Regions.Allows(w.region) || shared || p.defers(at, job, w) || len(call.Pieces)+len(group) > p.traits.MaxBatch || size > free && (size <= p.traits.ResultSpace || w.resultBytes+w.pendingBytes > 0) {
 			rest = append(rest, group...)
 			continue
 		}
@@ -375,7 +385,7 @@
 	}
 	for _, other := range p.workers {
 		wait := max(0, other.freeAt-at)
-		if other.Zone == j.Zone && at >= other.usableFrom() && wait <= maxDefer && at+wait+p.UsualCallTime()+deferSlack <= j.Due {
+		if other.Zone == j.Zone && j.Regions.Allows(other.region) && at >= other.usableFrom() && wait <= maxDefer && at+wait+p.UsualCallTime()+deferSlack <= j.Due {
 			return true
 		}
 	}
--- a/core/batch/worker.go
+++ b/core/batch/worker.go
@@ -11,6 +11,7 @@
 // worker is the pool's state of one backend server.
 type worker struct {
 	tanagerroad.Announcement
+	region       string        // of its zone; empty: not known
 	calls        int           // in flight
 	freeAt       time.Duration // predicted end of its latest call
 	slowdown     float64       // moving average of the call duration relative to the pool's traits
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -11,6 +11,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"tanagerroad"
+	"tanagerroad/core/region"
 )
 
 // The cost model of a placement. Every cost is expressed as latency for the
@@ -43,8 +44,9 @@
 	ResultBytes map[string]int // bytes of its stage results, by the zone that holds them
 	PromptParts []tanagerroad.PromptPart
 	Exclude     []string
-	Software    string // version that a backend server must have; empty: any
-	TieBreak    uint64 // random; spreads requests over servers of equal cost
+	Regions     region.Set // of the backend servers that may serve it
+	Software    string     // version that a backend server must have; empty: any
+	TieBreak    uint64     // random; spreads requests over servers of equal cost
 }
 
 // Choice is a placement and the figures behind it.
@@ -175,13 +177,14 @@
 
 // homeServer returns the backend server that should cache a prompt part, by
 // rendezvous hashing: gateways that know the same backend servers choose the same
-// one without communicating. Ejected, paused, limited and warming-up servers are skipped.
-func (f *Fleet) homeServer(at time.Duration, pool, part string) *server {
+// one without communicating. Ejected, paused, limited and warming-up servers are skipped,
+// and those that the request must not reach.
+func (f *Fleet) homeServer(at time.Duration, pool, part string, regions region.Set) *server {
 	var best *server
 	var highest uint64
 	for _, s := range f.pools[pool] {
 		_, limited := f.Limit(s.Announcement)
-		if at < s.ejectedUntil || s.WarmUp > 0 || limited || f.PausedUntil(at, s.Announcement) > at {
+		if !f.allowed(regions, s.Zone) || at < s.ejectedUntil || s.WarmUp > 0 || limited || f.PausedUntil(at, s.Announcement) > at {
 			continue
 		}
 		if hash := xxhash.Sum64String(part + "|" + s.ID); best == nil || hash > highest {
@@ -191,21 +194,21 @@
 	return best
 }
 
-// HomeZone returns the zone in which a prompt's shared parts are likely cached,
+// HomeZone returns the allowed zone in which a prompt's shared parts are likely cached,
 // or "" when there is none.
-func (f *Fleet) HomeZone(at time.Duration, pool string, parts []tanagerroad.PromptPart) string {
+func (f *Fleet) HomeZone(at time.Duration, pool string, parts []tanagerroad.PromptPart, regions region.Set) string {
 	if len(parts) == 0 {
 		return ""
 	}
-	if s := f.homeServer(at, pool, lastSharedPart(parts)); s != nil {
+	if s := f.homeServer(at, pool, lastSharedPart(parts), regions); s != nil {
 		return s.Zone
 	}
 	return ""
 }
 
 // Pick chooses the backend server with the lowest cost and counts the attempt as
-// in flight there. It returns false when the pool has no backend server that is
-// neither excluded nor paused nor at its limit.
+// in flight there. It returns false when the pool has no backend server in an allowed
+// region that is neither excluded nor paused nor at its limit.
 func (f *Fleet) Pick(at time.Duration, req Request) (Choice, bool) {
 	var best *server
 	var lowest time.Duration
@@ -214,12 +217,12 @@
 	list := f.pools[req.Pool]
 	var home *server
 	if len(req.PromptParts) > 0 {
-		home = f.homeServer(at, req.Pool, lastSharedPart(req.PromptParts))
+		home = f.homeServer(at, req.Pool, lastSharedPart(req.PromptParts), req.Regions)
 	}
 	for i := range list {
 		// A random starting point spreads requests over servers of equal cost.
 		s := list[(uint64(i)+req.TieBreak)%uint64(len(list))]
-		if slices.Contains(req.Exclude, s.ID) || f.unavailableUntil(at, s.Announcement) > 0 || req.Software != "" && s.Software != req.Software {
+		if !f.allowed(req.Regions, s.Zone) || slices.Contains(req.Exclude, s.ID) || f.unavailableUntil(at, s.Announcement) > 0 || req.Software != "" && s.Software != req.Software {
 			continue
 		}
 		candidates++
@@ -402,11 +405,14 @@
 	return f.limitedUntil(at, a)
 }
 
-// PoolPausedUntil returns when the first of the usable backend servers of a pool takes
+// PoolPausedUntil returns when the first of the allowed backend servers of a pool takes
 // requests of this gateway, if all are paused or at their limits, and 0 otherwise.
-func (f *Fleet) PoolPausedUntil(at time.Duration, pool string) time.Duration {
+func (f *Fleet) PoolPausedUntil(at time.Duration, pool string, regions region.Set) time.Duration {
 	var first time.Duration
 	for _, s := range f.pools[pool] {
+		if !f.allowed(regions, s.Zone) {
+			continue
+		}
 		until := f.unavailableUntil(at, s.Announcement)
 		if until == 0 {
 			return 0
--- a/core/fleet/fleet_test.go
+++ b/core/fleet/fleet_test.go
@@ -10,6 +10,7 @@
 
 	"tanagerroad"
 	"tanagerroad/core/fleet"
+	"tanagerroad/core/region"
 	"tanagerroad/core/roster"
 )
 
@@ -20,6 +21,9 @@
 	Pick      *string        `json:"pick"`
 	From      string         `json:"from"`
 	Exclude   []string       `json:"exclude"`
+	Allowed   []string       `json:"allowed"`   // regions; empty: all
+	Parts     []string       `json:"parts"`     // of the prompt, of 5,000 tokens each
+	HomeZone  *string        `json:"home-zone"` // of the parts
 	Results   map[string]int `json:"results"`
 	Paused    string         `json:"paused"` // id of a backend server that wants no requests
 	PauseMs   int            `json:"pause-ms"`
@@ -69,7 +73,16 @@
 		f.Update(servers)
 		for i, s := range script.Steps {
 			at := time.Duration(s.AtMs) * time.Millisecond
+			allowed := region.Intersect(s.Allowed, nil)
+			var parts []tanagerroad.PromptPart
+			for _, id := range s.Parts {
+				parts = append(parts, tanagerroad.PromptPart{ID: id, Tokens: 5000})
+			}
 			switch {
+			case s.HomeZone != nil:
+				if got := f.HomeZone(at, "p", parts, allowed); got != *s.HomeZone {
+					t.Errorf("%s: step %d: the home is in zone %q, want %q", script.What, i, got, *s.HomeZone)
+				}
 			case s.Paused != "":
 				i := slices.IndexFunc(servers, func(a tanagerroad.Announcement) bool { return a.ID == s.Paused })
 				f.RecordPause(at, servers[i], time.Duration(s.PauseMs)*time.Millisecond)
@@ -78,7 +91,7 @@
 				servers[i].StartMillis++
 				f.Update(servers)
 			case s.Until != nil:
-				if got := f.PoolPausedUntil(at, "p"); got != time.Duration(*s.Until)*time.Millisecond {
+				if got := f.PoolPausedUntil(at, "p", allowed); got != time.Duration(*s.Until)*time.Millisecond {
 					t.Errorf("%s: step %d: the pool is paused until %v, want %d ms", script.What, i, got, *s.Until)
 				}
 			case s.Done != "":
@@ -88,7 +101,7 @@
 					Latency: time.Duration(s.LatencyMs) * time.Millisecond, Running: s.Running, Queued: s.Queued, Slots: s.Slots,
 				})
 			default:
-				choice, _ := f.Pick(at, fleet.Request{Pool: "p", From: tanagerroad.Place{Zone: s.From, Region: regions[s.From]}, Exclude: s.Exclude, ResultBytes: s.Results})
+				choice, _ := f.Pick(at, fleet.Request{Pool: "p", From: tanagerroad.Place{Zone: s.From, Region: regions[s.From]}, Exclude: s.Exclude, ResultBytes: s.Results, Regions: allowed, PromptParts: parts})
 				if choice.ID != *s.Pick {
 					t.Errorf("%s: step %d: picked %q, want %q", script.What, i, choice.ID, *s.Pick)
 				}
--- a/core/region/region.go
+++ b/core/region/region.go
@@ -29,9 +29,14 @@
 	return Set{both, true}
 }
 
-// Decode returns the set of a message: the named regions, all if it names none, or none if
-// none says so.
-func Decode(names []string, none bool) Set { return Set{names, none || len(names) > 0} }
+// Decode returns the set of a message: none if it says so, else the named regions, or all if
+// it names none.
+func Decode(names []string, none bool) Set {
+	if none {
+		return Set{restricted: true}
+	}
+	return Set{names, len(names) > 0}
+}
 
 // Encode is the inverse of Decode.
 func (s Set) Encode() (names []string, none bool) {
--- a/core/shard/plan.go
+++ b/core/shard/plan.go
@@ -17,6 +17,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"tanagerroad"
+	"tanagerroad/core/region"
 )
 
 // minServers is the mean number of a pool's backend servers in a shard below which
@@ -155,15 +156,15 @@
 }
 
 // Shard returns the name of the shard that an anchor selects for a pool, or the
-// nearest one if that has no servers. Without any, it returns the name of the
-// shard that has none.
-func (p *Plan) Shard(pool string, a Anchor) string {
+// nearest one if that has no servers in the allowed regions. Without any, it returns
+// the name of a shard that has none.
+func (p *Plan) Shard(pool string, a Anchor, regions region.Set) string {
 	d := p.pools[pool]
 	if d == nil {
 		return ""
 	}
 	selected := p.name(d, a.Zone, a.Part)
-	if len(d.servers[selected]) > 0 || len(d.servers) == 0 {
+	if p.allows(d.servers[selected], regions) || len(d.servers) == 0 {
 		return selected
 	}
 	others := slices.Clone(p.zones)
@@ -172,7 +173,7 @@
 	})
 	for _, zone := range others {
 		for part := range uint32(p.parts) {
-			if name := p.name(d, zone, a.Part+part); len(d.servers[name]) > 0 {
+			if name := p.name(d, zone, a.Part+part); p.allows(d.servers[name], regions) {
 				return name
 			}
 		}
--- a/core/shard/shard_test.go
+++ b/core/shard/shard_test.go
@@ -8,6 +8,7 @@
 	"pgregory.net/rapid"
 
 	"tanagerroad"
+	"tanagerroad/core/region"
 	"tanagerroad/core/shard"
 )
 
@@ -66,13 +67,13 @@
 		plan := shard.NewPlan(regions, pools)
 		view := shard.NewView(plan)
 		first := rapid.SampledFrom([]string{"p", "q"}).Draw(t, "first")
-		anchor, ok := view.Choose(0, rapid.String().Draw(t, "request"), first, rapid.SampledFrom([]string{"a1", "b2", "unknown", ""}).Draw(t, "preferred"), nil)
+		anchor, ok := view.Choose(0, rapid.String().Draw(t, "request"), first, rapid.SampledFrom([]string{"a1", "b2", "unknown", ""}).Draw(t, "preferred"), nil, region.Set{})
 		if !ok {
 			t.Fatal("no place for a request that no shard has refused")
 		}
 		for _, p := range pools {
-			if servers, _ := plan.Servers(p.Name, plan.Shard(p.Name, anchor)); len(servers) == 0 && len(p.Servers) > 0 {
-				t.Fatalf("pool %s of %d servers: shard %q of %+v has none", p.Name, len(p.Servers), plan.Shard(p.Name, anchor), anchor)
+			if servers, _ := plan.Servers(p.Name, plan.Shard(p.Name, anchor, region.Set{})); len(servers) == 0 && len(p.Servers) > 0 {
+				t.Fatalf("pool %s of %d servers: shard %q of %+v has none", p.Name, len(p.Servers), plan.Shard(p.Name, anchor, region.Set{}), anchor)
 			}
 		}
 	})
@@ -84,8 +85,8 @@
 	plan := shard.NewPlan(regions, []shard.Pool{pool("p", everywhere(8))})
 	view := shard.NewView(plan)
 	choose := func(at time.Duration, refused ...string) (string, bool) {
-		anchor, ok := view.Choose(at, "r", "p", "a1", refused)
-		return plan.Shard("p", anchor), ok
+		anchor, ok := view.Choose(at, "r", "p", "a1", refused, region.Set{})
+		return plan.Shard("p", anchor, region.Set{}), ok
 	}
 	if name, ok := choose(0); name != "a1" || !ok {
 		t.Errorf("without waits: chose %q, want the preferred zone", name)
--- a/core/shard/view.go
+++ b/core/shard/view.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"tanagerroad/core/region"
 )
 
 const (
@@ -76,16 +78,23 @@
 
 // Choose returns the anchor for a request whose first stage runs in the given pool.
 // preferred is the zone where its results are read. The shards that have refused it
-// are left out; false means that none is left that is likely to admit it.
-func (v *View) Choose(at time.Duration, request, pool, preferred string, refused []string) (Anchor, bool) {
+// are left out, and those without servers in the allowed regions; false means that none is
+// left that is likely to admit it.
+func (v *View) Choose(at time.Duration, request, pool, preferred string, refused []string, regions region.Set) (Anchor, bool) {
 	salt := xxhash.Sum64String(request)
 	parts := uint32(v.plan.Parts())
 	best, lowest, found := Anchor{Zone: preferred, Part: uint32(salt)}, time.Duration(0), false
 	for i := range v.plan.zones {
 		zone := v.plan.zones[(uint64(i)+salt)%uint64(len(v.plan.zones))]
+		if !regions.AllowsAll() && !regions.Allows(v.plan.regions[zone]) {
+			continue
+		}
 		for part := range min(parts, 2) { // the better of two, as the reports lag
 			a := Anchor{Zone: zone, Part: uint32(salt>>16) + part*(1+uint32(salt>>32)%max(1, parts-1))}
-			name := v.plan.Shard(pool, a)
+			name := v.plan.Shard(pool, a, regions)
+			if !regions.AllowsAll() && !v.plan.Allows(pool, name, regions) {
+				continue
+			}
 			if slices.Contains(refused, name) || len(refused) > 0 && v.refusesToo(at, name, refused) {
 				continue
 			}
@@ -94,7 +103,7 @@
 			}
 		}
 	}
-	return best, found || len(refused) == 0
+	return best, found || len(refused) == 0 && regions.AllowsAll()
 }
 
 func (v *View) cost(at time.Duration, shard, preferred, zone string) time.Duration {
--- a/io/gateway/batcher.go
+++ b/io/gateway/batcher.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"maps"
+	"math"
 	"net/http"
 	"slices"
 	"strconv"
@@ -21,6 +22,7 @@
 	"tanagerroad/core/event"
 	"tanagerroad/core/fleet"
 	"tanagerroad/core/quarantine"
+	"tanagerroad/core/region"
 	"tanagerroad/core/shed"
 	"tanagerroad/core/wire"
 	"tanagerroad/io/http1"
@@ -90,6 +92,7 @@
 	p, ok := b.pools[name]
 	if !ok {
 		p = batch.New(*traits.Pieces)
+		p.SetRegions(b.g.regions)
 		b.pools[name] = p
 	}
 	p.SetTraits(*traits.Pieces)
@@ -198,7 +201,15 @@
 		deliver(&wire.PieceResult{Number: job.GetNumber(), Refused: "the pool is not known", RetryMillis: refusalRetryDelay.Milliseconds()})
 		return
 	}
+	regions := region.Decode(job.GetRegions(), job.GetNoRegion())
+	if !p.HasAllowed(regions) {
+		deliver(&wire.PieceResult{Number: job.GetNumber(), Refused: batch.ReasonNotAllowed, RetryMillis: refusalRetryDelay.Milliseconds()})
+		return
+	}
 	b.admission.Release(job.GetRequest(), job.GetPool())
+	if key := confined(job.GetPool(), regions); key != "" {
+		b.admission.Release(job.GetRequest(), key)
+	}
 	if decision := b.admit(now, job); !decision.Admit {
 		deliver(&wire.PieceResult{
 			Number: job.GetNumber(), Refused: "too many wait before it", RetryMillis: decision.RetryDelay.Milliseconds(), WaitMillis: uint32(decision.Wait.Milliseconds()),
@@ -213,6 +224,7 @@
 			Due:      now + time.Duration(job.GetSlackMillis())*time.Millisecond,
 			Priority: int(job.GetPriority()), Bytes: int(job.GetResultBytes()),
 			Zone: job.GetZone(), CrossZoneBytes: int(job.GetPullBytes()), LastUse: job.GetLastUse(), Cause: job.GetCause(), Begun: job.GetBegun(),
+			Regions: regions,
 		},
 		pool: job.GetPool(), number: job.GetNumber(), remaining: len(job.GetPieces()), deliver: deliver,
 	}
@@ -240,9 +252,11 @@
 		Deadline: at + time.Duration(a.GetLeftMillis())*time.Millisecond,
 		Jitter:   hashFraction(job.GetRequest()), Rank: int(a.GetRank()), Begun: job.GetBegun(),
 	}
+	regions := region.Decode(job.GetRegions(), job.GetNoRegion())
 	for _, pool := range a.GetChain() {
 		if p := b.pool(pool); p != nil {
-			stage := shed.Stage{Pieces: p.QueueLen() + b.admission.Reserved(pool), Capacity: p.Capacity(), CallTime: p.UsualCallTime()}
+			ahead := p.Load(regions, b.admission.Reserved(pool), b.admission.Reserved(confined(pool, regions)))
+			stage := shed.Stage{Pieces: int(math.Ceil(ahead)), Capacity: p.Capacity(regions), CallTime: p.UsualCallTime()}
 			if request.Begun { // refused only if it is hopeless
 				stage.CallTime = p.LeastCallTime()
 			}
@@ -261,6 +275,9 @@
 	for _, demand := range a.GetDemands() {
 		if demand.GetPool() != job.GetPool() {
 			b.admission.Reserve(job.GetRequest(), demand.GetPool(), int(demand.GetPieces()), request.Deadline)
+			if key := confined(demand.GetPool(), regions); key != "" {
+				b.admission.Reserve(job.GetRequest(), key, int(demand.GetPieces()), request.Deadline)
+			}
 		}
 	}
 	return decision
@@ -611,7 +628,7 @@
 func (b *pieceBatcher) wait() time.Duration {
 	var longest time.Duration
 	for name, p := range b.pools {
-		if capacity := p.Capacity(); capacity > 0 {
+		if capacity := p.Capacity(region.Set{}); capacity > 0 {
 			longest = max(longest, time.Duration(float64(p.QueueLen()+b.admission.Reserved(name))/capacity*float64(time.Second)))
 		}
 	}
--- a/io/gateway/exchange.go
+++ b/io/gateway/exchange.go
@@ -23,6 +23,7 @@
 	"tanagerroad/core/catalog"
 	"tanagerroad/core/event"
 	"tanagerroad/core/quarantine"
+	"tanagerroad/core/region"
 	"tanagerroad/core/sse"
 	"tanagerroad/io/http1"
 	"tanagerroad/io/operator"
@@ -90,7 +91,8 @@
 	route       *tanagerroad.CatalogRoute
 	headers     tanagerroad.RequestHeaders // decoded headers
 	workspace   string
-	priority    int // 0 is the most urgent
+	regions     region.Set // where it may be served, cached and stored
+	priority    int        // 0 is the most urgent
 	deadline    time.Duration
 	pool        string
 	body        []byte
@@ -163,7 +165,7 @@
 		x.answer(http.StatusNotFound, "no route has this host and path")
 		return false
 	}
-	x.priority = x.route.Priority
+	x.priority, x.regions = x.route.Priority, region.Intersect(x.route.Regions, nil)
 	if x.index.RequiresKey() && !x.authorize() {
 		x.answer(http.StatusUnauthorized, "no workspace holds this key")
 		return false
@@ -269,14 +271,14 @@
 	return int64(x.g.config.Settings.Caller.MaxBody)
 }
 
-// authorize sets the workspace and its priority from the request's API key. It
+// authorize sets the workspace, its priority and its regions from the request's API key. It
 // returns false if no workspace has the key and the route is not public.
 func (x *exchange) authorize() bool {
 	workspace := x.index.Workspace(x.headers.APIKey)
 	if workspace == nil {
 		return x.route.Public
 	}
-	x.workspace = workspace.Name
+	x.workspace, x.regions = workspace.Name, region.Intersect(x.route.Regions, workspace.Regions)
 	if workspace.Priority != nil {
 		x.priority = *workspace.Priority
 	}
@@ -291,7 +293,7 @@
 		x.endUnsent()
 		return
 	}
-	if !x.bindToOrigin() {
+	if !x.checkRegions() || !x.bindToOrigin() {
 		x.endUnsent()
 		return
 	}
--- a/io/gateway/owners.go
+++ b/io/gateway/owners.go
@@ -10,6 +10,7 @@
 	"tanagerroad"
 	"tanagerroad/core/event"
 	"tanagerroad/core/owner"
+	"tanagerroad/core/region"
 	"tanagerroad/core/shard"
 	"tanagerroad/core/wire"
 )
@@ -87,12 +88,13 @@
 	return o.shards.Plan()
 }
 
-// chooseShard chooses the place of a request in the plan, other than in the shards that
-// have refused it. It returns false if none is left that is likely to admit it.
-func (o *ownerClient) chooseShard(request, pool, zone string, refused []string) (shard.Anchor, bool) {
+// chooseShard chooses the place of a request in the plan, in the allowed regions and other
+// than in the shards that have refused it. It returns false if none is left that is likely
+// to admit it.
+func (o *ownerClient) chooseShard(request, pool, zone string, refused []string, regions region.Set) (shard.Anchor, bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return o.shards.Choose(o.g.now(), request, pool, zone, refused)
+	return o.shards.Choose(o.g.now(), request, pool, zone, refused, regions)
 }
 
 // markDisrupted records that other gateways may choose different owners from now on.
--- a/io/gateway/shards_test.go
+++ b/io/gateway/shards_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"tanagerroad"
+	"tanagerroad/core/region"
 	"tanagerroad/core/shard"
 	"tanagerroad/core/wire"
 )
@@ -125,17 +126,17 @@
 	}
 	g.applyRoster(g.now())
 	g.mu.Unlock()
-	own := g.owners.plan().Shard("prep", shard.Anchor{Zone: "z"})
-	other := g.owners.plan().Shard("prep", shard.Anchor{Zone: "y"})
+	own := g.owners.plan().Shard("prep", shard.Anchor{Zone: "z"}, region.Set{})
+	other := g.owners.plan().Shard("prep", shard.Anchor{Zone: "y"}, region.Set{})
 	if own == other {
 		t.Fatalf("one shard %q, want one for each zone", own)
 	}
 	g.owners.recordWait(own, time.Second)
-	if anchor, ok := g.owners.chooseShard("r", "prep", "z", []string{own}); !ok || g.owners.plan().Shard("prep", anchor) != other {
+	if anchor, ok := g.owners.chooseShard("r", "prep", "z", []string{own}, region.Set{}); !ok || g.owners.plan().Shard("prep", anchor, region.Set{}) != other {
 		t.Errorf("refused by %q: chose %+v (%t), want %q", own, anchor, ok, other)
 	}
 	g.owners.recordWait(other, 2*time.Second)
-	if anchor, ok := g.owners.chooseShard("r", "prep", "z", []string{own}); ok {
+	if anchor, ok := g.owners.chooseShard("r", "prep", "z", []string{own}, region.Set{}); ok {
 		t.Errorf("refused by %q while %q has a longer queue: chose %+v, want none", own, other, anchor)
 	}
 }
--- a/io/gateway/stages.go
+++ b/io/gateway/stages.go
@@ -53,7 +53,7 @@
 
 func newStageRun(x *exchange) *stageRun {
 	x.g.mu.Lock()
-	zone := x.g.fleet.HomeZone(x.g.now(), x.pool, x.headers.PromptParts)
+	zone := x.g.fleet.HomeZone(x.g.now(), x.pool, x.headers.PromptParts, x.regions)
 	x.g.mu.Unlock()
 	// One result for each piece, and for each job and loss of an owner. The
 	// factor of 3 covers the first run of the pipeline and its two restarts.
@@ -82,6 +82,10 @@
 func (s *stageRun) run() bool {
 	for !s.pipeline.Done() {
 		for _, job := range s.pipeline.Ready() {
+			if !s.x.hasAllowed(job.Pool) {
+				s.x.reason = "stage " + job.Pool + ": " + reasonNotAllowed
+				return false
+			}
 			s.submit(job)
 		}
 		hopeless := time.NewTimer(s.lastMoment() - s.x.g.now())
@@ -143,10 +147,10 @@
 // request is made: near the backend server that will read the results, if it is known.
 func (s *stageRun) place(job pipeline.Job) string {
 	if !s.anchored {
-		s.anchor, _ = s.x.g.owners.chooseShard(s.x.headers.AttemptID, job.Pool, s.home, s.refusals)
+		s.anchor, _ = s.x.g.owners.chooseShard(s.x.headers.AttemptID, job.Pool, s.home, s.refusals, s.x.regions)
 		s.anchored = true
 	}
-	return s.x.g.owners.plan().Shard(job.Pool, s.anchor)
+	return s.x.g.owners.plan().Shard(job.Pool, s.anchor, s.x.regions)
 }
 
 // admission returns the request for admission, which describes all stages. It
@@ -177,6 +181,7 @@
 		Priority: int32(x.priority), ResultBytes: uint32(job.Bytes), Zone: job.Zone, PullBytes: uint32(job.CrossZoneBytes), LastUse: j.lastUse, Shard: j.shard, Begun: x.committed || x.headers.LastEventID != "",
 		Cause: quarantine.PieceCause(x.causes[0], job.Pool, job.Stage).Fingerprint,
 	}
+	message.Regions, message.NoRegion = x.regions.Encode()
 	if len(job.Inputs) == 0 {
 		message.Key = x.headers.PieceKey
 	}
@@ -226,6 +231,11 @@
 			continue
 		}
 		s.shards[piece.GetHandle()] = job.shard
+		if !s.allowsZone(piece.GetZone()) { // of an owner that does not know of regions
+			failure = reasonNotAllowed
+			s.release([]string{piece.GetHandle()})
+			continue
+		}
 		if !s.pipeline.AddResult(job.Stage, int(piece.GetPiece()), piece.GetHandle(), piece.GetZone()) {
 			s.release([]string{piece.GetHandle()})
 		}
@@ -260,7 +270,7 @@
 	if s.refusals = append(s.refusals, refused.shard); len(s.refusals) >= maxRefusals || len(s.shards) > 0 {
 		return false
 	}
-	anchor, ok := s.x.g.owners.chooseShard(s.x.headers.AttemptID, refused.Pool, s.home, s.refusals)
+	anchor, ok := s.x.g.owners.chooseShard(s.x.headers.AttemptID, refused.Pool, s.home, s.refusals, s.x.regions)
 	if !ok {
 		return false
 	}
--- a/io/gateway/try.go
+++ b/io/gateway/try.go
@@ -31,7 +31,7 @@
 	g := x.g
 	x.received, x.server, x.progress, x.brokenOff, x.whole = received{}, "", attempt.Waiting, false, false
 	request := fleet.Request{
-		Pool: x.pool, From: g.config.Settings.Place(), Exclude: x.exclude, PromptParts: x.headers.PromptParts, Software: x.software,
+		Pool: x.pool, From: g.config.Settings.Place(), Exclude: x.exclude, PromptParts: x.headers.PromptParts, Software: x.software, Regions: x.regions,
 		TieBreak: xxhash.Sum64String(x.headers.AttemptID),
 	}
 	if x.stages != nil {
@@ -44,7 +44,7 @@
 	version := g.fleet.Version()
 	var pausedUntil time.Duration
 	if !ok {
-		pausedUntil = g.fleet.PoolPausedUntil(now, x.pool)
+		pausedUntil = g.fleet.PoolPausedUntil(now, x.pool, x.regions)
 	}
 	limit, _ := g.fleet.Limit(choice.Announcement)
 	g.mu.Unlock()
@@ -55,8 +55,11 @@
 	x.retryState.Begin()
 	if !ok {
 		x.reason = "no backend server can be used"
+		if !x.regions.AllowsAll() {
+			x.reason = reasonNotAllowed
+		}
 		event.NotRouted.Log(g.config.Logger, zap.String("request", x.headers.AttemptID), zap.String("pool", x.pool),
-			zap.Strings("excluded", x.exclude), zap.Uint64("roster", version), avoided)
+			zap.Strings("excluded", x.exclude), zap.Uint64("roster", version), x.regionsField(), avoided)
 		return attempt.Unsent, 0
 	}
 	x.exclude, x.server = append(x.exclude, choice.ID), choice.ID
--- a/io/gateway/watch.go
+++ b/io/gateway/watch.go
@@ -250,5 +250,6 @@
 	g.mu.Unlock()
 	event.CatalogInForce.Log(g.config.Logger, zap.Uint64("version", next.Version), zap.String("source", address),
 		zap.Int("routes", len(next.Routes)), zap.Int("pools", len(next.Pools)), zap.Int("workspaces", len(next.Workspaces)))
+	g.logUnknownRegions(next.Version, catalog.UnknownRegions(parsed, g.regions))
 	g.noticeDue.Broadcast()
 }
