--- a/io/gateway/updates_test.go
+++ b/io/gateway/updates_test.go
@@ -5,6 +5,7 @@
 	"compress/flate"
 	"slices"
 	"strconv"
+	"strings"
 	"testing"
 
 	"github.com/cespare/xxhash/v2"
@@ -15,10 +16,12 @@
 	"tanagerroad/io/peer"
 )
 
-// DecodeCatalog decodes a configuration that consists of its version alone.
+// DecodeCatalog decodes a configuration that consists of its version, and of the regions that
+// one route allows.
 func (plain) DecodeCatalog(data []byte) (*tanagerroad.Catalog, error) {
-	version, err := strconv.ParseUint(string(data), 10, 64)
-	return &tanagerroad.Catalog{Version: version}, err
+	number, regions, _ := strings.Cut(string(data), " ")
+	version, err := strconv.ParseUint(number, 10, 64)
+	return &tanagerroad.Catalog{Version: version, Routes: []tanagerroad.CatalogRoute{{Regions: strings.Fields(regions)}}}, err
 }
 
 // newDocument returns a configuration with the given version and text.
