--- a/io/gateway/regions.go
+++ b/io/gateway/regions.go
@@ -25,7 +25,7 @@
 	x.g.mu.Unlock()
 	for i, stage := range x.route.Stages {
 		hasPieces := i < len(x.headers.PieceCounts) && x.headers.PieceCounts[i] > 0
-		ok = ok && (!hasPieces || x.hasAllowed(stage.Pool))
+		ok = ok && (!hasPieces || x.g.owners.plan().HasAllowed(stage.Pool, x.regions))
 	}
 	if !ok {
 		x.reason = reasonNotAllowed
@@ -34,12 +34,6 @@
 	return ok
 }
 
-// hasAllowed reports whether a pool that executes pieces has an allowed backend server, or
-// any may come.
-func (x *exchange) hasAllowed(pool string) bool {
-	return x.regions.AllowsAll() || x.g.owners.plan().HasAllowed(pool, x.regions)
-}
-
 // regionsField returns the log field with the regions that the request may be served in, if
 // not all are allowed.
 func (x *exchange) regionsField() zap.Field {
--- a/io/gateway/stages.go
+++ b/io/gateway/stages.go
@@ -82,10 +82,6 @@
 func (s *stageRun) run() bool {
 	for !s.pipeline.Done() {
 		for _, job := range s.pipeline.Ready() {
-			if !s.x.hasAllowed(job.Pool) {
-				s.x.reason = "stage " + job.Pool + ": " + reasonNotAllowed
-				return false
-			}
 			s.submit(job)
 		}
 		hopeless := time.NewTimer(s.lastMoment() - s.x.g.now())
