--- a/io/gateway/regions_test.go
+++ b/io/gateway/regions_test.go
@@ -21,6 +21,8 @@
 	"tanagerroad"
 	"tanagerroad/core/batch"
 	"tanagerroad/core/catalog"
+	"tanagerroad/core/pipeline"
+	"tanagerroad/core/region"
 	"tanagerroad/core/wire"
 )
 
@@ -224,6 +226,31 @@
 	close(hold)
 }
 
+// TestStagesAreMadeNearOtherRegions guards against stages that are executed near a backend
+// server that the request must not reach: the home of its prompt, or this gateway's zone.
+func TestStagesAreMadeNearOtherRegions(t *testing.T) {
+	var all []*backend
+	for _, id := range []string{"s1", "s2", "prep1", "prep2"} {
+		all = append(all, newBackend(t, id, good))
+	}
+	g, _ := newTestGateway(t, all...)
+	g.move(all[1], all[3])
+	g.allow("q")
+	index := g.catalog.Load()
+	route := index.Match("h", "/staged/")
+	for i := range 10 {
+		x := &exchange{g: g, index: index, route: route, pool: "p", regions: region.Intersect(route.Regions, nil), headers: tanagerroad.RequestHeaders{AttemptID: fmt.Sprint(i)}}
+		run := newStageRun(x)
+		if run.place(pipeline.Job{Pool: "prep"}); run.anchor.Zone != "y" {
+			t.Errorf("request %d is placed in zone %q, want y", i, run.anchor.Zone)
+		}
+		x.headers.PromptParts = []tanagerroad.PromptPart{{ID: fmt.Sprint(i), Tokens: 1000}}
+		if run := newStageRun(x); run.home != "y" {
+			t.Errorf("prompt %d has its home in zone %q, want y", i, run.home)
+		}
+	}
+}
+
 // TestUnknownRegionsAreLogged guards against a misspelt region that nobody is told of.
 func TestUnknownRegionsAreLogged(t *testing.T) {
 	core, logs := observer.New(zap.InfoLevel)
