--- a/core/batch/load_test.go
+++ b/core/batch/load_test.go
@@ -13,6 +13,7 @@
 
 	"tanagerroad"
 	"tanagerroad/core/batch"
+	"tanagerroad/core/region"
 )
 
 // loadPattern describes servers, arriving jobs and bounds on how they are served.
@@ -38,9 +39,12 @@
 		Burst      float64 `json:"burst"`
 		From       float64 `json:"from"`
 		To         float64 `json:"to"`
+		// Regions in which its jobs may be executed; empty: all.
+		Regions []string `json:"regions"`
 	} `json:"kinds"`
-	SlowWorker      float64 `json:"slow-worker"` // factor on the call durations of the first server
-	LoseAnswerEvery int     `json:"mute-every"`  // every n-th answer is lost; 0: none
+	Zones           []string `json:"zones"`       // of the servers in turn, each its own region; empty: a
+	SlowWorker      float64  `json:"slow-worker"` // factor on the call durations of the first server
+	LoseAnswerEvery int      `json:"mute-every"`  // every n-th answer is lost; 0: none
 	// Bounds on the time until the last piece of a job is done.
 	P50Ms    float64            `json:"p50-ms"`
 	P95Ms    float64            `json:"p95-ms"`
@@ -79,6 +83,7 @@
 	now       time.Duration
 	stored    map[string]float64 // bytes of results, by server
 	calls     int
+	elsewhere int // pieces in calls to servers that are not allowed
 	latencies []time.Duration
 	inTime    map[string]int
 	total     map[string]int
@@ -118,6 +123,9 @@
 	outcomes := make([]tanagerroad.PieceOutcome, len(call.Pieces))
 	duration := ms(s.load.CallMs)
 	for i, q := range call.Pieces {
+		if !q.Job.Regions.Allows(call.Server.Zone) {
+			s.elsewhere++
+		}
 		if bytes := float64(q.Job.Bytes); s.load.ResultSpaceMB > 0 && s.stored[id]+bytes > s.load.ResultSpaceMB*1e6 {
 			outcomes[i].Reason = tanagerroad.PieceNoSpace
 			continue
@@ -194,7 +202,7 @@
 			s.schedule(time.Duration(t*float64(time.Second)), func() {
 				job := &batch.Job{
 					ID: id, Request: id, Due: s.now + ms(kind.DueMs), Deadline: s.now + ms(kind.DeadlineMs),
-					Priority: kind.Priority, Bytes: kind.Bytes,
+					Priority: kind.Priority, Bytes: kind.Bytes, Regions: region.Intersect(kind.Regions, nil),
 				}
 				for i := range kind.Pieces {
 					job.Pieces = append(job.Pieces, i)
@@ -242,6 +250,9 @@
 			if l.MaxCalls > 0 && s.calls > l.MaxCalls {
 				t.Errorf("%d calls; want at most %d", s.calls, l.MaxCalls)
 			}
+			if s.elsewhere > 0 {
+				t.Errorf("%d pieces in calls to servers that are not allowed", s.elsewhere)
+			}
 			if l.NoFailed && s.failed > 0 {
 				t.Errorf("%d jobs failed", s.failed)
 			}
@@ -265,9 +276,17 @@
 			Slots: 1, MaxQueue: 2, MaxBatch: l.Batch, CallTime: ms(l.CallMs), PieceTime: ms(l.PieceMs), ResultSpace: int64(l.ResultSpaceMB * 1e6), ResultTTL: 4 * time.Second,
 		}),
 	}
+	zones, regions := l.Zones, map[string]string{}
+	if len(zones) == 0 {
+		zones = []string{"a"}
+	}
+	for _, zone := range zones {
+		regions[zone] = zone
+	}
+	s.pool.SetRegions(regions)
 	var servers []tanagerroad.Announcement
 	for i := range l.Workers {
-		servers = append(servers, tanagerroad.Announcement{ID: fmt.Sprintf("w%d", i), Zone: "a"})
+		servers = append(servers, tanagerroad.Announcement{ID: fmt.Sprintf("w%d", i), Zone: zones[i%len(zones)]})
 	}
 	s.pool.SetServers(0, servers)
 	s.arrivals(1)
