core/cold, core/fleet: a cold backend server gets no more than its rate from all gateways

core/cold divides the rate: some gateways, by rendezvous hashing, space their requests, so that the sum in any second is bounded whatever the clocks and the others do. The fleet knows when each server's cold time ends and paces it like a limit; calls with pieces are limited in core/batch. core/roster counts a server that becomes cold as a change. Requests to a pool that is wholly cold wait for turns, in order, or are refused at once.

Ruled out: tokens by a common clock (needs clocks within 0.5 s), few gateways with the whole rate (one gateway more or less breaks the bound).

--- a/core/batch/batch.go
+++ b/core/batch/batch.go
@@ -181,6 +181,21 @@
 	w.recordCall(at) // calls were just sent without a limit
 }
 
+// SetCold sets how many calls a second a cold backend server takes, and until when; 0: any
+// number.
+func (p *Pool) SetCold(at time.Duration, id string, startMillis int64, perSecond float64, until time.Duration) {
+	w := p.workers[id]
+	if w == nil || w.StartMillis != startMillis {
+		return
+	}
+	w.warmUp(at)
+	before := w.coldLimit
+	w.coldLimit, w.coldUntil = perSecond, until
+	if perSecond > 0 && before == 0 {
+		w.recordCall(at) // calls may just have been sent without a limit
+	}
+}
+
 // QueueLen returns the number of queued pieces.
 func (p *Pool) QueueLen() int { return len(p.queue) }
 
@@ -195,11 +210,13 @@
 	full := p.traits.CallTime + time.Duration(p.traits.MaxBatch)*p.traits.PieceTime
 	perWorker, calls := 1/(full.Seconds()*max(p.slowdown, 0.1)), 0.0
 	for _, w := range p.workers {
-		if w.limit > 0 {
-			calls += min(w.limit, perWorker)
-		} else {
-			calls += perWorker
+		rate := perWorker
+		for _, limit := range []float64{w.limit, w.coldLimit} {
+			if limit > 0 {
+				rate = min(rate, limit)
+			}
 		}
+		calls += rate
 	}
 	return calls * float64(p.traits.MaxBatch)
 }
--- a/core/batch/worker.go
+++ b/core/batch/worker.go
@@ -17,6 +17,8 @@
 	ejectedUntil time.Duration
 	pausedUntil  time.Duration // it wants no calls before
 	limit        float64       // calls a second that it takes; 0: any number
+	coldLimit    float64       // calls a second that it takes until coldUntil; 0: it is not cold, or takes any number
+	coldUntil    time.Duration
 	limitedUntil time.Duration // the limit allows no call before
 	idleSince    time.Duration
 	results      map[string]storedResult  // by handle
@@ -71,10 +73,21 @@
 	return max(w.ejectedUntil, w.pausedUntil, w.limitedUntil)
 }
 
-// recordCall counts a call against the limit.
+// recordCall counts a call against the limits.
 func (w *worker) recordCall(at time.Duration) {
-	if w.limit > 0 {
-		w.limitedUntil = at + time.Duration(float64(time.Second)/w.limit)
+	w.warmUp(at)
+	w.limitedUntil = 0
+	for _, limit := range []float64{w.limit, w.coldLimit} {
+		if limit > 0 {
+			w.limitedUntil = max(w.limitedUntil, at+time.Duration(float64(time.Second)/limit))
+		}
+	}
+}
+
+// warmUp ends the cold time of a backend server.
+func (w *worker) warmUp(at time.Duration) {
+	if at >= w.coldUntil {
+		w.coldLimit = 0
 	}
 }
 
@@ -83,6 +96,7 @@
 func (p *Pool) idleWorkers(at time.Duration) []*worker {
 	var out []*worker
 	for _, w := range p.workers {
+		w.warmUp(at)
 		if w.calls < p.traits.Slots && at >= w.usableFrom() {
 			out = append(out, w)
 		}
@@ -186,11 +200,11 @@
 }
 
 // ReleaseResults subtracts released results from the memory counted for their
-// backend servers. Those with a limit are not asked to free results.
+// backend servers. Those with a limit, and cold ones with one, are not asked to free results.
 func (p *Pool) ReleaseResults(handles []string) {
 	for _, handle := range handles {
 		for _, w := range p.workers {
-			if r, ok := w.results[handle]; ok && w.limit == 0 {
+			if r, ok := w.results[handle]; ok && w.limit == 0 && w.coldLimit == 0 {
 				w.resultBytes -= r.bytes
 				delete(w.results, handle)
 			}
--- a/core/event/event.go
+++ b/core/event/event.go
@@ -81,6 +81,7 @@
 	ServerLimited          = define(229, zap.InfoLevel, "server-limited", "A backend server named in an answer how many requests a second it takes from all gateways together, or another number than before; 0: it named none any more. invalid is a value that is no such number and is ignored.")
 	ServerBrokeOff         = define(233, zap.InfoLevel, "server-broke-off", "Attempts at a backend server ended with their connections; crashed says whether it refuses new ones; waiting, begun and flowing count the attempts by how far their answers had come, suspects is how many of them are suspected.")
 	SurvivalClears         = define(234, zap.InfoLevel, "survival-clears", "A backend server outlived a run that was answered whole, which speaks for its causes; the control instances are asked to take them out of the quarantine.")
+	ServerCold             = define(250, zap.InfoLevel, "server-cold", "A backend server is cold, as it announced, or as its start was first seen or its zone returned; until-end says for how long this gateway takes it for cold. Where its pool has a rate for cold servers, requests to it are paced until then.")
 	LinesDropped           = define(108, zap.WarnLevel, "lines-dropped", "Log lines were dropped because the rate limit was exceeded or the reader is slow.")
 	Reloaded               = define(109, zap.InfoLevel, "reloaded", "The settings file was reloaded; bytes is its size.")
 	ReloadFailed           = define(110, zap.ErrorLevel, "reload-failed", "The settings file could not be reloaded; the previous settings stay in force.")
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -44,6 +44,7 @@
 	PromptParts []tanagerroad.PromptPart
 	Exclude     []string
 	Software    string // version that a backend server must have; empty: any
+	Promised    bool   // it waited for a turn that Promise kept
 	TieBreak    uint64 // random; spreads requests over servers of equal cost
 }
 
@@ -57,6 +58,9 @@
 	Candidates   int
 	CachedTokens int  // prompt tokens assumed to be cached there
 	Limited      bool // the request counts against a limit that the backend server named
+	Batched      bool // a call with pieces, which package batch paces
+	coldTurn     uint64
+	chosenAt     time.Duration
 }
 
 // Outcome is what an attempt showed about its backend server.
@@ -80,6 +84,7 @@
 	failures       int           // in a row
 	ejectedUntil   time.Duration
 	promptPartUsed map[string]time.Duration // time of the latest use, by part id
+	cold           *coldServer
 }
 
 // Pause is a time during which a backend server wants no requests from this gateway.
@@ -100,11 +105,12 @@
 	self     string             // peer address of this gateway
 	gateways []string           // peer addresses of all gateways
 	version  uint64
+	cold     coldState
 }
 
 // New returns an empty fleet; regions holds the region of each zone.
 func New(regions map[string]string) *Fleet {
-	return &Fleet{regions: regions, servers: map[string]*server{}, pools: map[string][]*server{}, pauses: map[string]Pause{}, limits: Limits{}, buckets: map[string]*bucket{}}
+	return &Fleet{regions: regions, servers: map[string]*server{}, pools: map[string][]*server{}, pauses: map[string]Pause{}, limits: Limits{}, buckets: map[string]*bucket{}, cold: newColdState()}
 }
 
 // Update replaces the set of usable backend servers. The statistics of a backend
@@ -118,7 +124,7 @@
 		if !ok || s.StartMillis != a.StartMillis || s.Address != a.Address {
 			s = &server{latency: initialLatency, promptPartUsed: map[string]time.Duration{}}
 		}
-		s.Announcement = a
+		s.Announcement, s.cold = a, f.announce(a)
 		next[a.ID] = s
 		f.pools[a.Pool] = append(f.pools[a.Pool], s)
 	}
@@ -175,13 +181,13 @@
 
 // homeServer returns the backend server that should cache a prompt part, by
 // rendezvous hashing: gateways that know the same backend servers choose the same
-// one without communicating. Ejected, paused, limited and warming-up servers are skipped.
+// one without communicating. Ejected, paused, limited and cold servers are skipped.
 func (f *Fleet) homeServer(at time.Duration, pool, part string) *server {
 	var best *server
 	var highest uint64
 	for _, s := range f.pools[pool] {
 		_, limited := f.Limit(s.Announcement)
-		if at < s.ejectedUntil || s.WarmUp > 0 || limited || f.PausedUntil(at, s.Announcement) > at {
+		if at < s.ejectedUntil || f.coldUntil(at, s.cold) > 0 || limited || f.PausedUntil(at, s.Announcement) > at {
 			continue
 		}
 		if hash := xxhash.Sum64String(part + "|" + s.ID); best == nil || hash > highest {
@@ -205,7 +211,7 @@
 
 // Pick chooses the backend server with the lowest cost and counts the attempt as
 // in flight there. It returns false when the pool has no backend server that is
-// neither excluded nor paused nor at its limit.
+// neither excluded nor paused nor at its limit nor cold without a turn.
 func (f *Fleet) Pick(at time.Duration, req Request) (Choice, bool) {
 	var best *server
 	var lowest time.Duration
@@ -216,12 +222,21 @@
 	if len(req.PromptParts) > 0 {
 		home = f.homeServer(at, req.Pool, lastSharedPart(req.PromptParts))
 	}
+	queued := f.promised(at, req.Pool) > 0
+	if req.Promised {
+		f.redeem(req.Pool)
+	}
 	for i := range list {
 		// A random starting point spreads requests over servers of equal cost.
 		s := list[(uint64(i)+req.TieBreak)%uint64(len(list))]
 		if slices.Contains(req.Exclude, s.ID) || f.unavailableUntil(at, s.Announcement) > 0 || req.Software != "" && s.Software != req.Software {
 			continue
 		}
+		if queued && !req.Promised {
+			if c, _ := f.paced(at, s.Announcement); c != nil {
+				continue // its turns are kept for requests that wait
+			}
+		}
 		candidates++
 		cost, tokens := f.cost(at, s, req, s == home)
 		if best == nil || cost < lowest {
@@ -234,6 +249,7 @@
 	best.inFlight++
 	best.recordPromptParts(at, req.PromptParts)
 	return Choice{
+		coldTurn: f.takeColdTurn(at, best.Announcement), chosenAt: at,
 		Limited:      f.takeToken(best.Announcement),
 		Announcement: best.Announcement, Cost: lowest, InFlight: best.inFlight, ReportedLoad: best.othersRunning + best.queued,
 		ReportAge: at - best.reportAt, Candidates: candidates, CachedTokens: cached,
@@ -275,7 +291,7 @@
 			total += time.Duration(bytes) * resultByteCost
 		}
 	}
-	if s.WarmUp > 0 {
+	if f.coldUntil(at, s.cold) > 0 {
 		total += warmUpCost
 	}
 	if at < s.ejectedUntil {
@@ -394,27 +410,34 @@
 }
 
 // unavailableUntil returns when a backend server takes the next request of this gateway: at
-// the end of its pause, or when its limit allows it; 0: now.
+// the end of its pause, or when its limit and its turns while it is cold allow it; 0: now.
 func (f *Fleet) unavailableUntil(at time.Duration, a tanagerroad.Announcement) time.Duration {
 	if until := f.PausedUntil(at, a); until > 0 {
 		return until
 	}
-	return f.limitedUntil(at, a)
+	return max(f.limitedUntil(at, a), f.pacedUntil(at, a))
 }
 
 // PoolPausedUntil returns when the first of the usable backend servers of a pool takes
-// requests of this gateway, if all are paused or at their limits, and 0 otherwise.
+// requests of this gateway, if all are paused, at their limits or cold without a turn, and 0
+// otherwise. Turns that Promise keeps for other requests are left out.
 func (f *Fleet) PoolPausedUntil(at time.Duration, pool string) time.Duration {
 	var first time.Duration
+	queued := f.promised(at, pool)
 	for _, s := range f.pools[pool] {
 		until := f.unavailableUntil(at, s.Announcement)
 		if until == 0 {
-			return 0
+			if c, _ := f.paced(at, s.Announcement); c == nil || queued == 0 {
+				return 0
+			}
 		}
 		if first == 0 || until < first {
 			first = until
 		}
 	}
+	if queued > 0 && len(f.pools[pool]) > 0 {
+		return f.turnAfter(at, pool, queued)
+	}
 	return first
 }
 
--- a/core/fleet/limit.go
+++ b/core/fleet/limit.go
@@ -84,7 +84,11 @@
 
 // SetGateways replaces the addresses of all gateways, which share the limits of backend
 // servers; self is this one's.
-func (f *Fleet) SetGateways(self string, all []string) { f.self, f.gateways = self, all }
+func (f *Fleet) SetGateways(self string, all []string) {
+	before := f.gateways
+	f.self, f.gateways = self, all
+	f.setSharers(before, all)
+}
 
 // RecordLimit records what a backend server said about its limit. It reports whether that
 // differs from what was known before.
@@ -217,12 +221,11 @@
 	if f.PausedUntil(at, c.Announcement) > 0 {
 		return false
 	}
-	if c.Limited {
-		return true
-	}
-	if f.limitedUntil(at, c.Announcement) > 0 {
+	if !c.Limited && f.limitedUntil(at, c.Announcement) > 0 || !f.allowCold(at, c) {
 		return false
 	}
-	f.takeToken(c.Announcement)
+	if !c.Limited {
+		f.takeToken(c.Announcement)
+	}
 	return true
 }
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -36,8 +36,13 @@
 	sources      map[string]bool // sources that currently receive its announcements
 	lastReceived time.Duration   // time of the latest announcement that was not outdated
 	changedSeq   uint64          // sequence number of the latest change
+	coldUntil    time.Duration   // end of the server's cold time, by its announcement at the latest change
 }
 
+// coldTolerance is by how much later a server may say that it is warm than others were
+// told, before that is a change. Announcements take so long in different ways.
+const coldTolerance = 100 * time.Millisecond
+
 // Departure says that a backend server stated in an answer that it leaves.
 type Departure struct {
 	ID, Pool    string
@@ -98,6 +103,10 @@
 		before.Pool != rec.announcement.Pool || before.Software != rec.announcement.Software {
 		changed = true
 	}
+	// The end is compared with that of the latest change, so that many small steps add up.
+	if a.WarmUp > 0 && (before.WarmUp == 0 || at+a.WarmUp > rec.coldUntil+coldTolerance) {
+		changed = true
+	}
 	if rec.announcement.State == tanagerroad.Down {
 		clear(rec.sources)
 	}
@@ -134,6 +143,7 @@
 func (r *Roster) markChanged(rec *record) {
 	r.sequence++
 	rec.changedSeq = r.sequence
+	rec.coldUntil = rec.lastReceived + rec.announcement.WarmUp
 }
 
 // RecordDeparture records that a backend server stated in an answer that it leaves. That
--- a/io/gateway/batcher.go
+++ b/io/gateway/batcher.go
@@ -173,6 +173,7 @@
 	for _, l := range limits {
 		p.SetLimit(at, l.ID, l.StartMillis, l.PerSecond)
 	}
+	b.g.setColdRates(at, name, p)
 }
 
 // limit applies what a backend server said about its limit.
@@ -454,7 +455,9 @@
 	res, err := b.g.client.Do(ctx, http1.Request{
 		Address: call.Server.Address, Method: http.MethodPost, Target: b.g.config.Dialect.Paths().RunPieces, Host: call.Server.Address,
 		Header: b.g.config.Dialect.PieceRequestHeaders(call.Server.ID), Body: body,
-		Allow: func() error { return b.g.checkServer(fleet.Choice{Announcement: call.Server, Limited: true}) },
+		Allow: func() error {
+			return b.g.checkServer(fleet.Choice{Announcement: call.Server, Limited: true, Batched: true})
+		},
 	})
 	if err != nil {
 		return nil, errors.Is(err, errServerUnavailable), err
@@ -575,7 +578,7 @@
 			continue
 		}
 		if b.g.isLimited(address) {
-			continue // it drops the results after a while; calls are worth more
+			continue // it drops the results after a while; calls are worth more to a limited or cold one
 		}
 		go func() {
 			if err := b.freeOn(address, handles); err != nil {
--- a/io/gateway/exchange.go
+++ b/io/gateway/exchange.go
@@ -115,6 +115,8 @@
 	flowing     atomic.Bool        // an answer has got as far as attempt.Flowing
 	received    received           // in the latest attempt
 	pausedUntil time.Duration      // earliest time at which a backend server accepts requests; after attempt.Paused
+	awaitsTurn  bool               // attempt.Paused, and cold backend servers take turns
+	promised    bool               // a turn at a cold backend server is kept for the request
 	reason      string             // of the latest refusal or failure
 	retryAfter  time.Duration      // for the Retry-After header
 }
@@ -374,6 +376,9 @@
 	if end != attempt.Paused {
 		return x.retryState.Next(x.g.now(), end, status, x.takeRetry)
 	}
+	if x.awaitsTurn {
+		return x.awaitTurn()
+	}
 	// Callers that are told to return, and requests that wait, are spread so that they
 	// do not come together.
 	spread := time.Duration(hashFraction(x.headers.AttemptID) * float64(pauseSpread))
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -351,11 +351,11 @@
 	return max(0, g.fleet.AddressPausedUntil(now, address)-now)
 }
 
-// isLimited reports whether the backend server at an address named a limit.
+// isLimited reports whether the backend server at an address named a limit, or is cold.
 func (g *Gateway) isLimited(address string) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.fleet.AddressLimited(address)
+	return g.fleet.AddressLimited(address) || g.fleet.AddressCold(g.now(), address)
 }
 
 // errServerUnavailable is the error of a request that was not sent since its backend
@@ -391,6 +391,7 @@
 	g.roster.Expire(now, "")
 	g.quarantine.Expire(now)
 	g.fleet.ExpireLimits(now)
+	g.fleet.ExpireCold(now)
 	if rosterChanged {
 		g.applyRoster(now)
 	}
--- a/io/gateway/try.go
+++ b/io/gateway/try.go
@@ -32,8 +32,9 @@
 	x.received, x.server, x.progress, x.brokenOff, x.whole = received{}, "", attempt.Waiting, false, false
 	request := fleet.Request{
 		Pool: x.pool, From: g.config.Settings.Place(), Exclude: x.exclude, PromptParts: x.headers.PromptParts, Software: x.software,
-		TieBreak: xxhash.Sum64String(x.headers.AttemptID),
+		TieBreak: xxhash.Sum64String(x.headers.AttemptID), Promised: x.promised,
 	}
+	x.promised = false
 	if x.stages != nil {
 		request.ResultBytes = x.stages.pipeline.RequestInputBytes()
 	}
@@ -45,11 +46,12 @@
 	var pausedUntil time.Duration
 	if !ok {
 		pausedUntil = g.fleet.PoolPausedUntil(now, x.pool)
+		x.awaitsTurn = pausedUntil > 0 && g.fleet.PoolCold(now, x.pool)
 	}
 	limit, _ := g.fleet.Limit(choice.Announcement)
 	g.mu.Unlock()
 	if pausedUntil > 0 {
-		x.reason, x.pausedUntil = "all backend servers want no requests for a time, or are at their limits", pausedUntil
+		x.reason, x.pausedUntil = "all backend servers want no requests for a time, are at their limits, or are cold", pausedUntil
 		return attempt.Paused, 0
 	}
 	x.retryState.Begin()
--- a/io/gateway/watch.go
+++ b/io/gateway/watch.go
@@ -181,6 +181,7 @@
 // held.
 func (g *Gateway) applyRoster(now time.Duration) {
 	g.fleet.Update(g.roster.Usable())
+	g.updateCold(now)
 	g.confirmCrashes(now)
 	g.divide(now)
 }
@@ -246,6 +247,7 @@
 		}
 	}
 	g.mu.Lock()
+	g.fleet.SetPools(next.Pools)
 	g.divide(g.now())
 	g.mu.Unlock()
 	event.CatalogInForce.Log(g.config.Logger, zap.Uint64("version", next.Version), zap.String("source", address),
