--- a/core/fleet/cold_test.go
+++ b/core/fleet/cold_test.go
@@ -252,3 +252,144 @@
 		})
 	}
 }
+
+// coldFleet returns a lone gateway, which started long ago, and a pool of one server of zone
+// z1 that starts at 10 s and says for how long it is cold.
+func coldFleet(warmUp time.Duration) (*fleet.Fleet, []tanagerroad.Announcement) {
+	f := fleet.New(regions)
+	f.SetPools([]tanagerroad.CatalogPool{{Name: "p", ColdTime: coldTime, ColdPerSecond: 10}})
+	f.SetGateways("g", []string{"g"})
+	f.ExpireCold(0)
+	servers := []tanagerroad.Announcement{{ID: "c", Pool: "p", Address: "c", Zone: "z1", Slots: 8, StartMillis: 10_000, Sequence: 1, WarmUp: warmUp}}
+	f.Update(servers)
+	f.UpdateCold(10*time.Second, 10_000)
+	return f, servers
+}
+
+// isCold reports whether a second request at once finds no turn.
+func isCold(f *fleet.Fleet, at time.Duration) bool {
+	f.Pick(at, fleet.Request{Pool: "p"})
+	_, ok := f.Pick(at, fleet.Request{Pool: "p"})
+	return !ok
+}
+
+// TestColdTimeEnds guards against a server that stays cold, or is warm too early: by its
+// announcement, without one, and after its zone's evacuation.
+func TestColdTimeEnds(t *testing.T) {
+	update := func(at time.Duration, sequence uint64, warmUp time.Duration) func(*fleet.Fleet, []tanagerroad.Announcement) {
+		return func(f *fleet.Fleet, servers []tanagerroad.Announcement) {
+			servers[0].Sequence, servers[0].WarmUp = sequence, warmUp
+			f.Update(servers)
+			f.UpdateCold(at, at.Milliseconds())
+		}
+	}
+	returns := func(at time.Duration, zone string) func(*fleet.Fleet, []tanagerroad.Announcement) {
+		return func(f *fleet.Fleet, _ []tanagerroad.Announcement) { f.MarkCold(at, zone) }
+	}
+	for _, c := range []struct {
+		what      string
+		warmUp    time.Duration
+		then, end func(*fleet.Fleet, []tanagerroad.Announcement) // end: at until
+		until     time.Duration                                  // 0: warm all the time
+	}{
+		{"the first server of a pool says that it is warm", 0, nil, nil, 0},
+		{"it says when it is warm", 2 * time.Second, nil, nil, 12 * time.Second},
+		{"it is cold for longer than the configuration says", 5 * time.Second, nil, nil, 15 * time.Second},
+		{"a late copy of its announcement", 2 * time.Second, update(11*time.Second, 1, 2*time.Second), nil, 12 * time.Second},
+		{"it is cold for longer than it said", 2 * time.Second, update(11*time.Second, 2, 3*time.Second), nil, 14 * time.Second},
+		{"it is warm earlier than it said", 2 * time.Second, nil, update(11*time.Second, 2, 0), 11 * time.Second},
+		{"its zone returns", 0, returns(11*time.Second, "z1"), nil, 14 * time.Second},
+		{"another zone returns", 0, returns(11*time.Second, "z2"), nil, 0},
+		{"its zone returns, and it says later that it is warm", 0, returns(14*time.Second, "z1"), update(15*time.Second, 2, 0), 15 * time.Second},
+		{"its zone returns, with what it announced before", 0, func(f *fleet.Fleet, s []tanagerroad.Announcement) {
+			f.Update(nil)
+			f.MarkCold(13*time.Second, "z1")
+			update(13*time.Second, 9, 0)(f, s)
+		}, nil, 16 * time.Second},
+		{"its zone returns, and it was forgotten", 0, func(f *fleet.Fleet, s []tanagerroad.Announcement) {
+			f.Update(nil)
+			for at := 10 * time.Second; at < 105*time.Second; at += 500 * time.Millisecond {
+				f.ExpireCold(at)
+			}
+			f.MarkCold(101*time.Second, "z1")
+			update(101*time.Second, 9, 0)(f, s)
+		}, nil, 104 * time.Second},
+	} {
+		f, servers := coldFleet(c.warmUp)
+		if c.then != nil {
+			c.then(f, servers)
+		}
+		if c.until > 0 && !isCold(f, c.until-50*time.Millisecond) {
+			t.Errorf("%s: warm before %v", c.what, c.until)
+		}
+		if c.end != nil {
+			c.end(f, servers)
+		}
+		if isCold(f, max(c.until, 12*time.Second)) {
+			t.Errorf("%s: cold after %v", c.what, c.until)
+		}
+	}
+}
+
+// TestTurnsAreKept guards against requests that wait for a turn of a cold server until their
+// deadline, since those that come later take it, and against waits that nothing ends.
+func TestTurnsAreKept(t *testing.T) {
+	f, _ := coldFleet(2 * time.Second)
+	at := 10 * time.Second
+	pick := func(at time.Duration, promised bool) bool {
+		_, ok := f.Pick(at, fleet.Request{Pool: "p", Promised: promised})
+		return ok
+	}
+	if !pick(at, false) || pick(at, false) {
+		t.Fatal("want one turn now")
+	}
+	for _, want := range []time.Duration{100, 200, 300} { // at ten a second
+		until := f.PoolPausedUntil(at, "p")
+		if got := (until - at).Round(10 * time.Millisecond); got != want*time.Millisecond {
+			t.Errorf("the next request waits %v, want %v", got, want*time.Millisecond)
+		}
+		f.Promise("p", until)
+	}
+	at += 105 * time.Millisecond
+	if pick(at, false) {
+		t.Error("a request that did not wait took the turn of one that did")
+	}
+	if !pick(at, true) || pick(at, true) {
+		t.Error("want one turn for those that wait")
+	}
+	if until := f.PoolPausedUntil(12*time.Second, "p"); until != 0 {
+		t.Errorf("the pool is unavailable until %v although its server is warm", until)
+	}
+	if at = 11500 * time.Millisecond; !pick(at, false) {
+		t.Error("turns are kept for requests that are gone")
+	}
+}
+
+// TestChosenBeforeItWasCold guards against requests that were chosen for a server before it
+// became cold, and are all sent afterwards.
+func TestChosenBeforeItWasCold(t *testing.T) {
+	f, servers := coldFleet(0)
+	at, sent := 12*time.Second, 0
+	var choices []fleet.Choice
+	for range 20 {
+		choice, _ := f.Pick(at, fleet.Request{Pool: "p"})
+		choices = append(choices, choice)
+	}
+	servers[0].Sequence, servers[0].WarmUp = 2, coldTime
+	f.Update(servers)
+	if became := f.UpdateCold(at, at.Milliseconds()); len(became) != 1 || became[0].Until != at+coldTime {
+		t.Errorf("%v became cold, want one for %v", became, coldTime)
+	}
+	for _, choice := range choices {
+		at += 10 * time.Millisecond
+		if f.Allow(at, choice) {
+			sent++
+		}
+	}
+	if sent > 3 {
+		t.Errorf("%d of 20 requests were sent within 0.2 s at 10 a second", sent)
+	}
+	if batched := choices[0]; !f.Allow(at, fleet.Choice{Announcement: batched.Announcement, Batched: true}) || !f.AddressCold(at, "c") {
+		t.Error("a call that package batch paced was stopped")
+	}
+}
--- a/core/roster/roster_test.go
+++ b/core/roster/roster_test.go
@@ -119,3 +119,32 @@
 		t.Errorf("peers %v, want a and b", got)
 	}
 }
+
+// TestColdServerIsPassedOn guards against gateways that take a server for warm since it became
+// cold, or will be cold for longer, after the announcement that they know; and against a
+// message for each announcement of a server that warms up as it said.
+func TestColdServerIsPassedOn(t *testing.T) {
+	r := roster.New(roster.DefaultConfig())
+	for i, s := range []struct {
+		what         string
+		atMs, coldMs int
+		want         bool
+	}{
+		{"the first announcement", 0, 0, true},
+		{"still warm", 1200, 0, false},
+		{"cold without a restart", 2400, 3000, true},
+		{"warms up", 3600, 1800, false},
+		{"warms up, a little late", 4800, 660, false},
+		{"in small steps, for much longer", 5200, 380, true},
+		{"warm earlier than it said", 5300, 0, false},
+		{"cold again for a short time", 5400, 100, true},
+		{"warm", 6600, 0, false},
+	} {
+		a := tanagerroad.Announcement{ID: "a", Address: "a:1", StartMillis: 1, Sequence: uint64(i + 1), State: tanagerroad.Serving, WarmUp: time.Duration(s.coldMs) * time.Millisecond}
+		sequence := r.Sequence()
+		got := r.Apply(time.Duration(s.atMs)*time.Millisecond, "c", a)
+		if changed, _ := r.Since("c", sequence); got != s.want || (len(changed) > 0) != s.want {
+			t.Errorf("%s: passed on %t, want %t", s.what, got, s.want)
+		}
+	}
+}
