--- a/core/cold/cold_test.go
+++ b/core/cold/cold_test.go
@@ -113,4 +113,30 @@
 	if next := p.Next(d); next < 900*time.Millisecond+d.Gap {
 		t.Errorf("the turn after a request sent at 900ms is at %v, want %v between them", next, d.Gap)
 	}
+	if p.Start(time.Second, 990*time.Millisecond, true, d, 0); p.Next(d) < 990*time.Millisecond+d.Gap {
+		t.Errorf("the first turn at %v, although a request was sent at 990ms while the server was warm", p.Next(d))
+	}
+}
+
+// TestTurnsAreSpread guards against gateways that all send when a server becomes cold, and
+// against turns that are saved up while there are no requests.
+func TestTurnsAreSpread(t *testing.T) {
+	d := cold.Divide(16, 24)
+	at, soon, later := 20*time.Second, 0, 0
+	for rank := range 24 {
+		var p cold.Pacer
+		p.Start(0, 0, false, d, rank)
+		if p.Next(d) < 200*time.Millisecond {
+			soon++
+		}
+		for now := at; now < at+6*time.Second; now += 5 * time.Millisecond {
+			if now >= p.Next(d) {
+				p.Take(now, d)
+				later++
+			}
+		}
+	}
+	if soon > 4 || later > 6*16+24 {
+		t.Errorf("%d requests in the first 0.2 s, want 16 a second; %d in 6 s after a quiet time, want 96 and one of each gateway", soon, later)
+	}
 }
--- a/core/fleet/births_test.go
+++ b/core/fleet/births_test.go
@@ -29,6 +29,7 @@
 		f.RecordPause(at, a, time.Second)
 		f.RecordLimit(ServerLimit{ID: a.ID, StartMillis: a.StartMillis, PerSecond: 1, HeardAt: at, Own: true})
 		f.ExpireLimits(at)
+		f.ExpireCold(at)
 		r.RecordDeparture(at, a.ID, a.StartMillis)
 	}
 	all, _ := r.Since("c1", 0)
@@ -37,7 +38,7 @@
 		parts += len(s.promptPartUsed)
 	}
 	// Records and limits last a minute, pauses a second, of some ten births a second.
-	for what, n := range map[string]int{"records": len(all), "servers": len(f.servers), "pauses": len(f.pauses), "limits": len(f.limits), "buckets": len(f.buckets)} {
+	for what, n := range map[string]int{"records": len(all), "servers": len(f.servers), "pauses": len(f.pauses), "limits": len(f.limits), "buckets": len(f.buckets), "cold": len(f.cold.servers)} {
 		if n > 700 {
 			t.Errorf("%d %s after %d births, want those of the last minute", n, what, births)
 		}
--- a/core/fleet/cold_test.go
+++ b/core/fleet/cold_test.go
@@ -325,7 +325,7 @@
 		if c.end != nil {
 			c.end(f, servers)
 		}
-		if isCold(f, max(c.until, 12*time.Second)) {
+		if until := max(c.until, 12*time.Second); isCold(f, until) || len(f.ColdRates(until, "p")) > 0 {
 			t.Errorf("%s: cold after %v", c.what, c.until)
 		}
 	}
@@ -393,3 +393,26 @@
 		t.Error("a call that package batch paced was stopped")
 	}
 }
+
+// TestShareOfLostGateway guards against a share that is used twice while a gateway that is no
+// longer listed may still send, and against one that nobody uses for the rest of the time.
+func TestShareOfLostGateway(t *testing.T) {
+	f, _ := coldFleet(time.Minute)
+	f.SetGateways("g", []string{"g", "lost"})
+	f.SetGateways("g", []string{"g"})
+	soon, later := 0, 0
+	for at := 10 * time.Second; at < 40*time.Second; at += 20 * time.Millisecond {
+		if at%(500*time.Millisecond) == 0 {
+			f.ExpireCold(at)
+		}
+		switch _, ok := f.Pick(at, fleet.Request{Pool: "p"}); {
+		case ok && at < 20*time.Second:
+			soon++
+		case ok && at >= 30*time.Second:
+			later++
+		}
+	}
+	if soon > 52 || later < 80 {
+		t.Errorf("%d requests in the 10 s after a gateway was lost and %d in 10 s later, want half of 100, and all", soon, later)
+	}
+}
