--- a/core/fleet/cold.go
+++ b/core/fleet/cold.go
@@ -14,9 +14,9 @@
 	// not usable, longer than an evacuation order or a lost link takes to pass.
 	coldMemory = time.Minute
 	// lostGatewayMemory is how long a gateway that is no longer listed counts when the rate
-	// of a cold server is divided. One that lost all control instances sends until their
-	// information is ignored, 10 s by default.
-	lostGatewayMemory = 15 * time.Second
+	// of a cold server is divided. It may be cut off from this one only, and send. Its share is
+	// unused if it has ended: with a longer time the loss of a zone would be felt for longer.
+	lostGatewayMemory = time.Minute
 	// settleTime is how long a gateway takes a small share after its start. Control
 	// instances list the gateways every second, so that until then it knows of all others,
 	// and they of it.
@@ -222,7 +222,8 @@
 		}
 	}
 	for gateway, since := range f.cold.lost {
-		if at-since > lostGatewayMemory {
+		// With no other gateway listed it is this one that is cut off.
+		if at-since > lostGatewayMemory && len(f.gateways) > 1 {
 			delete(f.cold.lost, gateway)
 			f.listSharers()
 		}
