--- a/io/gateway/cold.go
+++ b/io/gateway/cold.go
@@ -10,6 +10,10 @@
 	"tanagerroad/core/event"
 )
 
+// minTurnWait is the least time that a request waits for a turn. The turn may be at a server
+// that the request cannot use, such as one of another software version.
+const minTurnWait = 20 * time.Millisecond
+
 // updateCold gives the fleet the time at which announcements arrived, and records which
 // backend servers became cold. g.mu must be held.
 func (g *Gateway) updateCold(now time.Duration) {
@@ -36,7 +40,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.now()
-	x.pausedUntil = max(now, g.fleet.PoolPausedUntil(now, x.pool))
+	x.pausedUntil = max(now+minTurnWait, g.fleet.PoolPausedUntil(now, x.pool))
 	x.retryAfter = max(x.pausedUntil-now, defaultRetryDelay)
 	if x.pausedUntil > x.arrived+x.route.LatencyObjective && !x.retryState.MayHaveRun() {
 		x.retryState.Stop()
