--- a/io/gateway/cold_test.go
+++ b/io/gateway/cold_test.go
@@ -33,8 +33,9 @@
 	next.Version, next.Routes, next.Pools = 2, slices.Clone(next.Routes), slices.Clone(next.Pools)
 	next.Pools[0].ColdTime, next.Pools[0].ColdPerSecond = 10*time.Second, 10
 	for i := range next.Routes {
+		next.Routes[i].Timeout = 8 * time.Second
 		if next.Routes[i].Name == "look" {
-			next.Routes[i].Timeout, next.Routes[i].LatencyObjective = 8*time.Second, 7*time.Second
+			next.Routes[i].LatencyObjective = 7 * time.Second
 		}
 	}
 	g.config.Dialect = fixed{catalog: &next}
@@ -50,7 +51,7 @@
 		waits            bool
 	}{
 		{"the first", "/look/", "7500", http.StatusOK, false},
-		{"its latency objective does not permit it to wait", "/book/", "1900", http.StatusServiceUnavailable, false},
+		{"its latency objective does not permit it to wait", "/book/", "7500", http.StatusServiceUnavailable, false},
 		{"its deadline does not permit it to wait", "/look/", "1000", http.StatusServiceUnavailable, false},
 		{"it can wait", "/look/", "7500", http.StatusOK, true},
 	} {
