--- a/core/batch/batch.go
+++ b/core/batch/batch.go
@@ -185,6 +185,21 @@
 	w.recordCall(at) // calls were just sent without a limit
 }
 
+// SetCold sets how many calls a second a cold backend server takes, and until when; 0: any
+// number.
+func (p *Pool) SetCold(at time.Duration, id string, startMillis int64, perSecond float64, until time.Duration) {
+	w := p.workers[id]
+	if w == nil || w.StartMillis != startMillis {
+		return
+	}
+	w.warmUp(at)
+	before := w.coldLimit
+	w.coldLimit, w.coldUntil = perSecond, until
+	if perSecond > 0 && before == 0 {
+		w.recordCall(at) // calls may just have been sent without a limit
+	}
+}
+
 // QueueLen returns the number of queued pieces.
 func (p *Pool) QueueLen() int { return len(p.queue) }
 
@@ -202,11 +217,13 @@
 		if !regions.Allows(w.region) {
 			continue
 		}
-		if w.limit > 0 {
-			calls += min(w.limit, perWorker)
-		} else {
-			calls += perWorker
+		rate := perWorker
+		for _, limit := range []float64{w.limit, w.coldLimit} {
+			if limit > 0 {
+				rate = min(rate, limit)
+			}
 		}
+		calls += rate
 	}
 	return calls * float64(p.traits.MaxBatch)
 }
