core/registry, core/evacuation: the replicated state of evacuations and a gateway's view of it

An operator could not order that nothing more is sent to a zone. Each applied order counts the version up, also one that changes nothing: with the rule 'as wanted already is accepted', a Finish of a zone that was not evacuated left version 0, and a late copy of an earlier Begin undid it (scripted).

--- a/core/registry/image.go
+++ b/core/registry/image.go
@@ -27,6 +27,7 @@
 		Origins:    r.origins.Origins(),
 	}
 	image.Bases, image.BaseChanges = r.origins.Bases()
+	image.Evacuations, image.EvacuationChanges = r.Evacuations()
 	// Settled claims are written in the order in which they were settled, so that
 	// a restored registry drops them in the same order.
 	for _, key := range r.settled {
@@ -87,6 +88,7 @@
 	r.causes.Restore(image.GetCrashes(), image.GetCauses(), image.GetHistories())
 	r.catalog = image.GetCatalog()
 	r.origins.Restore(image.GetBases(), image.GetBaseChanges(), image.GetOrigins())
+	r.evacuations.restore(image.GetEvacuations(), image.GetEvacuationChanges())
 	for _, f := range image.GetFences() {
 		r.fences[f.GetServer()] = f
 	}
--- a/core/registry/registry.go
+++ b/core/registry/registry.go
@@ -10,6 +10,7 @@
 //   - the fencing token of each backend server
 //   - the gateways' catalog
 //   - the software versions at which streams began, see package origin
+//   - the availability zones whose backend servers get nothing more
 //
 // The state is deterministic: applying the same commands in the same order
 // gives the same state on every instance. The registry therefore reads no
@@ -53,6 +54,7 @@
 	RecentSuspicion     time.Duration // how long no other suspect takes the place of one
 	MaxFingerprints     int           // suspect and convicted fingerprints kept
 	MaxCrashReports     int           // crash report ids kept, so that a resent report counts once
+	MaxZones            int           // zones with the state of their evacuation
 }
 
 // DefaultConfig returns the documented limits and durations.
@@ -69,6 +71,7 @@
 		RecentSuspicion:     time.Minute,
 		MaxFingerprints:     1024,
 		MaxCrashReports:     1024,
+		MaxZones:            1024,
 	}
 }
 
@@ -127,6 +130,7 @@
 
 	fences       map[string]*wire.FenceState // by server id
 	catalog      *wire.Catalog
+	evacuations  evacuations
 	latestMillis int64 // latest time of all commands, Unix time
 }
 
@@ -141,6 +145,7 @@
 		causes:      quarantine.New(quarantine.DefaultConfig()),
 		origins:     origin.New(),
 		fences:      map[string]*wire.FenceState{},
+		evacuations: evacuations{changes: 1},
 	}
 }
 
@@ -188,6 +193,8 @@
 	case *wire.Command_ChangeBase:
 		r.origins.ChangeBase(body.ChangeBase.GetPool(), body.ChangeBase.GetFrom(), body.ChangeBase.GetTo())
 		return &wire.Outcome{Kind: Accepted}
+	case *wire.Command_SetEvacuation:
+		return r.applySetEvacuation(body.SetEvacuation)
 	}
 	return &wire.Outcome{Kind: Invalid, Reason: "an unknown command"}
 }
