control, gateway: evacuations of zones are ordered, distributed and kept to

Orders came to nobody. Any control instance now takes Evacuation.Begin and Finish (and, on the operator listener, POST and DELETE /evacuations/ZONE), proposes them with the version it knew when the order arrived, and tells gateways all evacuations in their watches. A gateway leaves the servers of evacuated zones out of its fleet and shards, refuses to send to one that was chosen before, refuses queued jobs and new requests of a pool without a server elsewhere, and frees no results there.

--- a/core/event/event.go
+++ b/core/event/event.go
@@ -110,6 +110,9 @@
 	CrashReported          = define(416, zap.WarnLevel, "crash-reported", "A gateway or a sidecar reported crashes of backend servers; convicted names what is refused or tried from now on, strongest the suspect in the most crashes, with the outages and crashes it was in and the evidence that they come to.")
 	BaseChanged            = define(418, zap.InfoLevel, "base-changed", "No backend server of a pool's base version has been seen for so long that no stream of it is left; streams without a record are of the new base version from now on.")
 	CausesCleared          = define(417, zap.InfoLevel, "causes-cleared", "Backend servers outlived requests with these causes; the causes are neither suspect nor convicted.")
+	EvacuationsChanged     = define(250, zap.InfoLevel, "evacuations", "A gateway learned that the evacuation of a zone began or ended: the evacuated zones, and how many backend servers get nothing because of them.")
+	EvacuationOrdered      = define(430, zap.InfoLevel, "evacuation-ordered", "An operator's order to begin or finish the evacuation of a zone was acknowledged or refused; outcome is caller-gone if the caller no longer waited, so that a late copy undoes no later order.")
+	EvacuationSet          = define(431, zap.InfoLevel, "evacuation-set", "An order about the evacuation of a zone came in the replicated log; its outcome is conflict if another order for the zone came before it.")
 	OperatorDenied         = define(500, zap.WarnLevel, "operator-denied", "A call to the operator address had no valid token.")
 )
 
--- a/core/replica/log.go
+++ b/core/replica/log.go
@@ -278,6 +278,7 @@
 	match := m.GetIndex() + uint64(len(m.GetEntries()))
 	r.reply(m, true, match)
 	r.commitTo(min(m.GetCommit(), match))
+	r.followsCommit = r.commit >= m.GetCommit()
 }
 
 func (r *Replica) reply(m *wire.Message, granted bool, index uint64) {
@@ -380,6 +381,7 @@
 		rest = slices.Clone(r.entries[mark.GetIndex()-r.snapshot.GetIndex():])
 	}
 	r.snapshot, r.entries = mark, rest
+	r.followsCommit = false
 	r.commit, r.applied = mark.GetIndex(), mark.GetIndex()
 	r.committedMembers = mark.GetMembers()
 	r.refreshMembers()
--- a/core/replica/replica.go
+++ b/core/replica/replica.go
@@ -127,6 +127,7 @@
 	votes           map[string]bool      // votes or pre-votes granted to this replica, by identity
 	peers           map[string]*progress // the other members, by identity; kept by a leader
 	hadLeader       bool                 // a leader was known since the start
+	followsCommit   bool                 // has committed all that the leader's latest entries came with
 	lastHeartbeat   time.Duration
 	round           uint64             // number of the latest read; appends carry it and replies return it
 	reads           []pendingRead      // oldest first
@@ -218,6 +219,13 @@
 // from.
 func (r *Replica) SnapshotMembers() []*wire.Member { return r.snapshot.GetMembers() }
 
+// CaughtUp reports whether this replica knows the leader and has applied all that was
+// committed by the leader's latest message. A replica that starts has not, since it learns
+// from a leader what of its log is committed.
+func (r *Replica) CaughtUp() bool {
+	return r.leader != "" && r.committedOwnTerm() && (r.role == Leader || r.followsCommit)
+}
+
 // LeaderAddress returns the address of the current leader, or "" if none is
 // known.
 func (r *Replica) LeaderAddress() string {
--- a/core/settings/settings.go
+++ b/core/settings/settings.go
@@ -158,6 +158,7 @@
 	Registrar         HTTPListener         `json:"registrar" doc:"listener on which backend servers announce themselves and operators change the gateways' configuration; no address: no listener"`
 	ControlPort       int                  `json:"control-port" doc:"port of the peer listeners of all control instances, in place of those listed in instances; 0: use the listed ports"`
 	Bootstrap         bool                 `json:"bootstrap" doc:"allow an instance with an empty disk to form a new cluster"`
+	Zones             []ZoneRegion         `json:"zones" doc:"availability zones that operators may evacuate, beside those of backend servers and processes that are known"`
 	OpenMembership    bool                 `json:"open" doc:"open membership: instances may list only some of the control instances and need not include this one; others are admitted when they ask to join"`
 }
 
@@ -371,6 +372,7 @@
 	if s.Registrar.Address != "" {
 		c.checkHTTPListener("registrar", s.Registrar)
 	}
+	c.checkZones(s.Zones, s.Common)
 	if s.DataDir == "" {
 		c.addFinding("data", `""`, "a directory")
 	}
--- a/io/control/service.go
+++ b/io/control/service.go
@@ -56,6 +56,8 @@
 	clock  tanagerroad.Clock
 	logger *zap.Logger
 
+	startedAt time.Duration
+
 	mu             sync.Mutex           // guards the fields down to gatewayVersion
 	directory      *directory.Directory // backend servers, from the notices of their sidecars
 	roster         *roster.Roster       // backend servers that announce themselves to control instances
@@ -81,6 +83,7 @@
 		limits:    fleet.Limits{},
 		base:      origin.NewBase(baseAbsence),
 		updated:   signal.New(),
+		startedAt: clock.Now(),
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	s.watchCtx, s.EndWatches = context.WithCancel(ctx)
@@ -213,6 +216,9 @@
 			reply.Software = r.Origins().Software(request.GetPool(), request.GetStream())
 		})), nil
 	}
+	if request.GetWhat() == readEvacuations {
+		return s.confirmedReply(reply, s.quorum.Read(ctx, func(r *registry.Registry) { reply.Evacuations, _ = r.Evacuations() })), nil
+	}
 	ok := s.quorum.Read(ctx, func(r *registry.Registry) {
 		reply.Revision = r.CurrentRevision()
 		reply.Quarantine = r.Quarantine()
@@ -379,6 +385,7 @@
 	gatewayVersion uint64                         // of gateways
 	instances      []string
 	baseChange     uint64
+	evacChange     uint64 // of evacuations
 }
 
 // addRosterChanges adds what a gateway or another control instance has not been sent:
@@ -406,6 +413,7 @@
 	if view.BaseChange != w.baseChange {
 		update.Bases, update.BaseChanges, w.baseChange = view.Bases, view.BaseChange, view.BaseChange
 	}
+	addEvacuations(w, view, update)
 	if len(view.Instances) > 0 && !slices.Equal(view.Instances, w.instances) {
 		update.Instances, w.instances = view.Instances, view.Instances
 	}
--- a/io/gateway/batcher.go
+++ b/io/gateway/batcher.go
@@ -136,6 +136,7 @@
 	defer b.mu.Unlock()
 	for name, p := range b.pools {
 		b.setPoolServers(name, p, at)
+		b.refuseEvacuated(name)
 		b.dispatch(name, p)
 	}
 }
@@ -191,6 +192,10 @@
 func (b *pieceBatcher) submit(streamID string, job *wire.PieceJob, deliver func(*wire.PieceResult)) {
 	now := b.g.now()
 	b.preparePools(now, append(slices.Clone(job.GetAdmission().GetChain()), job.GetPool()))
+	if b.g.isPoolEvacuated(job.GetPool()) {
+		deliver(newEvacuatedResult(job.GetNumber()))
+		return
+	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	p := b.pool(job.GetPool())
@@ -574,7 +579,7 @@
 			time.AfterFunc(left, func() { b.release(handles) })
 			continue
 		}
-		if b.g.isLimited(address) {
+		if b.g.isLimited(address) || b.g.isEvacuated(address) {
 			continue // it drops the results after a while; calls are worth more
 		}
 		go func() {
--- /dev/null
+++ b/io/gateway/evacuations.go
@@ -0,0 +1,156 @@
+package gateway
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+
+	"tanagerroad"
+	"tanagerroad/core/evacuation"
+	"tanagerroad/core/event"
+	"tanagerroad/core/wire"
+)
+
+// evacuationsTimeout is how long after its first update a gateway uses no backend server
+// while no control instance has told it the evacuations: control instances that have just
+// restarted tell them when a leader is elected. Those of a previous version never do.
+const evacuationsTimeout = 10 * time.Second
+
+// evacuations is what a gateway knows of the evacuations, and whom it leaves out because of
+// them. Gateway.mu guards it.
+type evacuations struct {
+	view       evacuation.View
+	updated    bool                                // an update has come
+	updatedAt  time.Duration                       // when the first came
+	heldBack   bool                                // no backend server is used, since the evacuations are not known
+	excluded   map[string]tanagerroad.Announcement // backend servers of evacuated zones, by address
+	emptyPools map[string]bool                     // pools whose usable backend servers are all in evacuated zones
+}
+
+// settled reports whether backend servers may be used: the evacuations are known, or are
+// not expected any more.
+func (e *evacuations) settled(at time.Duration) bool {
+	return e.view.Known() || !e.updated || at-e.updatedAt >= evacuationsTimeout
+}
+
+// settles reports whether backend servers that are held back may be used now.
+func (e *evacuations) settles(at time.Duration) bool { return e.heldBack && e.settled(at) }
+
+// applyEvacuations applies the evacuations of an update. It reports whether the usable
+// backend servers may have changed. g.mu must be held.
+func (g *Gateway) applyEvacuations(now time.Duration, update *wire.Update) bool {
+	e := &g.evacuations
+	if !e.updated {
+		e.updated, e.updatedAt = true, now
+	}
+	if !e.view.Apply(now, g.config.Clock.Wall().UnixMilli(), update.GetEvacuationChanges(), update.GetEvacuations()) {
+		return false
+	}
+	var zones []string
+	for _, z := range update.GetEvacuations() {
+		if z.GetActive() {
+			zones = append(zones, z.GetZone())
+		}
+	}
+	g.withoutEvacuated(now, g.roster.Usable())
+	event.EvacuationsChanged.Log(g.config.Logger, zap.Strings("zones", zones), zap.Int("servers", len(e.excluded)),
+		zap.Int("pools-without-server", len(e.emptyPools)), zap.Uint64("changes", update.GetEvacuationChanges()))
+	return true
+}
+
+// withoutEvacuated returns the backend servers that are not in evacuated zones, and records
+// the others. g.mu must be held.
+func (g *Gateway) withoutEvacuated(now time.Duration, usable []tanagerroad.Announcement) []tanagerroad.Announcement {
+	e := &g.evacuations
+	e.excluded, e.emptyPools = map[string]tanagerroad.Announcement{}, map[string]bool{}
+	if e.heldBack = !e.settled(now); e.heldBack {
+		return nil
+	}
+	var out []tanagerroad.Announcement
+	for _, a := range usable {
+		if e.view.Active(a.Zone) {
+			e.excluded[a.Address] = a
+			e.emptyPools[a.Pool] = true
+		} else {
+			out = append(out, a)
+		}
+	}
+	for _, a := range out {
+		delete(e.emptyPools, a.Pool)
+	}
+	return out
+}
+
+// Evacuated returns how many zones are evacuated, and how many backend servers get nothing
+// because of that.
+func (g *Gateway) Evacuated() (zones, servers int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.evacuations.view.Zones(), len(g.evacuations.excluded)
+}
+
+// isEvacuated reports whether the backend server at an address is in an evacuated zone.
+func (g *Gateway) isEvacuated(address string) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	_, ok := g.evacuations.excluded[address]
+	return ok
+}
+
+// isPoolEvacuated reports whether all usable backend servers of a pool are in evacuated
+// zones.
+func (g *Gateway) isPoolEvacuated(pool string) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.evacuations.emptyPools[pool]
+}
+
+// reasonEvacuated is the reason of a refusal because all backend servers of a pool are in
+// evacuated zones.
+const reasonEvacuated = "the availability zones of its backend servers are evacuated"
+
+// isPoolEvacuated sets the reason if the request can't be served because a pool that it
+// needs is evacuated. Without the check its stages would be executed in vain.
+func (x *exchange) isPoolEvacuated() bool {
+	pools := []string{x.pool}
+	for _, stage := range x.route.Stages {
+		pools = append(pools, stage.Pool)
+	}
+	for _, pool := range pools {
+		if x.g.isPoolEvacuated(pool) {
+			x.reason = pool + ": " + reasonEvacuated
+			x.g.meters.count("requests.evacuated")
+			return true
+		}
+	}
+	return false
+}
+
+// refuseEvacuated refuses the queued jobs of a pool whose backend servers are all in
+// evacuated zones. g.mu and b.mu must be held.
+func (b *pieceBatcher) refuseEvacuated(pool string) {
+	if !b.g.evacuations.emptyPools[pool] {
+		return
+	}
+	for id, queued := range b.jobs {
+		if queued.pool == pool {
+			b.remove(id)
+			queued.deliver(newEvacuatedResult(queued.number))
+		}
+	}
+}
+
+func newEvacuatedResult(job uint64) *wire.PieceResult {
+	return &wire.PieceResult{Number: job, Refused: reasonEvacuated, RetryMillis: refusalRetryDelay.Milliseconds()}
+}
+
+// evacuatedError is the error of a request that was not sent since the zone of its backend
+// server is evacuated.
+type evacuatedError struct{}
+
+func (evacuatedError) Error() string {
+	return "the availability zone of the backend server is evacuated"
+}
+
+// Is reports that it is a kind of errServerUnavailable.
+func (evacuatedError) Is(target error) bool { return target == errServerUnavailable }
--- /dev/null
+++ b/io/gateway/evacuations_test.go
@@ -0,0 +1,158 @@
+package gateway
+
+import (
+	"errors"
+	"net/http"
+	"testing"
+	"time"
+
+	"tanagerroad"
+	"tanagerroad/core/batch"
+	"tanagerroad/core/fleet"
+	"tanagerroad/core/wire"
+	"tanagerroad/io/peer"
+)
+
+// evacuate has the gateway learn that the zones are evacuated, and no others.
+func evacuate(g *Gateway, changes uint64, zones ...string) {
+	update := &wire.Update{EvacuationChanges: changes}
+	for _, zone := range zones {
+		update.Evacuations = append(update.Evacuations, &wire.Evacuation{Zone: zone, Active: true, Version: 1})
+	}
+	g.applyUpdate("127.0.0.1:1", update)
+}
+
+// moveTo moves backend servers to a zone.
+func moveTo(g *Gateway, zone string, servers ...*backend) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, a := range g.roster.Usable() {
+		for _, b := range servers {
+			if a.ID == b.id {
+				a.Zone, a.Sequence = zone, a.Sequence+1
+				g.roster.Apply(g.now(), "c", a)
+			}
+		}
+	}
+	g.applyRoster(g.now())
+}
+
+// TestEvacuatedServersAreChosen guards against requests that are sent to an evacuated zone,
+// and against evacuations that an older update ends or a newer one does not.
+func TestEvacuatedServersAreChosen(t *testing.T) {
+	servers, _ := newScripted(t, 2, good)
+	g, address := newTestGateway(t, servers...)
+	moveTo(g, "far", servers[1])
+	for i, c := range []struct {
+		changes         uint64
+		zones           []string
+		usable, without int
+	}{{1, nil, 2, 0}, {3, []string{"z"}, 1, 1}, {2, nil, 1, 1}, {0, nil, 1, 1}, {4, []string{"z", "far"}, 0, 2}, {5, []string{"far", "other"}, 1, 1}, {6, nil, 2, 0}} {
+		evacuate(g, c.changes, c.zones...)
+		before := [2]int64{servers[0].runs.Load(), servers[1].runs.Load()}
+		sent := time.Now()
+		status, _, _ := call(t, address, "/book/", "a")
+		if _, without := g.Evacuated(); g.ServerCount() != c.usable || without != c.without {
+			t.Errorf("update %d: %d backend servers are used and %d left out, want %d and %d", i, g.ServerCount(), without, c.usable, c.without)
+		}
+		if took := time.Since(sent); (status == http.StatusOK) != (c.usable > 0) || status != http.StatusOK && (status != http.StatusServiceUnavailable || took > time.Second) {
+			t.Errorf("update %d: status %d after %s with %d backend servers", i, status, took, c.usable)
+		}
+		for n, zone := range []string{"z", "far"} {
+			if g.evacuations.view.Active(zone) && servers[n].runs.Load() > before[n] {
+				t.Errorf("update %d: a request ran in the evacuated zone %s", i, zone)
+			}
+		}
+	}
+}
+
+// TestChosenServerIsEvacuated guards against requests, pieces and calls that free results
+// which are sent to an evacuated zone since the backend server was chosen before.
+func TestChosenServerIsEvacuated(t *testing.T) {
+	servers, _ := newScripted(t, 1, good)
+	p := newPieceServer(t)
+	g, _ := newTestGateway(t, append(servers, p.backend)...)
+	g.mu.Lock()
+	choice, _ := g.fleet.Pick(g.now(), fleet.Request{Pool: "p", From: g.config.Settings.Place()})
+	g.mu.Unlock()
+	piece := &batch.Call{Server: firstServer(g, "prep"), Expected: time.Second}
+	evacuate(g, 2, "z")
+	if err := g.checkServer(choice); !errors.Is(err, errServerUnavailable) {
+		t.Errorf("a request may be sent: %v", err)
+	}
+	if _, full, err := g.batcher("").send("prep", piece, []tanagerroad.PieceItem{{RequestID: "a"}}); !full || !errors.Is(err, errServerUnavailable) || p.calls.Load() > 0 {
+		t.Errorf("a call for pieces: error %v, to be sent elsewhere %t, %d calls", err, full, p.calls.Load())
+	}
+	g.batcher("").release([]string{p.Listener.Addr().String() + "/1"})
+	time.Sleep(3 * freeInterval)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.freed) > 0 {
+		t.Errorf("results are freed in the evacuated zone: %v", p.freed)
+	}
+}
+
+// TestEvacuatedPoolKeepsRequestsWaiting guards against requests whose pool has no backend
+// server outside the evacuated zones, and that wait for their deadline or run some stages.
+func TestEvacuatedPoolKeepsRequestsWaiting(t *testing.T) {
+	p, last := newPieceServer(t), newPieceServerOf(t, "last")
+	p.status = func(int64) int { return holdCall }
+	servers, runs := newScripted(t, 1, good)
+	g, address := newTestGateway(t, append(servers, p.backend, last.backend)...)
+	moveTo(g, "far", append(servers, last.backend)...)
+	statuses := make(chan int, 3)
+	for _, id := range []string{"a", "b", "c"} { // some wait in the queue, one is being made
+		go func() {
+			status, _, _ := call(t, address, "/chain/", id, headerPieces, "2,1")
+			statuses <- status
+		}()
+	}
+	if !eventually(func() bool { return p.calls.Load() > 0 }) {
+		t.Fatal("no call for pieces")
+	}
+	evacuate(g, 2, "z")
+	ordered := time.Now()
+	for range 3 {
+		if status := <-statuses; status != http.StatusServiceUnavailable || time.Since(ordered) > 500*time.Millisecond {
+			t.Errorf("a request under way: status %d %s after the order, want 503 at once", status, time.Since(ordered))
+		}
+	}
+	evacuate(g, 3, "far")
+	calls := p.calls.Load()
+	sent := time.Now()
+	if status, _, _ := call(t, address, "/chain/", "d", headerPieces, "2,1"); status != http.StatusServiceUnavailable || time.Since(sent) > 500*time.Millisecond {
+		t.Errorf("a new request: status %d after %s, want 503 at once", status, time.Since(sent))
+	}
+	if runs.Load() > 0 || p.calls.Load() > calls {
+		t.Errorf("%d requests and %d calls for pieces ran in vain", runs.Load(), p.calls.Load()-calls)
+	}
+}
+
+// TestStartingGatewayUsesEvacuatedZone guards against a gateway that starts during an
+// evacuation and uses the zone until it learns of it, and against one that waits for control
+// instances which never tell.
+func TestStartingGatewayUsesEvacuatedZone(t *testing.T) {
+	g, _ := newTestGateway(t)
+	servers := func() *wire.Update {
+		a := peer.AnnouncementToWire(tanagerroad.Announcement{ID: "a", Pool: "p", Address: "a:1", Zone: "z", State: tanagerroad.Serving, Sequence: 1, StartMillis: 1000})
+		a.Heard = true
+		return &wire.Update{Whole: true, Announced: []*wire.Announcement{a}}
+	}
+	g.applyUpdate("127.0.0.1:1", servers()) // of an instance that has just restarted
+	if g.ServerCount() > 0 || g.Ready() {
+		t.Errorf("%d backend servers are used, ready %t, before the evacuations are known", g.ServerCount(), g.Ready())
+	}
+	evacuate(g, 1)
+	if g.ServerCount() != 1 || !g.Ready() {
+		t.Errorf("%d backend servers are used, ready %t, without evacuations", g.ServerCount(), g.Ready())
+	}
+	g, _ = newTestGateway(t)
+	g.applyUpdate("127.0.0.1:1", servers())
+	g.mu.Lock()
+	g.evacuations.updatedAt -= evacuationsTimeout
+	g.mu.Unlock()
+	g.housekeep()
+	if g.ServerCount() != 1 || !g.Ready() {
+		t.Errorf("%d backend servers are used, ready %t, %s after control instances that don't tell", g.ServerCount(), g.Ready(), evacuationsTimeout)
+	}
+}
--- a/io/gateway/exchange.go
+++ b/io/gateway/exchange.go
@@ -287,6 +287,10 @@
 // one yields a final answer or none may follow.
 func (x *exchange) serve() {
 	defer x.endTrial()
+	if x.isPoolEvacuated() {
+		x.endUnsent()
+		return
+	}
 	if x.passQuarantine() != nil {
 		x.endUnsent()
 		return
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -98,6 +98,7 @@
 	sources        map[string]*source              // control instances, by address
 	gateways       []tanagerroad.Gateway           // all gateways, including this one
 	rosterComplete bool                            // a source has sent its complete roster
+	evacuations    evacuations
 
 	seeds     []string // addresses of control instances, from the settings
 	instances []string // addresses of control instances, from their updates
@@ -190,7 +191,7 @@
 func (g *Gateway) Ready() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return !g.draining.Load() && g.rosterComplete && g.catalog.Load() != nil
+	return !g.draining.Load() && g.rosterComplete && g.evacuations.settled(g.now()) && g.catalog.Load() != nil
 }
 
 // StartDrain starts draining: the gateway reports that it is not ready,
@@ -363,10 +364,15 @@
 var errServerUnavailable = errors.New("the backend server has meanwhile said that it wants no requests")
 
 // checkServer returns errServerUnavailable if an answer to another request has said that
-// the chosen backend server leaves, or that it wants no requests now, or fewer.
+// the chosen backend server leaves, or that it wants no requests now, or fewer. It returns
+// evacuatedError if the server's zone is evacuated.
 func (g *Gateway) checkServer(choice fleet.Choice) error {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if g.evacuations.view.Active(choice.Zone) {
+		g.meters.count("servers.evacuated")
+		return evacuatedError{}
+	}
 	if g.roster.HasDeparted(choice.ID, choice.StartMillis) || !g.fleet.Allow(g.now(), choice) {
 		return errServerUnavailable
 	}
@@ -391,7 +397,7 @@
 	g.roster.Expire(now, "")
 	g.quarantine.Expire(now)
 	g.fleet.ExpireLimits(now)
-	if rosterChanged {
+	if rosterChanged || g.evacuations.settles(now) {
 		g.applyRoster(now)
 	}
 	usable := map[string]bool{}
--- a/io/gateway/watch.go
+++ b/io/gateway/watch.go
@@ -109,6 +109,7 @@
 			g.bases[b.GetPool()] = b.GetSoftware()
 		}
 	}
+	evacuationsChanged := g.applyEvacuations(now, update)
 	g.rosterComplete = g.rosterComplete || update.GetWhole()
 	if len(update.GetInstances()) > 0 && !slices.Equal(update.GetInstances(), g.instances) {
 		g.instances = update.GetInstances()
@@ -130,6 +131,9 @@
 		g.recordLimit(peer.LimitFromWire(now, l))
 	}
 	if len(update.GetAnnounced()) == 0 && !update.GetWhole() {
+		if evacuationsChanged {
+			g.applyRoster(now)
+		}
 		return
 	}
 	received := map[string]bool{}
@@ -180,7 +184,7 @@
 // applyRoster passes a changed roster on to the fleet and the pools. g.mu must be
 // held.
 func (g *Gateway) applyRoster(now time.Duration) {
-	g.fleet.Update(g.roster.Usable())
+	g.fleet.Update(g.withoutEvacuated(now, g.roster.Usable()))
 	g.confirmCrashes(now)
 	g.divide(now)
 }
--- a/io/process/metrics.go
+++ b/io/process/metrics.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/rcrowley/go-metrics"
 
+	"tanagerroad/core/wire"
 	"tanagerroad/io/backend"
 	"tanagerroad/io/caller"
 	"tanagerroad/io/quorum"
@@ -46,6 +47,18 @@
 		"quorum.log-entries":      func() int64 { return int64(q.View().LogEntries) },
 		"registry.claims":         func() int64 { return int64(q.View().Claims) },
 		"registry.answer-bytes":   func() int64 { return int64(q.View().ClaimBytes) },
+		"registry.evacuated":      func() int64 { return evacuatedZones(q.View().Evacuations) },
 		"registry.revision":       func() int64 { return int64(q.View().Revision.GetNumber()) },
 	})
 }
+
+// evacuatedZones returns how many zones are evacuated.
+func evacuatedZones(all []*wire.Evacuation) int64 {
+	n := int64(0)
+	for _, e := range all {
+		if e.GetActive() {
+			n++
+		}
+	}
+	return n
+}
--- a/io/process/roles.go
+++ b/io/process/roles.go
@@ -10,6 +10,7 @@
 	"slices"
 	"time"
 
+	"github.com/go-chi/chi/v5"
 	"google.golang.org/grpc"
 
 	"tanagerroad/core/registry"
@@ -229,8 +230,12 @@
 		return 0
 	}
 	client := control.NewClient(deps.conns, s.Instances, p.Logger)
+	orders := control.Orders{Service: service, Client: client}
+	for _, z := range s.Zones {
+		orders.Zones = append(orders.Zones, z.Zone)
+	}
 	if s.Registrar.Address != "" {
-		if err := p.serveRegistrar(env, s, service, client, member); err != nil {
+		if err := p.serveRegistrar(env, s, orders, member); err != nil {
 			return p.fail(err)
 		}
 	}
@@ -242,7 +247,10 @@
 			reply, _ := service.Status(ctx, nil) // never returns an error
 			return reply
 		},
-		RegisterHandlers: tables.Register,
+		RegisterHandlers: func(mux chi.Router) {
+			tables.Register(mux)
+			operator.EvacuationHandlers{Orders: orders}.Register(mux)
+		},
 	})
 	if err != nil {
 		return p.fail(err)
@@ -254,12 +262,13 @@
 // serveRegistrar starts the HTTP server on which backend servers announce themselves
 // to this control instance, and subscribes to the announcements that the other
 // control instances receive.
-func (p *Process) serveRegistrar(env Environment, s settings.Control, service *control.Service, client *control.Client, member *quorum.Quorum) error {
+func (p *Process) serveRegistrar(env Environment, s settings.Control, orders control.Orders, member *quorum.Quorum) error {
+	service, client := orders.Service, orders.Client
 	if env.Dialect == nil {
 		return errNoDialect
 	}
 	config := registrar.Config{
-		Dialect: env.Dialect, Recorder: service, Client: client, Logger: p.Logger, MaxBodyBytes: int64(s.Registrar.MaxBody),
+		Dialect: env.Dialect, Recorder: service, Client: client, Orders: orders, Logger: p.Logger, MaxBodyBytes: int64(s.Registrar.MaxBody),
 	}
 	server, err := p.listen("registrar", s.Registrar, config.Handler())
 	if err != nil {
@@ -324,6 +333,8 @@
 		"requests.in-flight": func() int64 { return int64(g.InFlight()) },
 		"roster.usable":      func() int64 { return int64(g.ServerCount()) },
 		"catalog.version":    func() int64 { return int64(g.CatalogVersion()) },
+		"evacuations.zones":  func() int64 { zones, _ := g.Evacuated(); return int64(zones) },
+		"roster.evacuated":   func() int64 { _, servers := g.Evacuated(); return int64(servers) },
 	})
 	peers, stopPeers, err := peer.NewServer(s.Peer, deps.meter, func(server *grpc.Server) { wire.RegisterGatewayServer(server, g) })
 	if err != nil {
--- a/io/quorum/quorum.go
+++ b/io/quorum/quorum.go
@@ -77,6 +77,10 @@
 	Origins    int              // number of recorded streams
 	Instances  []string         // peer addresses of the members, sorted
 	Retention  time.Duration    // of settled claims
+
+	Evacuations      []*wire.Evacuation // of all zones that an order was given for
+	EvacuationChange uint64             // grows whenever one begins or ends
+	CaughtUp         bool               // this instance follows a leader and has applied what that has committed
 }
 
 // proposal is a command and the channel for its outcome. The channel is closed
@@ -493,6 +497,10 @@
 	if reports := command.GetCrashReports(); len(reports.GetReports()) > 0 || outcome.GetReason() != "" && reports != nil {
 		q.logCrashes(reports.GetReports(), outcome.GetReason())
 	}
+	if s := command.GetSetEvacuation(); s != nil {
+		event.EvacuationSet.Log(q.config.Logger, zap.String("zone", s.GetZone()), zap.Bool("active", s.GetActive()), zap.Uint64("from-version", s.GetFromVersion()),
+			zap.String("outcome", outcome.GetKind()), zap.Uint64("version", outcome.GetRevision()))
+	}
 	if c := command.GetClearCauses(); c != nil {
 		event.CausesCleared.Log(q.config.Logger, zap.Uint64s("fingerprints", c.GetFingerprints()))
 	}
@@ -553,11 +561,12 @@
 	v := View{ID: q.id, Revision: q.registry.CurrentRevision(), Quarantine: q.registry.Quarantine(), DiskFailed: q.diskFailed, Catalog: q.registry.Catalog(), Retention: q.registry.ClaimRetention()}
 	v.Claims, v.ClaimBytes = q.registry.ClaimStats()
 	v.Bases, v.BaseChange = q.registry.Origins().Bases()
+	v.Evacuations, v.EvacuationChange = q.registry.Evacuations()
 	v.Origins = q.registry.Origins().Len()
 	if q.replica != nil {
 		v.Role, v.Term, v.Commit = q.replica.Role(), q.replica.Term(), q.replica.CommitIndex()
 		v.Leader, v.Members = q.replica.LeaderAddress(), q.replica.CommittedMembers()
-		v.SafeToStop = q.replica.SafeToStop()
+		v.SafeToStop, v.CaughtUp = q.replica.SafeToStop(), q.replica.CaughtUp()
 		for _, m := range v.Members {
 			v.Instances = append(v.Instances, m.GetAddress())
 		}
@@ -575,7 +584,7 @@
 		}
 	}
 	if old == nil || old.Revision != v.Revision || old.Catalog != v.Catalog || old.Quarantine.GetVersion() != v.Quarantine.GetVersion() ||
-		old.BaseChange != v.BaseChange {
+		old.BaseChange != v.BaseChange || old.EvacuationChange != v.EvacuationChange || old.CaughtUp != v.CaughtUp {
 		q.changed.Broadcast()
 	}
 }
--- a/io/registrar/registrar.go
+++ b/io/registrar/registrar.go
@@ -1,7 +1,7 @@
 // Package registrar contains the HTTP handlers that a control instance offers to a
 // platform, with the paths and JSON documents of the platform's dialect. Backend
 // servers announce themselves there, and operators read and replace the configuration
-// of the gateways, which the code calls the catalog.
+// of the gateways, which the code calls the catalog, and evacuate availability zones.
 package registrar
 
 import (
@@ -57,6 +57,7 @@
 	Dialect      tanagerroad.Dialect
 	Recorder     AnnouncementRecorder
 	Client       ControlClient
+	Orders       operator.EvacuationOrders
 	Logger       *zap.Logger
 	MaxBodyBytes int64 // size limit of a configuration, in bytes
 }
@@ -69,6 +70,9 @@
 	mux.Post(paths.Deregister+"{"+idParam+"}", c.announcementHandler(c.Dialect.DecodeDeparture))
 	mux.Post(paths.PutCatalog, c.putCatalog)
 	mux.Get(paths.ReadCatalog, c.readCatalog)
+	evacuations := operator.EvacuationHandlers{Orders: c.Orders}
+	mux.Post(paths.BeginEvacuation+"{"+operator.ZoneParam+"}", evacuations.Order(true))
+	mux.Post(paths.FinishEvacuation+"{"+operator.ZoneParam+"}", evacuations.Order(false))
 	return mux
 }
 
