--- a/io/command/command.go
+++ b/io/command/command.go
@@ -63,6 +63,7 @@
 		{"gateway", "run a gateway", "tanagerroad gateway gateway.json", roleCommand("gateway"), false},
 		{"stand-in", "run fake backend servers", "tanagerroad stand-in examples/fjellknus/stand-in.json", roleCommand("stand-in"), false},
 		{"table", "read, check or change the routes and pools tables: get, check, put, log, status", "tanagerroad table put --routes routes.json --pools pools.json --from-revision 0", tableCommand, false},
+		{"evacuate", "keep requests out of an availability zone: begin, finish, list", "tanagerroad evacuate begin zone-a --operator 127.0.0.1:7201", evacuateCommand, false},
 		{"check", "check settings files and tables and report every finding", "tanagerroad check entry.json routes.json pools.json", checkCommand, true},
 		{"status", "print the status of one process", "tanagerroad status --operator 127.0.0.1:7201", statusCommand, false},
 		{"replay", "replay a recorded trace and compare every decision", "tanagerroad replay trace.jsonl", replayCommand, false},
--- a/io/control/evacuations.go
+++ b/io/control/evacuations.go
@@ -65,7 +65,7 @@
 	if err != nil {
 		outcome = err.Error()
 	}
-	event.EvacuationOrdered.Log(o.Service.logger, zap.String("zone", zone), zap.Bool("active", active), zap.String("outcome", outcome),
+	event.EvacuationOrdered.Log(o.Service.logger, zap.String("order-zone", zone), zap.Bool("active", active), zap.String("outcome", outcome),
 		zap.Duration("took", o.Service.clock.Now()-started))
 	if errors.Is(err, errCallerGone) {
 		err = ErrOrderFailed
--- a/io/quorum/quorum.go
+++ b/io/quorum/quorum.go
@@ -498,7 +498,7 @@
 		q.logCrashes(reports.GetReports(), outcome.GetReason())
 	}
 	if s := command.GetSetEvacuation(); s != nil {
-		event.EvacuationSet.Log(q.config.Logger, zap.String("zone", s.GetZone()), zap.Bool("active", s.GetActive()), zap.Uint64("from-version", s.GetFromVersion()),
+		event.EvacuationSet.Log(q.config.Logger, zap.String("order-zone", s.GetZone()), zap.Bool("active", s.GetActive()), zap.Uint64("from-version", s.GetFromVersion()),
 			zap.String("outcome", outcome.GetKind()), zap.Uint64("version", outcome.GetRevision()))
 	}
 	if c := command.GetClearCauses(); c != nil {
