--- a/core/replica/evacuations_test.go
+++ b/core/replica/evacuations_test.go
@@ -161,6 +161,11 @@
 		r.receive(nd)
 	case kind == 4 && len(r.history) < 40:
 		r.read(nd)
+	case kind == 5: // the instance goes by its snapshot from now on
+		if r.compact(nd); nd.up {
+			r.crash(nd)
+		}
+		r.restart(nd)
 	case len(r.copies) > 0:
 		i := len(r.copies) - 1 - rapid.IntRange(0, min(len(r.copies)-1, 6)).Draw(r.t, "copy")
 		for _, each := range r.nodes {
@@ -195,8 +200,9 @@
 		}
 		s.heal()
 		s.checkConverged()
-		last := r.recordCall(evacuationCall{})
-		r.recordResult(last, isEvacuated(s.nodes[0]))
+		for _, nd := range s.nodes {
+			r.recordResult(r.recordCall(evacuationCall{}), isEvacuated(nd))
+		}
 		model := evacuationModel.ToModel()
 		if porcupine.CheckOperationsTimeout(model, r.history, 5*time.Second) == porcupine.Illegal {
 			rt.Fatalf("the history of orders and reads is not linearizable: %+v", r.history)
