--- a/core/replica/evacuations_test.go
+++ b/core/replica/evacuations_test.go
@@ -46,7 +46,7 @@
 	Init: func() []any { return []any{evacuationState{}} },
 	Step: func(state, input, output any) []any {
 		s, in, out := state.(evacuationState), input.(evacuationCall), output.(evacuationResult)
-		next := evacuationState{in.order, in.active}
+		next := evacuationState(in)
 		switch {
 		case in.order == 0 && (!out.received || out.active == s.active):
 			return []any{s}
