--- a/io/control/evacuations.go
+++ b/io/control/evacuations.go
@@ -22,6 +22,10 @@
 	// gone, as with a request that waited for a process that was frozen, the end of the
 	// connection is noticed within it.
 	settleDelay = 25 * time.Millisecond
+	// resettleDelay passes before an order is proposed again after a conflict. It is shorter,
+	// since by then the connection is watched, and orders for one zone at several instances
+	// may conflict several times.
+	resettleDelay = 3 * time.Millisecond
 	// proposalTimeout limits one proposal of an order. It is short, so that the order can
 	// still be proposed to another leader when one hangs.
 	proposalTimeout = 400 * time.Millisecond
@@ -81,8 +85,8 @@
 		}
 		return ErrUnknownZone
 	}
-	for {
-		sleep(ctx, settleDelay)
+	for delay := settleDelay; ; delay = resettleDelay {
+		sleep(ctx, delay)
 		if ctx.Err() != nil {
 			break
 		}
