--- a/io/gateway/evacuations.go
+++ b/io/gateway/evacuations.go
@@ -112,12 +112,18 @@
 // isPoolEvacuated sets the reason if the request can't be served because a pool that it
 // needs is evacuated. Without the check its stages would be executed in vain.
 func (x *exchange) isPoolEvacuated() bool {
+	x.g.mu.Lock()
+	defer x.g.mu.Unlock()
+	empty := x.g.evacuations.emptyPools
+	if len(empty) == 0 {
+		return false
+	}
 	pools := []string{x.pool}
 	for _, stage := range x.route.Stages {
 		pools = append(pools, stage.Pool)
 	}
 	for _, pool := range pools {
-		if x.g.isPoolEvacuated(pool) {
+		if empty[pool] {
 			x.reason = pool + ": " + reasonEvacuated
 			x.g.meters.count("requests.evacuated")
 			return true
