--- a/core/settings/settings.go
+++ b/core/settings/settings.go
@@ -158,6 +158,7 @@
 	Registrar         HTTPListener         `json:"registrar" doc:"listener on which backend servers announce themselves and operators change the gateways' configuration; no address: no listener"`
 	ControlPort       int                  `json:"control-port" doc:"port of the peer listeners of all control instances, in place of those listed in instances; 0: use the listed ports"`
 	Bootstrap         bool                 `json:"bootstrap" doc:"allow an instance with an empty disk to form a new cluster"`
+	Zones             []ZoneRegion         `json:"zones" doc:"availability zones that operators may evacuate, beside those of backend servers and processes that are known"`
 	OpenMembership    bool                 `json:"open" doc:"open membership: instances may list only some of the control instances and need not include this one; others are admitted when they ask to join"`
 }
 
@@ -185,19 +186,20 @@
 type Gateway struct {
 	Role string `json:"role" required:"true" doc:"gateway"`
 	Common
-	Operator      Operator             `json:"operator"`
-	Record        Diagnostics          `json:"record"`
-	Stop          Shutdown             `json:"stop"`
-	Caller        HTTPListener         `json:"caller" required:"true"`
-	ReadyAddress  string               `json:"ready" required:"true" doc:"host:port of the listener for the load balancer's readiness checks"`
-	Peer          PeerListener         `json:"peer" required:"true"`
-	Control       []string             `json:"control" required:"true" doc:"addresses of some control instances, from which all others are discovered"`
-	ControlPort   int                  `json:"control-port" doc:"port of the peer listeners of all control instances, in place of those listed in control; 0: use the listed ports"`
-	Zones         []ZoneRegion         `json:"zones" doc:"all availability zones"`
-	RetryLimits   RetryLimits          `json:"placing"`
-	Capacity      Capacity             `json:"capacity"`
-	MemoryLimit   tanagerroad.Size     `json:"memory" doc:"memory limit of the process"`
-	SourceTimeout tanagerroad.Duration `json:"silence" doc:"time without messages from a control instance after which its information is ignored"`
+	Operator       Operator             `json:"operator"`
+	Record         Diagnostics          `json:"record"`
+	Stop           Shutdown             `json:"stop"`
+	Caller         HTTPListener         `json:"caller" required:"true"`
+	ReadyAddress   string               `json:"ready" required:"true" doc:"host:port of the listener for the load balancer's readiness checks"`
+	Peer           PeerListener         `json:"peer" required:"true"`
+	Control        []string             `json:"control" required:"true" doc:"addresses of some control instances, from which all others are discovered"`
+	ControlPort    int                  `json:"control-port" doc:"port of the peer listeners of all control instances, in place of those listed in control; 0: use the listed ports"`
+	Zones          []ZoneRegion         `json:"zones" doc:"all availability zones"`
+	RetryLimits    RetryLimits          `json:"placing"`
+	Capacity       Capacity             `json:"capacity"`
+	MemoryLimit    tanagerroad.Size     `json:"memory" doc:"memory limit of the process"`
+	SourceTimeout  tanagerroad.Duration `json:"silence" doc:"time without messages from a control instance after which its information is ignored"`
+	EvacuationHold tanagerroad.Duration `json:"evacuation-hold" doc:"time for which a gateway that starts uses no backend server while no control instance has told it the evacuations of zones; 0: it uses them at once"`
 }
 
 // StandInServer configures one simulated backend server.
@@ -371,6 +373,7 @@
 	if s.Registrar.Address != "" {
 		c.checkHTTPListener("registrar", s.Registrar)
 	}
+	c.checkZones(s.Zones, s.Common)
 	if s.DataDir == "" {
 		c.addFinding("data", `""`, "a directory")
 	}
@@ -415,6 +418,7 @@
 	c.checkNotNegative("capacity.link-mbps", s.Capacity.LinkMbps)
 	c.checkPositive("memory", int64(s.MemoryLimit))
 	c.checkPositive("silence", int64(s.SourceTimeout))
+	c.checkNotNegative("evacuation-hold", float64(s.EvacuationHold))
 	c.checkNotNegative("placing.retry-ratio", s.RetryLimits.RetryRatio)
 	c.checkNotNegative("placing.retry-slack", s.RetryLimits.RetrySlack)
 	return s, c.findings
