--- a/core/pipeline/pipeline.go
+++ b/core/pipeline/pipeline.go
@@ -11,8 +11,8 @@
 )
 
 const (
-	// requestTime is reserved for executing the request after its last stage.
-	requestTime = 150 * time.Millisecond
+	// DefaultRequestTime is Config.RequestTime while none has been measured.
+	DefaultRequestTime = 150 * time.Millisecond
 	// queueTime is reserved for the queueing of each stage, besides its call.
 	queueTime = 100 * time.Millisecond
 	// minRequestTime is the shortest execution time of the request.
@@ -33,6 +33,7 @@
 	ExpectedZone string        // zone in which the request will likely be executed; empty: any
 	Due          time.Duration // latest end of the request that meets its latency objective
 	Deadline     time.Duration // latest end of the request
+	RequestTime  time.Duration // usual time from the end of the last stage to the answer; 0: DefaultRequestTime
 }
 
 // Job is a stage that is ready to run.
@@ -71,11 +72,14 @@
 
 // New returns a pipeline of which no stage has started.
 func New(config Config) *Pipeline {
+	if config.RequestTime <= 0 {
+		config.RequestTime = DefaultRequestTime
+	}
 	p := &Pipeline{config: config}
 	p.reset()
 	p.usualAfter = p.timeAfter(func(t *tanagerroad.PieceTraits) time.Duration {
 		return t.CallTime + time.Duration(t.MaxBatch/2)*t.PieceTime + queueTime
-	}, requestTime)
+	}, config.RequestTime)
 	p.leastAfter = p.timeAfter(func(t *tanagerroad.PieceTraits) time.Duration { return t.CallTime + t.PieceTime }, minRequestTime)
 	return p
 }
@@ -154,7 +158,7 @@
 
 // StagesDue returns the latest end of all stages with which the request meets
 // its latency objective.
-func (p *Pipeline) StagesDue() time.Duration { return p.config.Due - requestTime }
+func (p *Pipeline) StagesDue() time.Duration { return p.config.Due - p.config.RequestTime }
 
 // StagesDeadline returns the latest end of all stages with which the request
 // meets its deadline.
--- a/core/shed/shed.go
+++ b/core/shed/shed.go
@@ -12,6 +12,8 @@
 
 import (
 	"time"
+
+	"tanagerroad/core/quantile"
 )
 
 const (
@@ -35,6 +37,17 @@
 	drainFactor = 3
 	// rejectionTTL is how long a rejection is remembered.
 	rejectionTTL = 15 * time.Second
+	// lateShare is how many requests that will be late are admitted for each one that
+	// will not, while a queue is too long for both.
+	lateShare = 0.1
+	// maxLateCredit bounds what of lateShare is saved up.
+	maxLateCredit = 4
+	// errorQuantile is the fraction of admitted requests whose stages end no later than
+	// predicted, once predictions are corrected; errorStep is how fast that is learned.
+	errorQuantile = 0.6
+	errorStep     = 50 * time.Millisecond
+	// maxError bounds the correction, so that an outage does not stop admission.
+	maxError = time.Second
 )
 
 // Stage is one stage on the critical path of a request.
@@ -57,11 +70,12 @@
 
 // Decision is the answer to a request for admission.
 type Decision struct {
-	Admit      bool
-	IsRetry    bool          // the request is a retry after a recent rejection
-	Wait       time.Duration // predicted queueing time over all stages
-	End        time.Duration // predicted end of the stages, if admitted now
-	RetryDelay time.Duration // delay before the next try, if rejected
+	Admit       bool
+	IsRetry     bool          // the request is a retry after a recent rejection
+	Wait        time.Duration // predicted queueing time over all stages
+	End         time.Duration // predicted end of the stages, if admitted now
+	Uncorrected time.Duration // the same without what earlier predictions were wrong by
+	RetryDelay  time.Duration // delay before the next try, if rejected
 }
 
 // Controller decides on admission. It remembers recent rejections and the pieces
@@ -70,6 +84,16 @@
 	rejected map[string]time.Duration          // time of the latest rejection, by subject
 	reserved map[string]map[string]reservation // by request and pool
 	totals   map[string]int                    // reserved pieces, by pool
+	running  map[string]*running               // admitted requests whose stages have not ended
+	late     float64                           // requests that may be admitted late
+	error    *quantile.Estimate                // of the predicted ends of stages
+}
+
+// running is an admitted request.
+type running struct {
+	pieces int           // that are not made yet
+	end    time.Duration // predicted, without the correction
+	until  time.Duration // its deadline
 }
 
 type reservation struct {
@@ -79,7 +103,10 @@
 
 // New returns a controller without rejections or reservations.
 func New() *Controller {
-	return &Controller{rejected: map[string]time.Duration{}, reserved: map[string]map[string]reservation{}, totals: map[string]int{}}
+	return &Controller{
+		rejected: map[string]time.Duration{}, reserved: map[string]map[string]reservation{}, totals: map[string]int{},
+		running: map[string]*running{}, error: quantile.New(errorQuantile, errorStep, 0),
+	}
 }
 
 // Decide admits or rejects a request.
@@ -99,19 +126,31 @@
 		}
 		out.End += s.CallTime
 	}
+	out.Uncorrected = out.End
+	out.End += min(max(0, c.error.Value()), maxError)
 	yield := time.Duration(req.Rank) * yieldStep
 	rejectedAt, ok := c.rejected[req.Subject]
 	out.IsRetry = ok && req.Subject != "" && at-rejectedAt < rejectionTTL
+	due := req.Due
+	if out.IsRetry { // the objective counts from its first attempt
+		due -= at - rejectedAt
+	}
 	switch {
-	case out.End > req.Deadline:
-	case out.End+yield <= req.Due, out.Wait+yield <= maxLateWait, out.IsRetry, req.Begun:
+	case out.Uncorrected > req.Deadline:
+	case req.Begun, out.Wait+yield <= maxLateWait:
 		out.Admit = true
+	case out.End+yield <= due:
+		out.Admit = true
+		c.late = min(c.late+lateShare, maxLateCredit)
+	case out.IsRetry && c.late >= 1:
+		out.Admit = true
+		c.late--
 	}
 	if out.Admit {
 		delete(c.rejected, req.Subject)
 		return out
 	}
-	if req.Subject != "" {
+	if req.Subject != "" && !out.IsRetry {
 		c.rejected[req.Subject] = at
 	}
 	limit := time.Duration(retryFraction * float64(req.Deadline-at))
@@ -147,6 +186,30 @@
 	}
 }
 
+// Start records that the stages of an admitted request have begun, with the number of
+// their pieces.
+func (c *Controller) Start(request string, d Decision, pieces int, deadline time.Duration) {
+	if pieces > 0 {
+		c.running[request] = &running{pieces: pieces, end: d.Uncorrected, until: deadline}
+	}
+}
+
+// RecordPieces records that pieces of a request were made. With the last one it learns how
+// wrong the predicted end was.
+func (c *Controller) RecordPieces(at time.Duration, request string, pieces int) {
+	r := c.running[request]
+	if r == nil {
+		return
+	}
+	if r.pieces -= pieces; r.pieces <= 0 {
+		c.error.Add(at - r.end)
+		delete(c.running, request)
+	}
+}
+
+// Error returns how much later than predicted stages usually end.
+func (c *Controller) Error() time.Duration { return c.error.Value() }
+
 // Reserved returns the number of pieces reserved for a pool.
 func (c *Controller) Reserved(pool string) int { return c.totals[pool] }
 
@@ -157,6 +220,12 @@
 			delete(c.rejected, subject)
 		}
 	}
+	for request, r := range c.running {
+		if at > r.until {
+			c.error.Add(at - r.end)
+			delete(c.running, request)
+		}
+	}
 	for request, pools := range c.reserved {
 		for pool, r := range pools {
 			if at > r.until {
--- a/io/gateway/batcher.go
+++ b/io/gateway/batcher.go
@@ -250,14 +250,19 @@
 		}
 	}
 	decision := b.admission.Decide(at, request)
-	if !decision.Admit || decision.IsRetry {
+	if true {
 		event.Admission.Log(b.g.config.Logger, zap.String("request", job.GetRequest()), zap.Bool("admitted", decision.Admit),
-			zap.Bool("returning", decision.IsRetry), zap.Duration("wait", decision.Wait), zap.Duration("spare", request.Due-decision.End),
+			zap.Bool("returning", decision.IsRetry), zap.Duration("wait", decision.Wait), zap.Duration("spare", request.Due-decision.End), zap.Duration("correction", b.admission.Error()),
 			zap.Duration("retry-after", decision.RetryDelay))
 	}
 	if !decision.Admit {
 		return decision
 	}
+	pieces := 0
+	for _, demand := range a.GetDemands() {
+		pieces += int(demand.GetPieces())
+	}
+	b.admission.Start(job.GetRequest(), decision, pieces, request.Deadline)
 	for _, demand := range a.GetDemands() {
 		if demand.GetPool() != job.GetPool() {
 			b.admission.Reserve(job.GetRequest(), demand.GetPool(), int(demand.GetPieces()), request.Deadline)
@@ -517,6 +522,7 @@
 		}
 		reply.Pieces = append(reply.Pieces, &wire.PieceDone{Piece: uint32(result.Piece), Handle: result.Handle, Reason: result.Reason, Zone: result.Zone})
 		queued.remaining--
+		b.admission.RecordPieces(b.g.now(), queued.job.Request, 1)
 		queued.failed = queued.failed || result.Handle == ""
 	}
 	wait := b.wait()
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -31,6 +31,7 @@
 	"tanagerroad/core/fleet"
 	"tanagerroad/core/limit"
 	"tanagerroad/core/owner"
+	"tanagerroad/core/quantile"
 	"tanagerroad/core/quarantine"
 	"tanagerroad/core/roster"
 	"tanagerroad/core/settings"
@@ -95,6 +96,7 @@
 	bases          map[string]string               // base version of each pool, see package origin
 	baseChanges    uint64                          // of bases
 	retryBudgets   map[string]*limit.Budget        // by pool
+	requestTimes   map[string]*quantile.Estimate   // from the end of the stages to the answer, by route
 	sources        map[string]*source              // control instances, by address
 	gateways       []tanagerroad.Gateway           // all gateways, including this one
 	rosterComplete bool                            // a source has sent its complete roster
@@ -122,7 +124,7 @@
 		control: control.NewClient(config.Conns, config.Settings.Control, config.Logger),
 		roster:  roster.New(roster.DefaultConfig()), fleet: fleet.New(regions),
 		quarantine: quarantine.NewView(quarantine.DefaultConfig().Duration), broken: map[serverStart]*brokenAttempts{}, unconfirmed: map[serverStart]*brokenAttempts{},
-		retryBudgets: map[string]*limit.Budget{}, sources: map[string]*source{},
+		retryBudgets: map[string]*limit.Budget{}, requestTimes: map[string]*quantile.Estimate{}, sources: map[string]*source{},
 		batchers: map[string]*pieceBatcher{}, regions: regions,
 		meters:  newMeters(config.Metrics),
 		seeds:   config.Settings.Control,
--- a/io/gateway/stages.go
+++ b/io/gateway/stages.go
@@ -10,6 +10,7 @@
 	"tanagerroad/core/attempt"
 	"tanagerroad/core/event"
 	"tanagerroad/core/pipeline"
+	"tanagerroad/core/quantile"
 	"tanagerroad/core/quarantine"
 	"tanagerroad/core/shard"
 	"tanagerroad/core/wire"
@@ -21,8 +22,33 @@
 	maxOwnerLosses = 3
 	// maxRefusals is how many shards may refuse a request before it is refused.
 	maxRefusals = 2
+	// requestTimeQuantile is the fraction of requests that are answered within the time
+	// reserved for them after their stages, requestTimeStep how fast that is learned.
+	requestTimeQuantile = 0.7
+	requestTimeStep     = 100 * time.Millisecond
+	// maxRequestShare is the most of the latency objective that is reserved so, in percent.
+	maxRequestShare = 40
 )
 
+// requestTime returns the usual time from sending a route's request, after its stages, to
+// the first byte of the answer. g.mu must be held.
+func (g *Gateway) requestTime(route string) time.Duration {
+	if e := g.requestTimes[route]; e != nil {
+		return e.Value()
+	}
+	return pipeline.DefaultRequestTime
+}
+
+// recordRequestTime records such a time. g.mu must be held.
+func (g *Gateway) recordRequestTime(route string, d time.Duration) {
+	e := g.requestTimes[route]
+	if e == nil {
+		e = quantile.New(requestTimeQuantile, requestTimeStep, pipeline.DefaultRequestTime)
+		g.requestTimes[route] = e
+	}
+	e.Add(d)
+}
+
 // stageRun runs the stages of one request.
 type stageRun struct {
 	x           *exchange
@@ -54,6 +80,7 @@
 func newStageRun(x *exchange) *stageRun {
 	x.g.mu.Lock()
 	zone := x.g.fleet.HomeZone(x.g.now(), x.pool, x.headers.PromptParts)
+	requestTime := x.g.requestTime(x.route.Name)
 	x.g.mu.Unlock()
 	// One result for each piece, and for each job and loss of an owner. The
 	// factor of 3 covers the first run of the pipeline and its two restarts.
@@ -67,6 +94,7 @@
 		x: x, home: home, results: make(chan *wire.PieceResult, bufferSize*3), jobs: map[uint64]*stageJob{}, released: map[string]bool{}, shards: map[string]string{},
 		pipeline: pipeline.New(pipeline.Config{
 			Stages: x.route.Stages, Pieces: x.headers.PieceCounts, ExpectedZone: zone, Due: x.arrived + x.route.LatencyObjective, Deadline: x.deadline,
+			RequestTime: min(requestTime, maxRequestShare*x.route.LatencyObjective/100),
 			Traits: func(pool string) *tanagerroad.PieceTraits {
 				if p := x.index.Pool(pool); p != nil {
 					return p.Pieces
--- a/io/gateway/try.go
+++ b/io/gateway/try.go
@@ -159,6 +159,9 @@
 	outcome := fleet.Outcome{Latency: g.now() - started, Running: reply.Running, Queued: reply.Waiting, Slots: reply.Slots}
 	g.mu.Lock()
 	g.fleet.RecordAnswer(g.now(), choice.ID, outcome)
+	if x.stages != nil && !x.committed && x.headers.LastEventID == "" && isSuccess(res.StatusCode) {
+		g.recordRequestTime(x.route.Name, outcome.Latency)
+	}
 	g.mu.Unlock()
 	if reply.NotRun {
 		x.reason = "the backend server did not run it: status " + strconv.Itoa(res.StatusCode)
