core/shed, core/quantile: in a burst, requests that can be in time come before retried ones

Stages ended just when they were due, and the engine then took 0.2 to 0.4 s, for which a constant of 150 ms was reserved. Half of what owners admitted in a burst had been rejected before and was late already, since the objective counts from the first attempt; admitted first, it made the new requests late.

--- a/core/shed/shed.go
+++ b/core/shed/shed.go
@@ -4,10 +4,18 @@
 // It is built for bursts of nearly three times the usual load. A request that
 // would be late behind the queued ones is rejected immediately, with the time
 // after which to retry. This way the servers spend their time on requests that
-// can still be in time, and intermediate results don't expire in queues. A
-// request that is retried soon after a rejection is not rejected again as long
-// as it can meet its deadline, and neither is a stream that goes on: its caller
-// has a part of the answer, which is worth nothing without the rest.
+// can still be in time, and intermediate results don't expire in queues. A stream
+// that goes on is admitted as long as it can meet its deadline: its caller has a
+// part of the answer, which is worth nothing without the rest.
+//
+// A request that is retried after a rejection is late already, since its objective
+// counts from its first attempt. If all such requests were admitted in a burst, they
+// would make the new ones late, and in the end all would be. While the queue is long,
+// they get a small share of the admissions.
+//
+// Predictions leave out what only shows in operation, such as slow calls or a lack of
+// room for results. So the controller learns by how much the stages of admitted requests
+// end later than predicted.
 package shed
 
 import (
@@ -32,22 +40,24 @@
 	retryFraction = 0.3
 	// minRetryDelay is the shortest retry delay.
 	minRetryDelay = 300 * time.Millisecond
-	// drainFactor multiplies the predicted queueing time to get the retry delay,
-	// since new requests keep arriving while the queue drains.
-	drainFactor = 3
+	// minRetryShare is the least share of the longest retry delay. A burst lasts for
+	// seconds, and callers that return during it are mostly rejected again.
+	minRetryShare = 0.5
 	// rejectionTTL is how long a rejection is remembered.
 	rejectionTTL = 15 * time.Second
-	// lateShare is how many requests that will be late are admitted for each one that
-	// will not, while a queue is too long for both.
+	// lateShare is the number of retried requests that are admitted late for each request
+	// that is admitted in time.
 	lateShare = 0.1
-	// maxLateCredit bounds what of lateShare is saved up.
+	// maxLateCredit is the largest number of such admissions that is saved up.
 	maxLateCredit = 4
 	// errorQuantile is the fraction of admitted requests whose stages end no later than
-	// predicted, once predictions are corrected; errorStep is how fast that is learned.
-	errorQuantile = 0.6
+	// predicted once predictions are corrected. errorStep is the largest change of the
+	// correction by one request.
+	errorQuantile = 0.5
 	errorStep     = 50 * time.Millisecond
-	// maxError bounds the correction, so that an outage does not stop admission.
-	maxError = time.Second
+	// maxError bounds the correction. Without a bound, stages that end late in an outage
+	// would stop all admissions, and nothing could show that the outage is over.
+	maxError = 500 * time.Millisecond
 )
 
 // Stage is one stage on the critical path of a request.
@@ -71,6 +81,7 @@
 // Decision is the answer to a request for admission.
 type Decision struct {
 	Admit       bool
+	OnTime      bool          // admitted because its stages will end by their due time
 	IsRetry     bool          // the request is a retry after a recent rejection
 	Wait        time.Duration // predicted queueing time over all stages
 	End         time.Duration // predicted end of the stages, if admitted now
@@ -85,8 +96,8 @@
 	reserved map[string]map[string]reservation // by request and pool
 	totals   map[string]int                    // reserved pieces, by pool
 	running  map[string]*running               // admitted requests whose stages have not ended
-	late     float64                           // requests that may be admitted late
-	error    *quantile.Estimate                // of the predicted ends of stages
+	late     float64                           // retried requests that may be admitted late
+	lateness *quantile.Estimate                // of the ends of stages, compared with the predictions
 }
 
 // running is an admitted request.
@@ -105,7 +116,7 @@
 func New() *Controller {
 	return &Controller{
 		rejected: map[string]time.Duration{}, reserved: map[string]map[string]reservation{}, totals: map[string]int{},
-		running: map[string]*running{}, error: quantile.New(errorQuantile, errorStep, 0),
+		running: map[string]*running{}, lateness: quantile.New(errorQuantile, errorStep, 0),
 	}
 }
 
@@ -127,7 +138,7 @@
 		out.End += s.CallTime
 	}
 	out.Uncorrected = out.End
-	out.End += min(max(0, c.error.Value()), maxError)
+	out.End += max(0, c.lateness.Value())
 	yield := time.Duration(req.Rank) * yieldStep
 	rejectedAt, ok := c.rejected[req.Subject]
 	out.IsRetry = ok && req.Subject != "" && at-rejectedAt < rejectionTTL
@@ -140,7 +151,7 @@
 	case req.Begun, out.Wait+yield <= maxLateWait:
 		out.Admit = true
 	case out.End+yield <= due:
-		out.Admit = true
+		out.Admit, out.OnTime = true, true
 		c.late = min(c.late+lateShare, maxLateCredit)
 	case out.IsRetry && c.late >= 1:
 		out.Admit = true
@@ -154,8 +165,7 @@
 		c.rejected[req.Subject] = at
 	}
 	limit := time.Duration(retryFraction * float64(req.Deadline-at))
-	delay := max(minRetryDelay, drainFactor*out.Wait)
-	out.RetryDelay = max(minRetryDelay, min(limit, delay+time.Duration(req.Jitter*float64(delay))))
+	out.RetryDelay = max(minRetryDelay, time.Duration((minRetryShare+(1-minRetryShare)*req.Jitter)*float64(limit)))
 	return out
 }
 
@@ -186,10 +196,11 @@
 	}
 }
 
-// Start records that the stages of an admitted request have begun, with the number of
-// their pieces.
+// Start records the predicted end of the stages of an admitted request, which have a
+// number of pieces. Only those that will be in time are used to learn: late ones yield to
+// others in the queues, so that their lateness says nothing about these.
 func (c *Controller) Start(request string, d Decision, pieces int, deadline time.Duration) {
-	if pieces > 0 {
+	if pieces > 0 && d.OnTime {
 		c.running[request] = &running{pieces: pieces, end: d.Uncorrected, until: deadline}
 	}
 }
@@ -202,13 +213,17 @@
 		return
 	}
 	if r.pieces -= pieces; r.pieces <= 0 {
-		c.error.Add(at - r.end)
+		c.lateness.Add(min(at-r.end, maxError))
 		delete(c.running, request)
 	}
 }
 
-// Error returns how much later than predicted stages usually end.
-func (c *Controller) Error() time.Duration { return c.error.Value() }
+// Forget drops what is known of the stages of a request that was cancelled or failed.
+func (c *Controller) Forget(request string) { delete(c.running, request) }
+
+// Lateness returns how much later than predicted the stages of admitted requests usually
+// end.
+func (c *Controller) Lateness() time.Duration { return c.lateness.Value() }
 
 // Reserved returns the number of pieces reserved for a pool.
 func (c *Controller) Reserved(pool string) int { return c.totals[pool] }
@@ -222,7 +237,6 @@
 	}
 	for request, r := range c.running {
 		if at > r.until {
-			c.error.Add(at - r.end)
 			delete(c.running, request)
 		}
 	}
--- a/io/gateway/batcher.go
+++ b/io/gateway/batcher.go
@@ -250,9 +250,9 @@
 		}
 	}
 	decision := b.admission.Decide(at, request)
-	if true {
+	if !decision.Admit || decision.IsRetry {
 		event.Admission.Log(b.g.config.Logger, zap.String("request", job.GetRequest()), zap.Bool("admitted", decision.Admit),
-			zap.Bool("returning", decision.IsRetry), zap.Duration("wait", decision.Wait), zap.Duration("spare", request.Due-decision.End), zap.Duration("correction", b.admission.Error()),
+			zap.Bool("returning", decision.IsRetry), zap.Duration("wait", decision.Wait), zap.Duration("spare", request.Due-decision.End), zap.Duration("correction", decision.End-decision.Uncorrected),
 			zap.Duration("retry-after", decision.RetryDelay))
 	}
 	if !decision.Admit {
@@ -305,6 +305,7 @@
 func (b *pieceBatcher) remove(id string) {
 	if queued, ok := b.jobs[id]; ok {
 		b.admission.ReleaseAll(queued.job.Request)
+		b.admission.Forget(queued.job.Request)
 		b.pools[queued.pool].Cancel(id)
 		delete(b.jobs, id)
 	}
@@ -522,7 +523,11 @@
 		}
 		reply.Pieces = append(reply.Pieces, &wire.PieceDone{Piece: uint32(result.Piece), Handle: result.Handle, Reason: result.Reason, Zone: result.Zone})
 		queued.remaining--
-		b.admission.RecordPieces(b.g.now(), queued.job.Request, 1)
+		if result.Handle != "" {
+			b.admission.RecordPieces(b.g.now(), queued.job.Request, 1)
+		} else {
+			b.admission.Forget(queued.job.Request)
+		}
 		queued.failed = queued.failed || result.Handle == ""
 	}
 	wait := b.wait()
