--- a/core/shed/shed.go
+++ b/core/shed/shed.go
@@ -4,14 +4,24 @@
 // It is built for bursts of nearly three times the usual load. A request that
 // would be late behind the queued ones is rejected immediately, with the time
 // after which to retry. This way the servers spend their time on requests that
-// can still be in time, and intermediate results don't expire in queues. A
-// request that is retried soon after a rejection is not rejected again as long
-// as it can meet its deadline, and neither is a stream that goes on: its caller
-// has a part of the answer, which is worth nothing without the rest.
+// can still be in time, and intermediate results don't expire in queues. A stream
+// that goes on is admitted as long as it can meet its deadline: its caller has a
+// part of the answer, which is worth nothing without the rest.
+//
+// A request that is retried after a rejection is late already, since its objective
+// counts from its first attempt. If all such requests were admitted in a burst, they
+// would make the new ones late, and in the end all would be. While the queue is long,
+// they get a small share of the admissions.
+//
+// Predictions leave out what only shows in operation, such as slow calls or a lack of
+// room for results. So the controller learns by how much the stages of admitted requests
+// end later than predicted.
 package shed
 
 import (
 	"time"
+
+	"tanagerroad/core/quantile"
 )
 
 const (
@@ -30,11 +40,24 @@
 	retryFraction = 0.3
 	// minRetryDelay is the shortest retry delay.
 	minRetryDelay = 300 * time.Millisecond
-	// drainFactor multiplies the predicted queueing time to get the retry delay,
-	// since new requests keep arriving while the queue drains.
-	drainFactor = 3
+	// minRetryShare is the least share of the longest retry delay. A burst lasts for
+	// seconds, and callers that return during it are mostly rejected again.
+	minRetryShare = 0.5
 	// rejectionTTL is how long a rejection is remembered.
 	rejectionTTL = 15 * time.Second
+	// lateShare is the number of retried requests that are admitted late for each request
+	// that is admitted in time.
+	lateShare = 0.1
+	// maxLateCredit is the largest number of such admissions that is saved up.
+	maxLateCredit = 4
+	// errorQuantile is the fraction of admitted requests whose stages end no later than
+	// predicted once predictions are corrected. errorStep is the largest change of the
+	// correction by one request.
+	errorQuantile = 0.5
+	errorStep     = 50 * time.Millisecond
+	// maxError bounds the correction. Without a bound, stages that end late in an outage
+	// would stop all admissions, and nothing could show that the outage is over.
+	maxError = 500 * time.Millisecond
 )
 
 // Stage is one stage on the critical path of a request.
@@ -57,11 +80,13 @@
 
 // Decision is the answer to a request for admission.
 type Decision struct {
-	Admit      bool
-	IsRetry    bool          // the request is a retry after a recent rejection
-	Wait       time.Duration // predicted queueing time over all stages
-	End        time.Duration // predicted end of the stages, if admitted now
-	RetryDelay time.Duration // delay before the next try, if rejected
+	Admit       bool
+	OnTime      bool          // admitted because its stages will end by their due time
+	IsRetry     bool          // the request is a retry after a recent rejection
+	Wait        time.Duration // predicted queueing time over all stages
+	End         time.Duration // predicted end of the stages, if admitted now
+	Uncorrected time.Duration // the same without what earlier predictions were wrong by
+	RetryDelay  time.Duration // delay before the next try, if rejected
 }
 
 // Controller decides on admission. It remembers recent rejections and the pieces
@@ -70,6 +95,16 @@
 	rejected map[string]time.Duration          // time of the latest rejection, by subject
 	reserved map[string]map[string]reservation // by request and pool
 	totals   map[string]int                    // reserved pieces, by pool
+	running  map[string]*running               // admitted requests whose stages have not ended
+	late     float64                           // retried requests that may be admitted late
+	lateness *quantile.Estimate                // of the ends of stages, compared with the predictions
+}
+
+// running is an admitted request.
+type running struct {
+	pieces int           // that are not made yet
+	end    time.Duration // predicted, without the correction
+	until  time.Duration // its deadline
 }
 
 type reservation struct {
@@ -79,7 +114,10 @@
 
 // New returns a controller without rejections or reservations.
 func New() *Controller {
-	return &Controller{rejected: map[string]time.Duration{}, reserved: map[string]map[string]reservation{}, totals: map[string]int{}}
+	return &Controller{
+		rejected: map[string]time.Duration{}, reserved: map[string]map[string]reservation{}, totals: map[string]int{},
+		running: map[string]*running{}, lateness: quantile.New(errorQuantile, errorStep, 0),
+	}
 }
 
 // Decide admits or rejects a request.
@@ -99,24 +137,35 @@
 		}
 		out.End += s.CallTime
 	}
+	out.Uncorrected = out.End
+	out.End += max(0, c.lateness.Value())
 	yield := time.Duration(req.Rank) * yieldStep
 	rejectedAt, ok := c.rejected[req.Subject]
 	out.IsRetry = ok && req.Subject != "" && at-rejectedAt < rejectionTTL
+	due := req.Due
+	if out.IsRetry { // the objective counts from its first attempt
+		due -= at - rejectedAt
+	}
 	switch {
-	case out.End > req.Deadline:
-	case out.End+yield <= req.Due, out.Wait+yield <= maxLateWait, out.IsRetry, req.Begun:
+	case out.Uncorrected > req.Deadline:
+	case req.Begun, out.Wait+yield <= maxLateWait:
+		out.Admit = true
+	case out.End+yield <= due:
+		out.Admit, out.OnTime = true, true
+		c.late = min(c.late+lateShare, maxLateCredit)
+	case out.IsRetry && c.late >= 1:
 		out.Admit = true
+		c.late--
 	}
 	if out.Admit {
 		delete(c.rejected, req.Subject)
 		return out
 	}
-	if req.Subject != "" {
+	if req.Subject != "" && !out.IsRetry {
 		c.rejected[req.Subject] = at
 	}
 	limit := time.Duration(retryFraction * float64(req.Deadline-at))
-	delay := max(minRetryDelay, drainFactor*out.Wait)
-	out.RetryDelay = max(minRetryDelay, min(limit, delay+time.Duration(req.Jitter*float64(delay))))
+	out.RetryDelay = max(minRetryDelay, time.Duration((minRetryShare+(1-minRetryShare)*req.Jitter)*float64(limit)))
 	return out
 }
 
@@ -147,6 +196,35 @@
 	}
 }
 
+// Start records the predicted end of the stages of an admitted request, which have a
+// number of pieces. Only those that will be in time are used to learn: late ones yield to
+// others in the queues, so that their lateness says nothing about these.
+func (c *Controller) Start(request string, d Decision, pieces int, deadline time.Duration) {
+	if pieces > 0 && d.OnTime {
+		c.running[request] = &running{pieces: pieces, end: d.Uncorrected, until: deadline}
+	}
+}
+
+// RecordPieces records that pieces of a request were made. With the last one it learns how
+// wrong the predicted end was.
+func (c *Controller) RecordPieces(at time.Duration, request string, pieces int) {
+	r := c.running[request]
+	if r == nil {
+		return
+	}
+	if r.pieces -= pieces; r.pieces <= 0 {
+		c.lateness.Add(min(at-r.end, maxError))
+		delete(c.running, request)
+	}
+}
+
+// Forget drops what is known of the stages of a request that was cancelled or failed.
+func (c *Controller) Forget(request string) { delete(c.running, request) }
+
+// Lateness returns how much later than predicted the stages of admitted requests usually
+// end.
+func (c *Controller) Lateness() time.Duration { return c.lateness.Value() }
+
 // Reserved returns the number of pieces reserved for a pool.
 func (c *Controller) Reserved(pool string) int { return c.totals[pool] }
 
@@ -157,6 +235,11 @@
 			delete(c.rejected, subject)
 		}
 	}
+	for request, r := range c.running {
+		if at > r.until {
+			delete(c.running, request)
+		}
+	}
 	for request, pools := range c.reserved {
 		for pool, r := range pools {
 			if at > r.until {
