core/memory, io/httpserver: callers can't exhaust the memory of an instance

Callers that sent bodies and stopped, heads of very many fields, or requests whose answers they did not read made a gateway of 144 MiB grow to 1.3 GB: bodies were read by doubling buffers without any limit on their sum, connections were unlimited, and a path without a route waited without end for the rest of a body. Control instances had no limit at all.

One account per process (core/memory) now holds what callers take; io/httpserver reserves connections, heads and bodies in it before they are read, limits the fields of a head, and drops the connections without progress when the account is full. Requests that are refused have not run (503, 408, 413, 431). control has a setting memory.

--- a/core/event/event.go
+++ b/core/event/event.go
@@ -84,6 +84,7 @@
 	LinesDropped           = define(108, zap.WarnLevel, "lines-dropped", "Log lines were dropped because the rate limit was exceeded or the reader is slow.")
 	Reloaded               = define(109, zap.InfoLevel, "reloaded", "The settings file was reloaded; bytes is its size.")
 	ReloadFailed           = define(110, zap.ErrorLevel, "reload-failed", "The settings file could not be reloaded; the previous settings stay in force.")
+	MemoryFull             = define(111, zap.WarnLevel, "memory-full", "The memory account of the process is full: connections without progress were dropped, or requests refused before they ran; dropped and refused count them since the start, the other fields are the bytes in use. Logged once a second at most.")
 	Announced              = define(300, zap.InfoLevel, "announced", "The backend server announced itself or changed its announcement.")
 	Placed                 = define(301, zap.InfoLevel, "placed", "A placement decision: an attempt was queued, started or rejected.")
 	AttemptEndedAtSidecar  = define(302, zap.DebugLevel, "attempt-ended", "An attempt on this sidecar's backend server ended.")
--- a/core/settings/settings.go
+++ b/core/settings/settings.go
@@ -158,6 +158,7 @@
 	Registrar         HTTPListener         `json:"registrar" doc:"listener on which backend servers announce themselves and operators change the gateways' configuration; no address: no listener"`
 	ControlPort       int                  `json:"control-port" doc:"port of the peer listeners of all control instances, in place of those listed in instances; 0: use the listed ports"`
 	Bootstrap         bool                 `json:"bootstrap" doc:"allow an instance with an empty disk to form a new cluster"`
+	MemoryLimit       tanagerroad.Size     `json:"memory" doc:"memory limit of the process"`
 	OpenMembership    bool                 `json:"open" doc:"open membership: instances may list only some of the control instances and need not include this one; others are admitted when they ask to join"`
 }
 
@@ -277,6 +278,7 @@
 		GroupCommit:       true,
 		Registrar:         HTTPListener{MaxBody: 4 * mib, MaxHeader: 16 * kib, HeaderTimeout: duration(5 * time.Second), MaxInFlight: 256},
 		Bootstrap:         true,
+		MemoryLimit:       256 * mib,
 	}
 }
 
@@ -375,6 +377,7 @@
 		c.addFinding("data", `""`, "a directory")
 	}
 	c.checkPositive("compact", int64(s.CompactAtSize))
+	c.checkPositive("memory", int64(s.MemoryLimit))
 	c.checkPositive("retention", int64(s.Retention))
 	c.checkPositive("beat", int64(s.HeartbeatInterval))
 	if s.ElectionTimeout < 3*s.HeartbeatInterval {
--- a/io/gateway/exchange.go
+++ b/io/gateway/exchange.go
@@ -6,7 +6,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"slices"
 	"strconv"
@@ -181,21 +180,9 @@
 		timeout = defaultTimeout
 	}
 	x.deadline = x.arrived + min(timeout, x.route.Timeout)
-	controller := http.NewResponseController(x.w)
-	_ = controller.SetReadDeadline(time.Now().Add(x.deadline - x.arrived)) // in case the caller stops sending
-	body, err := io.ReadAll(http.MaxBytesReader(x.w, x.r.Body, x.maxBody()))
-	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLarge):
-		x.answer(http.StatusRequestEntityTooLarge, "the body is larger than the limit")
-		return false
-	case err != nil:
-		x.answer(http.StatusBadRequest, "the body could not be read in full")
+	if !x.readBody() {
 		return false
 	}
-	_ = controller.SetReadDeadline(time.Time{})                                          // the connection's next request sets its own
-	_ = controller.SetWriteDeadline(time.Now().Add(x.deadline - x.arrived + writeGrace)) // in case the caller stops reading
-	x.body = body
 	x.splitter.Field = g.config.Dialect.VersionField()
 	if x.headers.LastEventID != "" {
 		x.splitter.Resume(x.headers.LastEventID)
@@ -204,7 +191,7 @@
 	x.retryState = attempt.Request{
 		Repeat: x.route.Repeatability, Resumable: x.route.Resumable, MaxServers: x.route.MaxServers, Deadline: x.deadline,
 	}
-	x.causes = quarantine.Causes(x.r.Host+x.target(), x.workspace, body, x.headers.PromptParts)
+	x.causes = quarantine.Causes(x.r.Host+x.target(), x.workspace, x.body, x.headers.PromptParts)
 	x.allCauses = slices.Clone(x.causes)
 	for i, stage := range x.route.Stages {
 		x.allCauses = append(x.allCauses, quarantine.PieceCause(x.causes[0], stage.Pool, i))
@@ -330,6 +317,7 @@
 		// A failure that an earlier attempt was answered with says more than one of ours.
 		ends := action == attempt.Deliver || action == attempt.Refuse || action == attempt.Fail
 		if x.buffered != nil && ends && !x.committed {
+			x.releaseBody()
 			x.writeHeader(x.buffered.res, int64(len(x.buffered.body)))
 			_, _ = x.w.Write(x.buffered.body) // the caller may have disconnected
 			x.logAnswered(x.status)
--- a/io/gateway/gateway_test.go
+++ b/io/gateway/gateway_test.go
@@ -18,7 +18,9 @@
 
 	"tanagerroad"
 	"tanagerroad/core/catalog"
+	"tanagerroad/core/memory"
 	"tanagerroad/core/settings"
+	"tanagerroad/io/httpserver"
 	"tanagerroad/io/peer"
 )
 
@@ -211,7 +213,11 @@
 		t.Fatal(err)
 	}
 	front := &http.Server{Handler: g}
-	go func() { _ = front.Serve(Listener{Listener: listener}) }() // returns when it is closed
+	limiter := httpserver.NewLimiter(httpserver.Config{
+		Account: memory.New(memory.DefaultConfig(64 << 20)), Clock: g.config.Clock, Logger: zap.NewNop(), Metrics: metrics.NewRegistry(),
+	})
+	limited := limiter.Apply(front, listener, httpserver.Limits{Name: "caller", MaxConnections: 1000})
+	go func() { _ = front.Serve(limited) }() // returns when it is closed
 	t.Cleanup(func() { _ = front.Close() })
 	return g, listener.Addr().String()
 }
--- a/io/gateway/try.go
+++ b/io/gateway/try.go
@@ -22,6 +22,7 @@
 	"tanagerroad/core/fleet"
 	"tanagerroad/core/roster"
 	"tanagerroad/io/http1"
+	"tanagerroad/io/httpserver"
 )
 
 // attempt chooses a backend server, sends the request to it and forwards a usable
@@ -247,7 +248,11 @@
 // forwardWhole buffers an answer in x.buffered, for serve to forward. An answer
 // too large to buffer is forwarded as it arrives.
 func (x *exchange) forwardWhole(res *http1.Response) attempt.End {
-	body, err := io.ReadAll(io.LimitReader(res, maxBufferedBody))
+	limit := maxBufferedBody
+	if httpserver.ConnOf(x.r).AnswersPressed() {
+		limit = pressedBufferedBody
+	}
+	body, err := x.readAnswer(res, limit)
 	if err != nil {
 		x.brokenOff = endsWithConnection(err)
 		x.reason = "the answer was cut short: " + err.Error()
@@ -256,7 +261,7 @@
 	if isSuccess(res.StatusCode) {
 		x.recordProgress(attempt.Flowing)
 	}
-	if len(body) < maxBufferedBody {
+	if len(body) < limit {
 		x.whole = isSuccess(res.StatusCode)
 		x.buffered = &bufferedAnswer{res, body}
 		return attempt.Answered
--- a/io/operator/operator.go
+++ b/io/operator/operator.go
@@ -41,6 +41,9 @@
 	// RegisterHandlers adds handlers that only some roles have; they require the
 	// token as well. nil: none.
 	RegisterHandlers func(chi.Router)
+	// Limit applies limits on memory to the server and returns the listener to serve on.
+	// nil: there are none.
+	Limit func(*http.Server, net.Listener) net.Listener
 }
 
 // Start opens the operator listener and serves on it. It returns the address that
@@ -55,12 +58,16 @@
 		return "", nil, fmt.Errorf("operator listener: %w", err)
 	}
 	server := &http.Server{Handler: config.handler(), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes}
+	address := listener.Addr().String()
+	if config.Limit != nil {
+		listener = config.Limit(server, listener)
+	}
 	go func() {
 		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 			event.BusFailed.Log(config.Logger, zap.Error(err))
 		}
 	}()
-	return listener.Addr().String(), func() { _ = server.Close() }, nil
+	return address, func() { _ = server.Close() }, nil
 }
 
 func (c Config) handler() http.Handler {
--- a/io/process/process.go
+++ b/io/process/process.go
@@ -21,7 +21,7 @@
 	"tanagerroad/core/settings"
 	"tanagerroad/core/stop"
 	"tanagerroad/core/trace"
-	"tanagerroad/io/gateway"
+	"tanagerroad/io/httpserver"
 	"tanagerroad/io/logline"
 	"tanagerroad/io/operator"
 	"tanagerroad/io/peer"
@@ -39,8 +39,9 @@
 	announceLeaving  func()
 	drain            func(context.Context) int // returns how much was still in flight when it ended
 	reload           func(data []byte) error
-	closers          []func() // called in reverse order
-	closeLog         func()   // called last, when no more lines are logged
+	limiter          *httpserver.Limiter // of callers' memory; nil: there is none
+	closers          []func()            // called in reverse order
+	closeLog         func()              // called last, when no more lines are logged
 	mu               sync.Mutex
 	state            string // state of stop.Chart
 }
@@ -101,9 +102,12 @@
 func (p *Process) serve(name string, listener net.Listener, config settings.HTTPListener, handler http.Handler) *http.Server {
 	server := &http.Server{
 		Handler: handler, ReadHeaderTimeout: config.HeaderTimeout.Std(), MaxHeaderBytes: int(config.MaxHeader),
-		IdleTimeout: idleTimeout, ConnContext: gateway.ConnContext,
+		IdleTimeout: idleTimeout,
 	}
 	p.Addresses[name] = listener.Addr().String()
+	if p.limiter != nil {
+		listener = p.limiter.Apply(server, listener, p.limits(name))
+	}
 	go func() {
 		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 			event.BusFailed.Log(p.Logger, zap.Error(err))
@@ -117,6 +121,11 @@
 // serveOperator starts the HTTP server for operators.
 func (p *Process) serveOperator(config operator.Config) error {
 	config.Logger = p.Logger
+	if p.limiter != nil {
+		config.Limit = func(server *http.Server, listener net.Listener) net.Listener {
+			return p.limiter.Apply(server, listener, p.limits("operator"))
+		}
+	}
 	address, closeOperator, err := operator.Start(config)
 	if err != nil {
 		return err
--- a/io/process/roles.go
+++ b/io/process/roles.go
@@ -4,9 +4,7 @@
 	"context"
 	"errors"
 	"math"
-	"net"
 	"net/http"
-	"runtime/debug"
 	"slices"
 	"time"
 
@@ -182,6 +180,7 @@
 		return nil, err
 	}
 	deps := p.newCommonDeps()
+	p.limitMemory(deps, int64(s.MemoryLimit), controlAccountFraction)
 	dataDisk, closeDisk, err := disk.Open(s.DataDir)
 	if err != nil {
 		return p.fail(err)
@@ -314,8 +313,8 @@
 	if err != nil {
 		return nil, err
 	}
-	debug.SetMemoryLimit(int64(memoryLimitFraction * float64(s.MemoryLimit)))
 	deps := p.newCommonDeps()
+	p.limitMemory(deps, int64(s.MemoryLimit), gatewayAccountFraction)
 	g, closeGateway := gateway.New(gateway.Config{
 		Settings: s, Dialect: env.Dialect, Clock: deps.clock, Logger: p.Logger, Conns: deps.conns, Metrics: deps.metrics,
 	})
@@ -331,11 +330,10 @@
 	}
 	p.Addresses["peer"] = peers.Address
 	p.onClose(func() { stopPeers(cancelledContext()) })
-	listener, err := net.Listen("tcp", s.Caller.Address)
+	server, err := p.listen("caller", s.Caller, g)
 	if err != nil {
 		return p.fail(err)
 	}
-	server := p.serve("caller", gateway.Listener{Listener: listener}, s.Caller, g)
 	p.onClose(func() { _ = server.Close() })
 	ready, err := p.listen("ready", settings.HTTPListener{Address: s.ReadyAddress, MaxHeader: maxInternalHeader, HeaderTimeout: s.Caller.HeaderTimeout}, g.ReadyHandler())
 	if err != nil {
@@ -365,11 +363,6 @@
 	return p, nil
 }
 
-// memoryLimitFraction is the fraction of the process's memory limit that is given to
-// the Go runtime as its soft limit, above which it collects garbage more often. The
-// rest is for stacks, code and buffers of the operating system.
-const memoryLimitFraction = 0.7
-
 // Timeouts of a control instance's shutdown.
 const (
 	controlHandoverTimeout = 2 * time.Second // for another instance to lead with a quorum that does not need this one; longer than the maximum reconnect backoff
--- a/io/registrar/registrar.go
+++ b/io/registrar/registrar.go
@@ -21,9 +21,11 @@
 	"tanagerroad"
 	"tanagerroad/core/catalog"
 	"tanagerroad/core/event"
+	"tanagerroad/core/memory"
 	"tanagerroad/core/registry"
 	"tanagerroad/core/roster"
 	"tanagerroad/core/wire"
+	"tanagerroad/io/httpserver"
 	"tanagerroad/io/operator"
 )
 
@@ -36,6 +38,10 @@
 	readTimeout = 900 * time.Millisecond
 	// maxAnnouncementBytes is the size limit of an announcement's body.
 	maxAnnouncementBytes = 64 << 10
+	// announcementTimeout and configurationTimeout limit how long a caller may take to send
+	// a body. A backend server announces itself every 1.2 s.
+	announcementTimeout  = 2 * time.Second
+	configurationTimeout = 10 * time.Second
 	// idParam is the path parameter with the backend server's id.
 	idParam = "id"
 )
@@ -77,9 +83,9 @@
 func (c Config) announcementHandler(decode func(id string, body []byte) (tanagerroad.Announcement, error)) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		id := chi.URLParam(r, idParam)
-		body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxAnnouncementBytes))
+		body, err := httpserver.ReadBody(w, r, maxAnnouncementBytes, time.Now().Add(announcementTimeout))
 		if err != nil {
-			operator.WriteJSON(w, http.StatusBadRequest, operator.ErrorReply{Reason: "the body could not be read"})
+			writeBodyError(w, err)
 			return
 		}
 		announcement, err := decode(id, body)
@@ -96,16 +102,25 @@
 	}
 }
 
+// writeBodyError answers a request whose body could not be read; it has had no effect.
+func writeBodyError(w http.ResponseWriter, err error) {
+	status := http.StatusBadRequest
+	switch {
+	case errors.Is(err, memory.ErrFull) || errors.Is(err, memory.ErrDropped):
+		status = http.StatusServiceUnavailable
+	case errors.Is(err, httpserver.ErrTooLarge):
+		status = http.StatusRequestEntityTooLarge
+	case errors.Is(err, httpserver.ErrTooSlow):
+		status = http.StatusRequestTimeout
+	}
+	operator.WriteJSON(w, status, operator.ErrorReply{Reason: err.Error()})
+}
+
 // putCatalog checks a configuration and proposes it to the quorum.
 func (c Config) putCatalog(w http.ResponseWriter, r *http.Request) {
-	document, err := io.ReadAll(http.MaxBytesReader(w, r.Body, c.MaxBodyBytes))
+	document, err := httpserver.ReadBody(w, r, c.MaxBodyBytes, time.Now().Add(configurationTimeout))
 	if err != nil {
-		var large *http.MaxBytesError
-		status := http.StatusBadRequest
-		if errors.As(err, &large) {
-			status = http.StatusRequestEntityTooLarge
-		}
-		operator.WriteJSON(w, status, operator.ErrorReply{Reason: "the configuration could not be read in full"})
+		writeBodyError(w, err)
 		return
 	}
 	parsed, err := c.Dialect.DecodeCatalog(document)
