--- a/io/gateway/gateway_test.go
+++ b/io/gateway/gateway_test.go
@@ -126,7 +126,7 @@
 	runs atomic.Int64
 }
 
-func newBackend(t *testing.T, id string, answer func(w http.ResponseWriter, r *http.Request)) *backend {
+func newBackend(t testing.TB, id string, answer func(w http.ResponseWriter, r *http.Request)) *backend {
 	t.Helper()
 	b := &backend{id: id}
 	b.Server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -159,18 +159,18 @@
 
 // newTestGateway returns a gateway that holds a configuration and the given backend servers
 // of the pool p, or prep or last if their ids begin so, and the address of its callers' listener.
-func newTestGateway(t *testing.T, servers ...*backend) (*Gateway, string) {
+func newTestGateway(t testing.TB, servers ...*backend) (*Gateway, string) {
 	t.Helper()
 	return newLoggedGateway(t, zap.NewNop(), servers...)
 }
 
-func newLoggedGateway(t *testing.T, logger *zap.Logger, servers ...*backend) (*Gateway, string) {
+func newLoggedGateway(t testing.TB, logger *zap.Logger, servers ...*backend) (*Gateway, string) {
 	t.Helper()
 	return newGatewayAt(t, "127.0.0.1:1", logger, servers...)
 }
 
 // newGatewayAt returns a gateway that other gateways know by the given address.
-func newGatewayAt(t *testing.T, peerAddress string, logger *zap.Logger, servers ...*backend) (*Gateway, string) {
+func newGatewayAt(t testing.TB, peerAddress string, logger *zap.Logger, servers ...*backend) (*Gateway, string) {
 	t.Helper()
 	s := settings.DefaultGateway()
 	s.Common = settings.Common{Process: "g", Zone: "z", Region: "r"}
