--- a/io/gateway/body.go
+++ b/io/gateway/body.go
@@ -50,7 +50,9 @@
 
 // refuseFull answers that there is no memory for the request.
 func (x *exchange) refuseFull() {
-	x.retryAfter = time.Second // what makes no progress is dropped by then
+	// What makes no progress is dropped within a second. Callers are spread so that they do
+	// not come back together.
+	x.retryAfter = time.Second + time.Duration(hashFraction(x.headers.AttemptID)*float64(pauseSpread))
 	x.refuse("this gateway has no memory for the request")
 }
 
