--- a/core/memory/memory.go
+++ b/core/memory/memory.go
@@ -84,8 +84,15 @@
 	total   int64
 	holders map[*Holder]struct{}
 	counts  Counts
+	// searchedSmall and searchedLarge are the times before which no connection to drop is
+	// looked for, for small and for large requests.
+	searchedSmall, searchedLarge time.Duration
 }
 
+// searchPause is the time after a search in vain before the next one: each looks at all
+// connections, and a crowd that is refused would have it done for each request.
+const searchPause = 10 * time.Millisecond
+
 // Counts are numbers of events since the start.
 type Counts struct {
 	Refused int64 // reservations
@@ -305,13 +312,17 @@
 // makeRoom takes connections without progress out of the account until there is room for so
 // many bytes more for h, and reports whether there is.
 func (a *Account) makeRoom(now time.Duration, h *Holder, bytes int64, victims *[]*Holder) bool {
-	limit, stall := a.config.Capacity, a.config.SmallStall
+	limit, stall, searched := a.config.Capacity, a.config.SmallStall, &a.searchedSmall
 	if h.held[Heads]+h.held[Bodies]+h.held[Pieces]+bytes > a.config.SmallRequest {
-		limit, stall = a.config.Capacity-a.config.Reserve, a.config.LargeStall
+		limit, stall, searched = a.config.Capacity-a.config.Reserve, a.config.LargeStall, &a.searchedLarge
 	}
 	for a.total+bytes > limit {
+		if now < *searched {
+			return false
+		}
 		victim := a.victim(now, stall, func(v *Holder) bool { return v != h && !v.listener.exempt })
 		if victim == nil {
+			*searched = now + searchPause
 			return false
 		}
 		a.remove(victim)
