--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -11,6 +11,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"tanagerroad"
+	"tanagerroad/core/balance"
 )
 
 // The cost model of a placement. Every cost is expressed as latency for the
@@ -55,8 +56,9 @@
 	ReportedLoad int // other requests there, running or queued, by its latest load report
 	ReportAge    time.Duration
 	Candidates   int
-	CachedTokens int  // prompt tokens assumed to be cached there
-	Limited      bool // the request counts against a limit that the backend server named
+	CachedTokens int   // prompt tokens assumed to be cached there
+	Even         *Even // figures of the policy balance.Even; nil with another one
+	Limited      bool  // the request counts against a limit that the backend server named
 }
 
 // Outcome is what an attempt showed about its backend server.
@@ -67,6 +69,10 @@
 	Running int           // running requests by the answer's load report
 	Queued  int           // queued requests by the answer's load report
 	Slots   int           // 0: the answer had no load report
+	// WorkPercent is how long work takes on its machine by the answer's load report; 100:
+	// as usual; 0: not specified.
+	WorkPercent int
+	InFlight    int // this gateway's requests there when this one was sent, as in Choice; 0: unknown
 }
 
 // server is a backend server with this gateway's view of it.
@@ -80,6 +86,8 @@
 	failures       int           // in a row
 	ejectedUntil   time.Duration
 	promptPartUsed map[string]time.Duration // time of the latest use, by part id
+	load           balance.Server           // for balance.Even
+	index          int                      // in the pool's list; for balance.Even
 }
 
 // Pause is a time during which a backend server wants no requests from this gateway.
@@ -100,6 +108,7 @@
 	self     string             // peer address of this gateway
 	gateways []string           // peer addresses of all gateways
 	version  uint64
+	even     *evenLoad // nil: the policy is balance.LowestCost
 }
 
 // New returns an empty fleet; regions holds the region of each zone.
@@ -203,8 +212,8 @@
 	return ""
 }
 
-// Pick chooses the backend server with the lowest cost and counts the attempt as
-// in flight there. It returns false when the pool has no backend server that is
+// Pick chooses the backend server with the lowest cost, or by balance.Even if that is set,
+// and counts the attempt as in flight there. It returns false when the pool has no backend server that is
 // neither excluded nor paused nor at its limit.
 func (f *Fleet) Pick(at time.Duration, req Request) (Choice, bool) {
 	var best *server
@@ -213,7 +222,9 @@
 	candidates := 0
 	list := f.pools[req.Pool]
 	var home *server
-	if len(req.PromptParts) > 0 {
+	if f.even != nil {
+		f.beginEven(at, req)
+	} else if len(req.PromptParts) > 0 {
 		home = f.homeServer(at, req.Pool, lastSharedPart(req.PromptParts))
 	}
 	for i := range list {
@@ -223,11 +234,19 @@
 			continue
 		}
 		candidates++
+		if f.even != nil {
+			f.addEven(at, s, req)
+			continue
+		}
 		cost, tokens := f.cost(at, s, req, s == home)
 		if best == nil || cost < lowest {
 			best, lowest, cached = s, cost, tokens
 		}
 	}
+	var even *Even
+	if f.even != nil && candidates > 0 {
+		best, lowest, cached, even = f.chooseEven(at, req)
+	}
 	if best == nil {
 		return Choice{}, false
 	}
@@ -236,7 +255,7 @@
 	return Choice{
 		Limited:      f.takeToken(best.Announcement),
 		Announcement: best.Announcement, Cost: lowest, InFlight: best.inFlight, ReportedLoad: best.othersRunning + best.queued,
-		ReportAge: at - best.reportAt, Candidates: candidates, CachedTokens: cached,
+		ReportAge: at - best.reportAt, Candidates: candidates, CachedTokens: cached, Even: even,
 	}, true
 }
 
@@ -260,15 +279,7 @@
 		}
 		total += time.Duration(uncached) * prefillTokenCost
 	}
-	load := s.inFlight
-	if age := at - s.reportAt; age < reportMaxAge {
-		load = max(load, s.inFlight+int(float64(s.othersRunning)*(1-float64(age)/float64(reportMaxAge))))
-		load += s.queued
-	}
-	total += time.Duration(load) * runningRequestCost
-	if excess := load + 1 - max(1, s.Slots); excess > 0 {
-		total += time.Duration(excess) * queuedRequestCost
-	}
+	total += s.loadCost(at)
 	total += f.distanceCost(req.From.Zone, s.Zone)
 	for zone, bytes := range req.ResultBytes {
 		if zone != s.Zone {
@@ -286,6 +297,20 @@
 	return total, cached
 }
 
+// loadCost returns the part of the cost that comes from the load of the backend server.
+func (s *server) loadCost(at time.Duration) time.Duration {
+	load := s.inFlight
+	if age := at - s.reportAt; age < reportMaxAge {
+		load = max(load, s.inFlight+int(float64(s.othersRunning)*(1-float64(age)/float64(reportMaxAge))))
+		load += s.queued
+	}
+	total := time.Duration(load) * runningRequestCost
+	if excess := load + 1 - max(1, s.Slots); excess > 0 {
+		total += time.Duration(excess) * queuedRequestCost
+	}
+	return total
+}
+
 func (f *Fleet) distanceCost(a, b string) time.Duration {
 	switch {
 	case a == b:
@@ -321,6 +346,9 @@
 	}
 	if o.Slots > 0 {
 		s.othersRunning, s.queued, s.reportAt = max(0, o.Running-s.inFlight), o.Queued, at
+		if f.even != nil {
+			f.even.record(at, s, o)
+		}
 	}
 }
 
--- a/core/settings/settings.go
+++ b/core/settings/settings.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"tanagerroad"
+	"tanagerroad/core/balance"
 	"tanagerroad/core/directory"
 	"tanagerroad/core/document"
 	"tanagerroad/core/pick"
@@ -167,8 +168,9 @@
 	Region string `json:"region" required:"true" doc:"region that the zone belongs to"`
 }
 
-// RetryLimits limits the retries of a gateway.
-type RetryLimits struct {
+// Placing configures how a gateway chooses backend servers, and limits its retries.
+type Placing struct {
+	Balance    string  `json:"balance" doc:"how a backend server is chosen: lowest-cost, or even, which evens the load of backend servers when there are many gateways"`
 	RetryRatio float64 `json:"retry-ratio" doc:"extra attempts allowed for each request, on average over all gateways"`
 	RetrySlack float64 `json:"retry-slack" doc:"extra attempts allowed in addition, divided between all gateways"`
 }
@@ -194,7 +196,7 @@
 	Control       []string             `json:"control" required:"true" doc:"addresses of some control instances, from which all others are discovered"`
 	ControlPort   int                  `json:"control-port" doc:"port of the peer listeners of all control instances, in place of those listed in control; 0: use the listed ports"`
 	Zones         []ZoneRegion         `json:"zones" doc:"all availability zones"`
-	RetryLimits   RetryLimits          `json:"placing"`
+	Placing       Placing              `json:"placing"`
 	Capacity      Capacity             `json:"capacity"`
 	MemoryLimit   tanagerroad.Size     `json:"memory" doc:"memory limit of the process"`
 	SourceTimeout tanagerroad.Duration `json:"silence" doc:"time without messages from a control instance after which its information is ignored"`
@@ -286,7 +288,7 @@
 		Record: defaultRecord(), Stop: Shutdown{Timeout: duration(7 * time.Second), Grace: duration(3 * time.Second)},
 		Caller:        HTTPListener{MaxBody: 4 * mib, MaxHeader: 64 * kib, HeaderTimeout: duration(5 * time.Second), MaxInFlight: 1024},
 		Peer:          PeerListener{MaxStreams: 1024, MaxMessage: 8 * mib},
-		RetryLimits:   RetryLimits{RetryRatio: 0.15, RetrySlack: 40},
+		Placing:       Placing{Balance: balance.LowestCost, RetryRatio: 0.15, RetrySlack: 40},
 		MemoryLimit:   256 * mib,
 		SourceTimeout: duration(10 * time.Second),
 	}
@@ -415,8 +417,11 @@
 	c.checkNotNegative("capacity.link-mbps", s.Capacity.LinkMbps)
 	c.checkPositive("memory", int64(s.MemoryLimit))
 	c.checkPositive("silence", int64(s.SourceTimeout))
-	c.checkNotNegative("placing.retry-ratio", s.RetryLimits.RetryRatio)
-	c.checkNotNegative("placing.retry-slack", s.RetryLimits.RetrySlack)
+	if !slices.Contains(balance.Policies, s.Placing.Balance) {
+		c.addFinding("placing.balance", strconv.Quote(s.Placing.Balance), strings.Join(balance.Policies, ", "))
+	}
+	c.checkNotNegative("placing.retry-ratio", s.Placing.RetryRatio)
+	c.checkNotNegative("placing.retry-slack", s.Placing.RetrySlack)
 	return s, c.findings
 }
 
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -129,6 +129,7 @@
 		cancels: map[*exchange]context.CancelCauseFunc{},
 	}
 	g.gateways = []tanagerroad.Gateway{g.self()}
+	g.fleet.SetBalance(config.Settings.Placing.Balance)
 	g.fleet.SetGateways(g.self().Address, addresses(g.gateways))
 	g.owners = newOwnerClient(g)
 	origins, closeOrigins := newOriginRecorder(g)
@@ -273,7 +274,7 @@
 func (g *Gateway) retryBudget(pool string) *limit.Budget {
 	budget, ok := g.retryBudgets[pool]
 	if !ok {
-		limits := g.config.Settings.RetryLimits
+		limits := g.config.Settings.Placing
 		budget = limit.NewBudget(limits.RetryRatio, max(1, limits.RetrySlack/float64(len(g.gateways))))
 		g.retryBudgets[pool] = budget
 	}
