--- a/core/balance/plan.go
+++ b/core/balance/plan.go
@@ -55,6 +55,8 @@
 	shares  map[string][]Share // by part
 	load    []float64          // planned load by index of the backend server; 1: the mean
 	builtAt time.Duration
+	servers []PlanServer     // of the latest plan
+	orders  map[string][]int // indexes of servers in rendezvous order, by hot part
 }
 
 // Count counts a request with a shared prompt part; empty: none.
@@ -167,18 +169,31 @@
 	})
 	hot = hot[:min(len(hot), maxPlanned)]
 	slices.SortFunc(hot, func(a, b demand) int { return cmp.Compare(a.part, b.part) })
-	hashes := make([]uint64, len(servers))
+	orders := map[string][]int{}
+	kept := slices.Equal(p.servers, servers)
 	for i := range hot {
-		order := make([]int, len(servers))
-		for k, s := range servers {
-			order[k], hashes[k] = k, Hash(hot[i].part, s.ID)
+		part := hot[i].part
+		if order, ok := p.orders[part]; ok && kept {
+			orders[part] = order
+		} else {
+			orders[part] = rendezvousOrder(part, servers)
 		}
-		slices.SortFunc(order, func(a, b int) int { return cmp.Compare(hashes[b], hashes[a]) })
-		hot[i].order = order
+		hot[i].order = orders[part]
 	}
+	p.servers, p.orders = servers, orders
 	return hot
 }
 
+// rendezvousOrder returns the indexes of servers in the rendezvous order of a part.
+func rendezvousOrder(part string, servers []PlanServer) []int {
+	order, hashes := make([]int, len(servers)), make([]uint64, len(servers))
+	for i, s := range servers {
+		order[i], hashes[i] = i, Hash(part, s.ID)
+	}
+	slices.SortFunc(order, func(a, b int) int { return cmp.Compare(hashes[b], hashes[a]) })
+	return order
+}
+
 // Hash decides the rendezvous order of backend servers for a prompt part.
 func Hash(part, server string) uint64 {
 	var buffer [128]byte
