io/gateway, core/fleet: figures and metrics of even placing

The routing line has load, mean-load and rank with the policy even, and is as before with lowest-cost; metrics placing.load-percent, placing.past-home and servers.load-percent. The scripted placements hold with even too, except that the nearest of equal servers is chosen: servers within 10 ms are equally good there. Two scripts were red: the first report of a server made all others seem as loaded, and slots that a report gives, which may differ from the announced ones, scaled the load.

--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -73,7 +73,7 @@
 // load is the load per slot without this gateway's own requests.
 func (s *Server) Record(at time.Duration, p *Pool, index int, load float64, slots, workPercent int) {
 	if p.reports++; p.reports == 1 {
-		p.level = load
+		p.level = load / 2 // the first server heard from may be busier than all others
 	} else {
 		// The mean follows the ratio of what was reported to what was expected of the same
 		// server: a mean of the reports would be too high, since most come from the servers
--- a/core/balance/plan.go
+++ b/core/balance/plan.go
@@ -104,7 +104,7 @@
 // Make makes the plan for a pool whose list has n backend servers.
 func (p *Plan) Make(at time.Duration, n int, servers []PlanServer) {
 	p.fade(at)
-	p.builtAt, p.shares, p.load = at, map[string][]Share{}, make([]float64, n)
+	p.builtAt, p.shares, p.load = at, map[string][]Share{}, slices.Repeat([]float64{1}, n)
 	slots := 0.0
 	for _, s := range servers {
 		slots += float64(max(1, s.Slots))
--- a/core/fleet/even.go
+++ b/core/fleet/even.go
@@ -122,6 +122,6 @@
 	if o.InFlight > 0 {
 		own = min(own, o.InFlight)
 	}
-	others := float64(max(0, o.Running+o.Queued-own)) / float64(o.Slots)
-	s.load.Record(at, e.pool(s.Pool), s.index, others, o.Slots, o.WorkPercent)
+	others := float64(max(0, o.Running+o.Queued-own)) / float64(max(1, s.Slots))
+	s.load.Record(at, e.pool(s.Pool), s.index, others, s.Slots, o.WorkPercent)
 }
--- a/core/fleet/fleet_test.go
+++ b/core/fleet/fleet_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"tanagerroad"
+	"tanagerroad/core/balance"
 	"tanagerroad/core/fleet"
 	"tanagerroad/core/roster"
 )
@@ -44,6 +45,7 @@
 	}
 	var scripts []struct {
 		What    string `json:"what"`
+		Policy  string `json:"policy"` // empty: the script holds for all
 		Servers []struct {
 			ID       string `json:"id"`
 			Zone     string `json:"zone"`
@@ -55,8 +57,14 @@
 	if err := json.Unmarshal(data, &scripts); err != nil {
 		t.Fatal(err)
 	}
-	for _, script := range scripts {
+	for i := range 2 * len(scripts) {
+		script, policy := scripts[i/2], balance.Policies[i%2]
+		if script.Policy != "" && script.Policy != policy {
+			continue
+		}
+		script.What += " (" + policy + ")"
 		f := fleet.New(regions)
+		f.SetBalance(policy)
 		var servers []tanagerroad.Announcement
 		for _, s := range script.Servers {
 			servers = append(servers, tanagerroad.Announcement{
--- a/core/settings/check_test.go
+++ b/core/settings/check_test.go
@@ -41,6 +41,7 @@
 		{gatewayHead + `, "caller": {"address": "10.0.0.1:81"}`, "caller.address"},
 		{gatewayHead + `, "caller": {"address": "[::]:7000"}`, "peer.address"},
 		{gatewayHead + `, "caller": {"address": "10.0.0.1:80"}, "control-port": -1`, "control-port"},
+		{gatewayHead + `, "caller": {"address": "10.0.0.1:80"}, "placing": {"balance": "equal"}`, "placing.balance"},
 		{gatewayHead + `, "caller": {"address": "10.0.0.1:80"}, "zones": [{"zone": "a", "region": "r"}, {"zone": "a", "region": "q"}]`, "zones[1].zone"},
 		{gatewayHead + `, "caller": {"address": "10.0.0.1:80"}, "zones": [{"zone": "a", "region": "q"}]`, "region"},
 		{standInHead + `, "servers": []`, "servers"},
--- a/io/gateway/try.go
+++ b/io/gateway/try.go
@@ -15,7 +15,6 @@
 
 	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
-	"go.uber.org/zap/zapcore"
 
 	"tanagerroad"
 	"tanagerroad/core/attempt"
@@ -67,6 +66,7 @@
 		zap.Int("reported", choice.ReportedLoad), zap.Duration("report-age", choice.ReportAge), zap.Int("kept", choice.CachedTokens),
 		zap.Int("candidates", choice.Candidates), zap.Uint64("roster", version), zap.Duration("left", x.deadline-now), zap.Int("try", x.retryState.Attempts()),
 		evenField(choice), limitField(now, limit), avoided)
+	g.meters.recordPlacing(choice)
 	begins := !x.committed && x.headers.LastEventID == ""
 	end, status, outcome := x.send(choice)
 	switch {
@@ -88,20 +88,6 @@
 	return end, status
 }
 
-// evenField returns the log fields with the figures of a choice that evens the load, if it
-// is one.
-func evenField(choice fleet.Choice) zap.Field {
-	if choice.Even == nil {
-		return zap.Skip()
-	}
-	return zap.Inline(zapcore.ObjectMarshalerFunc(func(e zapcore.ObjectEncoder) error {
-		e.AddFloat64("load", choice.Even.Load)
-		e.AddFloat64("mean-load", choice.Even.Mean)
-		e.AddInt("rank", choice.Even.Rank)
-		return nil
-	}))
-}
-
 // limitField returns the log field with the limit of a backend server, if it has one, and
 // how long ago an answer named it.
 func limitField(now time.Duration, l fleet.ServerLimit) zap.Field {
@@ -171,6 +157,7 @@
 	x.recordProgress(attempt.Begun)
 	reply := g.config.Dialect.DecodeResponseHeaders(res.StatusCode, res.Header)
 	g.heed(choice.Announcement, reply)
+	g.meters.recordLoad(choice, reply)
 	outcome := fleet.Outcome{Latency: g.now() - started, Running: reply.Running, Queued: reply.Waiting, Slots: reply.Slots, WorkPercent: reply.WorkPercent, InFlight: choice.InFlight}
 	g.mu.Lock()
 	g.fleet.RecordAnswer(g.now(), choice.ID, outcome)
