--- a/core/balance/plan.go
+++ b/core/balance/plan.go
@@ -21,15 +21,11 @@
 	maxPlanned = 64
 	// planEpsilon is the bound of the plan: no backend server is to get more than the mean
 	// by this share.
-	planEpsilon = 0.1
+	planEpsilon = 0.05
 	// leastShare is the least share that a part gets of a backend server, of the mean load
 	// of one, unless it needs less. Smaller ones differ from gateway to gateway, and each
 	// costs a prefill.
 	leastShare = 0.6
-	// hotServers is the number of backend servers from which a part's requests are spread
-	// by the plan. Those of other parts follow the estimated loads. With 3 or 4 the busiest
-	// server was busier when reports came late.
-	hotServers = 2
 )
 
 // Share is the share of a prompt part's requests that a backend server is to get.
@@ -78,13 +74,8 @@
 // Discard discards the plan, since the list of backend servers has changed.
 func (p *Plan) Discard() { p.shares, p.load = nil, nil }
 
-// Shares returns how the requests of a part are spread, nothing if the part is not hot.
-func (p *Plan) Shares(part string) []Share {
-	if shares := p.shares[part]; len(shares) >= hotServers {
-		return shares
-	}
-	return nil
-}
+// Shares returns how the requests of a part are spread, nothing if the part is not planned.
+func (p *Plan) Shares(part string) []Share { return p.shares[part] }
 
 // Load returns the planned load of a backend server; 1: the mean.
 func (p *Plan) Load(index int) float64 {
--- a/core/balance/replay_test.go
+++ b/core/balance/replay_test.go
@@ -27,7 +27,7 @@
 	sharedTokens = 5382
 	longShare    = 0.39 // of requests with long outputs
 	parts        = 36
-	replaySeeds  = 3
+	replaySeeds  = 8
 )
 
 // seesAll is a picker that knows the load of every engine at the moment of its choice.
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -213,8 +213,8 @@
 }
 
 // Pick chooses the backend server with the lowest cost, or by balance.Even if that is set,
-// and counts the attempt as in flight there. It returns false when the pool has no backend server that is
-// neither excluded nor paused nor at its limit.
+// and counts the attempt as in flight there. It returns false when the pool has no backend
+// server that is neither excluded nor paused nor at its limit.
 func (f *Fleet) Pick(at time.Duration, req Request) (Choice, bool) {
 	var best *server
 	var lowest time.Duration
