core/balance: hot parts are planned beside requests that can go anywhere

A part with 30 % of the requests of a pool was planned for no server while the rest were prompts of their own: the plan kept room for those at each server, so that none had enough left (TestHotPartTakesNoMoreServersThanItNeeds was red). Those go where there is room, so now the plan fills servers with hot parts first, up to the mean. Parts are planned from two requests in half a minute.

--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -21,9 +21,9 @@
 
 const (
 	// overload is the epsilon of consistent hashing with bounded loads: a backend server
-	// takes no more requests of a prompt part while its estimated load exceeds the pool's
-	// mean by this share. Estimates err by about a fifth, so the busiest server is well
-	// above it; 0.1 gave a busiest server of more than 1.5 times the mean.
+	// takes no more requests that are not planned while its estimated load exceeds the pool's
+	// mean by this share. Estimates err by about a fifth, so the busiest server is well above
+	// it; 0.2 gave more than 1.5 times the mean.
 	overload = 0.05
 	// slack is the number of requests above that bound which a backend server takes. One
 	// request more or less says nothing when few are running, and each move of a prompt
--- a/core/balance/plan.go
+++ b/core/balance/plan.go
@@ -15,16 +15,15 @@
 	// popularityTime is the time over which requests of a prompt part are counted. A
 	// gateway has some 10 requests a second, so that less gives each its own plan.
 	popularityTime = time.Minute
-	// minCount is the number of requests from which a part is planned.
-	minCount = 2
+	// minCount is the number of requests from which a part is planned: two within half a
+	// minute. With 3 too many parts that others plan are not planned here.
+	minCount = 1.5
 	// maxPlanned bounds the parts that are planned, and with it the time that it takes.
 	maxPlanned = 64
-	// planEpsilon is the bound of the plan: no backend server is to get more than the mean
-	// by this share.
-	planEpsilon = 0.05
 	// leastShare is the least share that a part gets of a backend server, of the mean load
 	// of one, unless it needs less. Smaller ones differ from gateway to gateway, and each
-	// costs a prefill.
+	// costs a prefill. What is left below half of it goes to the part's last server, above
+	// the bound.
 	leastShare = 0.6
 )
 
@@ -109,8 +108,8 @@
 	room := make([]float64, len(servers))
 	for i, s := range servers {
 		average[i] = p.total * float64(max(1, s.Slots)) / slots
-		room[i] = (1 + planEpsilon - rest/p.total) * average[i]
-		p.load[s.Index] = rest / p.total
+		room[i] = average[i]
+		p.load[s.Index] = 0
 	}
 	for rank := range servers {
 		for i := range hot {
@@ -129,6 +128,14 @@
 			p.load[servers[s].Index] += share / average[s]
 		}
 	}
+	// The other requests can go anywhere, so they are expected where there is room.
+	left := 0.0
+	for _, r := range room {
+		left += max(0, r)
+	}
+	for i, s := range servers {
+		p.load[s.Index] += rest * max(0, room[i]) / left / average[i]
+	}
 }
 
 // fade lets the counted requests fade.
