--- a/io/gateway/try.go
+++ b/io/gateway/try.go
@@ -71,7 +71,8 @@
 		zap.String("server", choice.ID), zap.String("software", choice.Software), zap.Duration("cost", choice.Cost), zap.Int("in-flight", choice.InFlight),
 		zap.Int("reported", choice.ReportedLoad), zap.Duration("report-age", choice.ReportAge), zap.Int("kept", choice.CachedTokens),
 		zap.Int("candidates", choice.Candidates), zap.Uint64("roster", version), zap.Duration("left", x.deadline-now), zap.Int("try", x.retryState.Attempts()),
-		limitField(now, limit), avoided)
+		evenField(choice), limitField(now, limit), avoided)
+	g.meters.recordPlacing(choice)
 	begins := !x.committed && x.headers.LastEventID == ""
 	end, status, outcome := x.send(choice)
 	switch {
@@ -162,7 +163,8 @@
 	x.recordProgress(attempt.Begun)
 	reply := g.config.Dialect.DecodeResponseHeaders(res.StatusCode, res.Header)
 	g.heed(choice.Announcement, reply)
-	outcome := fleet.Outcome{Latency: g.now() - started, Running: reply.Running, Queued: reply.Waiting, Slots: reply.Slots}
+	g.meters.recordLoad(choice, reply)
+	outcome := fleet.Outcome{Latency: g.now() - started, Running: reply.Running, Queued: reply.Waiting, Slots: reply.Slots, WorkPercent: reply.WorkPercent, InFlight: choice.InFlight}
 	g.mu.Lock()
 	g.fleet.RecordAnswer(g.now(), choice.ID, outcome)
 	if x.stages != nil && !x.committed && x.headers.LastEventID == "" && isSuccess(res.StatusCode) {
