core/fair, core/shed: fair shares among workspaces in overload

Missing: a workspace that sends ten times its share in a burst and retries at once takes the room of others that ask for less than their shares.

A shed controller of NewFair asks it only where the queue is not short: a workspace above its share needs additional slack, up to 500 ms, and gets no late admission of retries; one below half of its share gets one late admission for twenty in time. New and requests without a workspace are as before.

Tests of the starved and of late admissions are red without their conditions.

--- a/core/shed/shed.go
+++ b/core/shed/shed.go
@@ -13,14 +13,21 @@
 // would make the new ones late, and in the end all would be. While the queue is long,
 // they get a small share of the admissions.
 //
+// A controller may divide the work fairly among workspaces (package fair). While the queue is
+// long, one that was admitted more than its fair share lately needs additional slack, so that
+// its requests are rejected before those of others, and one that was admitted less than half
+// of its share gets a small part of the admissions.
+//
 // Predictions leave out what only shows in operation, such as slow calls or a lack of
 // room for results. So the controller learns by how much the stages of admitted requests
 // end later than predicted.
 package shed
 
 import (
+	"math"
 	"time"
 
+	"tanagerroad/core/fair"
 	"tanagerroad/core/quantile"
 )
 
@@ -50,6 +57,14 @@
 	lateShare = 0.1
 	// maxLateCredit is the largest number of such admissions that is saved up.
 	maxLateCredit = 4
+	// shareYield is the additional slack that a request needs if its workspace was admitted
+	// twice its fair share, and the most. It grows with the square root of the excess, since an
+	// excess of a few percent must already leave room in the queue for the requests of others.
+	shareYield = 500 * time.Millisecond
+	// starvedShare is the number of requests of starved workspaces that are admitted late
+	// for each request that is admitted in time; maxStarvedCredit are saved up at most.
+	starvedShare     = 0.05
+	maxStarvedCredit = 2
 	// errorQuantile is the fraction of admitted requests whose stages end no later than
 	// predicted once predictions are corrected. errorStep is the largest change of the
 	// correction by one request.
@@ -74,8 +89,10 @@
 	Deadline     time.Duration // latest end of the stages
 	CriticalPath []Stage
 	Begun        bool    // a stream that goes on, whose pieces come first
-	Rank         int     // of the route; 0 is the most urgent
+	Rank         int     // priority in force; 0 is the most urgent
 	Jitter       float64 // random, in [0, 1); spreads the retry delays
+	Workspace    string  // empty: none, or unknown; it has no share and no limit
+	Work         float64 // in seconds of the capacity of the pools, summed over them
 }
 
 // Decision is the answer to a request for admission.
@@ -87,6 +104,8 @@
 	End         time.Duration // predicted end of the stages, if admitted now
 	Uncorrected time.Duration // the same without what earlier predictions were wrong by
 	RetryDelay  time.Duration // delay before the next try, if rejected
+	OverShare   float64       // by how much the workspace exceeds its fair share, as a fraction of it; only in overload
+	Starved     bool          // admitted because its workspace got less than half of its share
 }
 
 // Controller decides on admission. It remembers recent rejections and the pieces
@@ -98,6 +117,8 @@
 	running  map[string]*running               // admitted requests whose stages have not ended
 	late     float64                           // retried requests that may be admitted late
 	lateness *quantile.Estimate                // of the ends of stages, compared with the predictions
+	shares   *fair.Shares                      // of the workspaces; nil: they have no shares
+	starved  float64                           // requests of starved workspaces that may be admitted late
 }
 
 // running is an admitted request.
@@ -120,6 +141,13 @@
 	}
 }
 
+// NewFair returns a controller that divides the work fairly among workspaces in overload.
+func NewFair() *Controller {
+	c := New()
+	c.shares = fair.New()
+	return c
+}
+
 // Decide admits or rejects a request.
 func (c *Controller) Decide(at time.Duration, req Request) Decision {
 	out := Decision{End: at}
@@ -146,18 +174,34 @@
 	if out.IsRetry { // the objective counts from its first attempt
 		due -= at - rejectedAt
 	}
+	overloaded := !req.Begun && out.Wait+yield > maxLateWait
+	hasShare := c.shares != nil && req.Workspace != ""
+	if hasShare && !out.IsRetry {
+		c.shares.Ask(at, req.Workspace, req.Work)
+	}
+	if hasShare && overloaded {
+		out.OverShare = c.shares.Over(at, req.Workspace)
+		yield += time.Duration(math.Sqrt(min(1, out.OverShare)) * float64(shareYield))
+	}
 	switch {
 	case out.Uncorrected > req.Deadline:
-	case req.Begun, out.Wait+yield <= maxLateWait:
+	case !overloaded:
 		out.Admit = true
 	case out.End+yield <= due:
 		out.Admit, out.OnTime = true, true
 		c.late = min(c.late+lateShare, maxLateCredit)
-	case out.IsRetry && c.late >= 1:
+		c.starved = min(c.starved+starvedShare, maxStarvedCredit)
+	case out.IsRetry && c.late >= 1 && out.OverShare == 0:
 		out.Admit = true
 		c.late--
+	case hasShare && c.starved >= 1 && c.shares.Starved(at, req.Workspace):
+		out.Admit, out.Starved = true, true
+		c.starved--
 	}
 	if out.Admit {
+		if hasShare {
+			c.shares.Admit(at, req.Workspace, req.Work)
+		}
 		delete(c.rejected, req.Subject)
 		return out
 	}
@@ -228,8 +272,11 @@
 // Reserved returns the number of pieces reserved for a pool.
 func (c *Controller) Reserved(pool string) int { return c.totals[pool] }
 
-// Expire drops rejections and reservations that are too old.
+// Expire drops rejections, reservations and workspaces that are too old.
 func (c *Controller) Expire(at time.Duration) {
+	if c.shares != nil {
+		c.shares.Expire(at)
+	}
 	for subject, rejectedAt := range c.rejected {
 		if at-rejectedAt > rejectionTTL {
 			delete(c.rejected, subject)
