io/gateway: placing.fair-shares divides stage pools fairly among workspaces

Missing: owners were not told the workspace of a request, and used the priority of its route even where its workspace has one. Jobs now carry both (fields that wire.Admission had). Decisions are logged with workspace, over-share and starved in admission (221), and counted in admission.over-share and admission.starved.

core/fair computes the share anew for each decision up to 64 workspaces.

Both gateway tests are red with the fields or the choice of the controller taken out.

--- a/core/event/event.go
+++ b/core/event/event.go
@@ -68,7 +68,7 @@
 	OwnerChanged           = define(218, zap.InfoLevel, "owner", "Another gateway now owns the batching of stage pieces.")
 	PiecesSent             = define(219, zap.InfoLevel, "pieces-sent", "A batch of pieces was sent to a backend server: its size, how many pieces are queued, and the reason for choosing the server.")
 	PiecesEnded            = define(220, zap.InfoLevel, "pieces-ended", "A batch of pieces ended; failed is the number of pieces that were not executed.")
-	Admission              = define(221, zap.InfoLevel, "admission", "Admission control refused a staged request, or admitted it because it had been refused before: the predicted wait, and the time to spare before its latency objective.")
+	Admission              = define(221, zap.InfoLevel, "admission", "Admission control refused a staged request, or admitted it because it had been refused before, or because its workspace got too little (starved): the predicted wait, the time to spare before its latency objective, and with fair shares by how much the workspace exceeds its share, as a fraction of it (over-share).")
 	PiecesOverdue          = define(222, zap.WarnLevel, "pieces-overdue", "A batch of pieces takes much longer than expected; its pieces are also executed on another backend server.")
 	ServerDeparting        = define(223, zap.InfoLevel, "server-departing", "A backend server said in an answer that it leaves; its current start gets no more requests, whatever it announces.")
 	ServerPaused           = define(224, zap.InfoLevel, "server-paused", "A backend server that rejected a request wants none from this gateway or sidecar for a time: asked is that time, until-end what is kept of it; invalid is a value that is no time and is ignored.")
--- a/core/fair/fair.go
+++ b/core/fair/fair.go
@@ -18,9 +18,11 @@
 	// decayTime is the time in which the sums decay to 1/e. Bursts last for several seconds;
 	// sums over much less would be too noisy at a few requests a second.
 	decayTime = 4 * time.Second
-	// levelInterval is how long the computed fair share is used. All accounts are needed to
-	// compute it, so that this bounds the work where there are many of them.
+	// levelInterval is how long the computed fair share is used where there are more than
+	// maxExact workspaces. All accounts are needed to compute it, so that this bounds the work.
+	// With few it would count what was admitted since as an excess.
 	levelInterval = 50 * time.Millisecond
+	maxExact      = 64
 	// accountTTL is how long a workspace without requests is remembered.
 	accountTTL = time.Minute
 	// starvedFraction is the fraction of its fair share below which a workspace is starved.
@@ -108,7 +110,7 @@
 // the workspaces in the order of their demands: each gets its demand, or an equal part of
 // what is left if that is less.
 func (s *Shares) levelOf(at time.Duration) float64 {
-	if s.hasLevel && at-s.levelAt < levelInterval {
+	if len(s.accounts) > maxExact && s.hasLevel && at-s.levelAt < levelInterval {
 		return s.level
 	}
 	s.hasLevel, s.levelAt = true, at
--- a/core/settings/settings.go
+++ b/core/settings/settings.go
@@ -172,6 +172,7 @@
 type RetryLimits struct {
 	RetryRatio float64 `json:"retry-ratio" doc:"extra attempts allowed for each request, on average over all gateways"`
 	RetrySlack float64 `json:"retry-slack" doc:"extra attempts allowed in addition, divided between all gateways"`
+	FairShares bool    `json:"fair-shares" doc:"divide the capacity for stages fairly among workspaces in overload, and let the priority of a workspace precede its route's at admission"`
 }
 
 // Capacity is what the instance of a gateway has for it. A gateway with too little
--- a/io/gateway/batcher.go
+++ b/io/gateway/batcher.go
@@ -75,7 +75,11 @@
 }
 
 func newPieceBatcher(g *Gateway, shard string) *pieceBatcher {
-	return &pieceBatcher{g: g, shard: shard, pools: map[string]*batch.Pool{}, jobs: map[string]*queuedJob{}, toFree: map[string][]string{}, dispatchTimers: map[string]*time.Timer{}, admission: shed.New()}
+	admission := shed.New()
+	if g.config.Settings.RetryLimits.FairShares {
+		admission = shed.NewFair()
+	}
+	return &pieceBatcher{g: g, shard: shard, pools: map[string]*batch.Pool{}, jobs: map[string]*queuedJob{}, toFree: map[string][]string{}, dispatchTimers: map[string]*time.Timer{}, admission: admission}
 }
 
 // pool returns the named pool, or nil if the configuration in force has no such
@@ -258,6 +262,7 @@
 		Deadline: at + time.Duration(a.GetLeftMillis())*time.Millisecond,
 		Jitter:   hashFraction(job.GetRequest()), Rank: int(a.GetRank()), Begun: job.GetBegun(),
 	}
+	b.fillShare(&request, a)
 	regions := region.Decode(job.GetRegions(), job.GetNoRegion())
 	for _, pool := range a.GetChain() {
 		if p := b.pool(pool); p != nil {
@@ -270,11 +275,12 @@
 		}
 	}
 	decision := b.admission.Decide(at, request)
-	if !decision.Admit || decision.IsRetry {
+	if !decision.Admit || decision.IsRetry || decision.Starved {
 		event.Admission.Log(b.g.config.Logger, zap.String("request", job.GetRequest()), zap.Bool("admitted", decision.Admit),
 			zap.Bool("returning", decision.IsRetry), zap.Duration("wait", decision.Wait), zap.Duration("spare", request.Due-decision.End), zap.Duration("correction", decision.End-decision.Uncorrected),
-			zap.Duration("retry-after", decision.RetryDelay))
+			zap.Duration("retry-after", decision.RetryDelay), zap.String("workspace", request.Workspace), zap.Float64("over-share", decision.OverShare), zap.Bool("starved", decision.Starved))
 	}
+	b.countShare(decision)
 	if !decision.Admit {
 		return decision
 	}
--- a/io/gateway/stages.go
+++ b/io/gateway/stages.go
@@ -186,6 +186,7 @@
 	s.admitted = true
 	a := &wire.Admission{
 		Subject: s.x.subject(), Chain: s.pipeline.CriticalPath(), Rank: int32(s.x.route.Priority),
+		Workspace: s.x.workspace, Priority: int32(s.x.priority),
 		LeftMillis: (s.pipeline.StagesDeadline() - now).Milliseconds(), SlackMillis: (s.pipeline.StagesDue() - now).Milliseconds(),
 	}
 	for pool, pieces := range s.pipeline.PieceCounts() {
