core/shed: test that retries don't raise the demand of a workspace

The condition in Decide had no test: with it taken out a workspace whose one hopeless request is retried at once made another appear above its share (red).

--- a/core/shed/fair_test.go
+++ b/core/shed/fair_test.go
@@ -123,3 +123,19 @@
 		t.Error("a request above the share was rejected, with a short queue")
 	}
 }
+
+// TestRetriesRaiseDemand guards against a workspace whose few requests are retried at once and
+// count as a demand each time, so that others seem to be above their shares.
+func TestRetriesRaiseDemand(t *testing.T) {
+	controller := shed.NewFair()
+	for i := range 400 {
+		now := time.Duration(i) * 10 * time.Millisecond
+		path := []shed.Stage{{Pieces: 200, Capacity: 125, CallTime: 300 * time.Millisecond}}
+		controller.Decide(now, shed.Request{Subject: "hopeless", Due: now, Deadline: now, Workspace: "small", Work: 0.01, CriticalPath: path})
+		controller.Decide(now, shed.Request{Due: now, Deadline: now + time.Minute, Workspace: "large", Work: 0.01, CriticalPath: path})
+		d := controller.Decide(now, shed.Request{Due: now + 3*time.Second, Deadline: now + time.Minute, Workspace: "large", Work: 0.01, CriticalPath: path})
+		if now >= 2*time.Second && (!d.Admit || d.OverShare > 0.05) { // the one request was part of the demand before
+			t.Fatalf("%v: admitted %t, above the share by %g", now, d.Admit, d.OverShare)
+		}
+	}
+}
