--- a/core/settings/settings.go
+++ b/core/settings/settings.go
@@ -175,6 +175,7 @@
 	Balance    string  `json:"balance" doc:"how a backend server is chosen: lowest-cost, or even, which evens the load of backend servers when there are many gateways"`
 	RetryRatio float64 `json:"retry-ratio" doc:"extra attempts allowed for each request, on average over all gateways"`
 	RetrySlack float64 `json:"retry-slack" doc:"extra attempts allowed in addition, divided between all gateways"`
+	FairShares bool    `json:"fair-shares" doc:"divide the capacity for stages fairly among workspaces in overload, and let the priority of a workspace precede its route's at admission"`
 }
 
 // Capacity is what the instance of a gateway has for it. A gateway with too little
