--- a/io/gateway/batcher.go
+++ b/io/gateway/batcher.go
@@ -76,7 +76,7 @@
 
 func newPieceBatcher(g *Gateway, shard string) *pieceBatcher {
 	admission := shed.New()
-	if g.config.Settings.RetryLimits.FairShares {
+	if g.config.Settings.Placing.FairShares {
 		admission = shed.NewFair()
 	}
 	return &pieceBatcher{g: g, shard: shard, pools: map[string]*batch.Pool{}, jobs: map[string]*queuedJob{}, toFree: map[string][]string{}, dispatchTimers: map[string]*time.Timer{}, admission: admission}
--- a/io/gateway/shares.go
+++ b/io/gateway/shares.go
@@ -10,7 +10,7 @@
 // if workspaces have fair shares here. Gateways of earlier versions name no workspace; their
 // requests keep the rank of the route, since the priority is missing too. b.mu must be held.
 func (b *pieceBatcher) fillShare(request *shed.Request, a *wire.Admission) {
-	if !b.g.config.Settings.RetryLimits.FairShares || a.GetWorkspace() == "" {
+	if !b.g.config.Settings.Placing.FairShares || a.GetWorkspace() == "" {
 		return
 	}
 	request.Workspace, request.Rank = a.GetWorkspace(), max(0, int(a.GetPriority()))
--- a/io/gateway/shares_test.go
+++ b/io/gateway/shares_test.go
@@ -38,7 +38,7 @@
 		{"without", false, &wire.Admission{Workspace: "w", Rank: 1, Priority: 2, Demands: demands}, shed.Request{Rank: 1}},
 		{"earlier version", true, &wire.Admission{Rank: 1, Demands: demands}, shed.Request{Rank: 1}},
 	} {
-		g.config.Settings.RetryLimits.FairShares = c.shares
+		g.config.Settings.Placing.FairShares = c.shares
 		got := shed.Request{Rank: int(c.admission.GetRank())}
 		g.batcher("").fillShare(&got, c.admission)
 		if got.Workspace != c.want.Workspace || got.Rank != c.want.Rank || math.Abs(got.Work-c.want.Work) > 1e-6 {
@@ -53,7 +53,7 @@
 		p, hold := newPieceServer(t), make(chan struct{})
 		p.status = func(int64) int { <-hold; return 0 }
 		g, _ := newTestGateway(t, p.backend)
-		g.config.Settings.RetryLimits.FairShares = shares
+		g.config.Settings.Placing.FairShares = shares
 		number := uint64(0)
 		submit := func(workspace string, jobs int) {
 			for range jobs {
