io/gateway: an evacuated pool refuses only requests with pieces for it

A request was refused with 503 if any stage of its route had a pool whose zones are all evacuated, also if the request has no pieces in that stage and so never uses the pool. TestEvacuatedPoolWithoutPieces was red: 503 in place of 200.

--- a/io/gateway/evacuations.go
+++ b/io/gateway/evacuations.go
@@ -129,8 +129,10 @@
 		return false
 	}
 	pools := []string{x.pool}
-	for _, stage := range x.route.Stages {
-		pools = append(pools, stage.Pool)
+	for i, stage := range x.route.Stages {
+		if x.hasPieces(i) {
+			pools = append(pools, stage.Pool)
+		}
 	}
 	for _, pool := range pools {
 		if empty[pool] {
--- a/io/gateway/evacuations_test.go
+++ b/io/gateway/evacuations_test.go
@@ -159,3 +159,16 @@
 		t.Errorf("%d backend servers are used, ready %t, %s after control instances that don't tell", g.ServerCount(), g.Ready(), hold)
 	}
 }
+
+// TestEvacuatedPoolWithoutPieces guards against requests that are refused since a stage has an
+// evacuated pool, although they have no pieces there.
+func TestEvacuatedPoolWithoutPieces(t *testing.T) {
+	p, last := newPieceServer(t), newPieceServerOf(t, "last")
+	servers, _ := newScripted(t, 1, good)
+	g, address := newTestGateway(t, append(servers, p.backend, last.backend)...)
+	moveTo(g, "far", last.backend)
+	evacuate(g, 2, "far")
+	if status, body, err := call(t, address, "/chain/", "a", headerPieces, "1,0"); status != http.StatusOK {
+		t.Errorf("a request without pieces for the evacuated pool: status %d %q (%v), want 200", status, body, err)
+	}
+}
--- a/io/gateway/regions.go
+++ b/io/gateway/regions.go
@@ -24,8 +24,7 @@
 	ok := x.g.fleet.HasAllowed(x.pool, x.regions)
 	x.g.mu.Unlock()
 	for i, stage := range x.route.Stages {
-		hasPieces := i < len(x.headers.PieceCounts) && x.headers.PieceCounts[i] > 0
-		ok = ok && (!hasPieces || x.g.owners.plan().HasAllowed(stage.Pool, x.regions))
+		ok = ok && (!x.hasPieces(i) || x.g.owners.plan().HasAllowed(stage.Pool, x.regions))
 	}
 	if !ok {
 		x.reason = reasonNotAllowed
@@ -34,6 +33,11 @@
 	return ok
 }
 
+// hasPieces reports whether the request has pieces in a stage.
+func (x *exchange) hasPieces(stage int) bool {
+	return stage < len(x.headers.PieceCounts) && x.headers.PieceCounts[stage] > 0
+}
+
 // regionsField returns the log field with the regions that the request may be served in, if
 // not all are allowed.
 func (x *exchange) regionsField() zap.Field {
