io/gateway, core/roster: results are not freed at leaving servers of an evacuated zone

Calls that free results skipped only the usable backend servers of an evacuated zone. One that leaves, or that is silent, still got them, and a gateway that held all servers back since it did not know the evacuations sent them anywhere. The zone of an address now comes from all records of the roster. It is looked up only while a zone is evacuated. TestLeavingServerInEvacuatedZoneIsAsked was red: one call in the evacuated zone.

--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -224,6 +224,17 @@
 	return expired
 }
 
+// HasAddress reports whether a backend server, usable or not, has an address and is in one of
+// the zones that in selects.
+func (r *Roster) HasAddress(address string, in func(zone string) bool) bool {
+	for _, rec := range r.records {
+		if rec.announcement.Address == address && in(rec.announcement.Zone) {
+			return true
+		}
+	}
+	return false
+}
+
 // Entry is the latest announcement of one backend server.
 type Entry struct {
 	tanagerroad.Announcement
--- a/io/gateway/evacuations.go
+++ b/io/gateway/evacuations.go
@@ -99,12 +99,13 @@
 	return g.evacuations.view.Zones(), len(g.evacuations.excluded)
 }
 
-// isEvacuated reports whether the backend server at an address is in an evacuated zone.
+// isEvacuated reports whether the backend server at an address is in an evacuated zone, or
+// may be. It need not be usable: one that leaves still stores results.
 func (g *Gateway) isEvacuated(address string) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	_, ok := g.evacuations.excluded[address]
-	return ok
+	e := &g.evacuations
+	return e.heldBack || e.view.Zones() > 0 && g.roster.HasAddress(address, e.view.Active)
 }
 
 // isPoolEvacuated reports whether all usable backend servers of a pool are in evacuated
--- a/io/gateway/evacuations_test.go
+++ b/io/gateway/evacuations_test.go
@@ -172,3 +172,20 @@
 		t.Errorf("a request without pieces for the evacuated pool: status %d %q (%v), want 200", status, body, err)
 	}
 }
+
+// TestLeavingServerInEvacuatedZoneIsAsked guards against calls that free results which reach an
+// evacuated zone, since their backend server leaves and so is not a usable one.
+func TestLeavingServerInEvacuatedZoneIsAsked(t *testing.T) {
+	p := newPieceServer(t)
+	g, _ := newTestGateway(t, p.backend)
+	leaving := firstServer(g, "prep")
+	evacuate(g, 2, "z")
+	g.heedDeparture(leaving)
+	g.batcher("").release([]string{p.Listener.Addr().String() + "/1"})
+	time.Sleep(3 * freeInterval)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.freed) > 0 {
+		t.Errorf("results are freed in the evacuated zone: %v", p.freed)
+	}
+}
