io/gateway, core/batch: jobs leave a shard whose backend servers are evacuated

Callers waited for their deadlines: when all backend servers of one shard are in an evacuated zone while the pool has others, its owner kept the queued jobs in a pool without servers. So it did with pieces that a server had not run, with jobs that came just after the order, and at a gateway that held all servers back because it had not learned of the evacuations yet. Only pools without any server left were refused.

The owner now refuses such jobs, and the gateway that submitted them submits them to the shard that the present plan names, or moves on as after any refusal. Calls under way end.

TestQueueOfEvacuatedShard was red: 7 jobs waited. TestJobsMoveOutOfEvacuatedShard was red without the call of refuseQueued: 4 of 6 requests ended with 503 after 1.4 s.

--- a/core/batch/batch.go
+++ b/core/batch/batch.go
@@ -315,6 +315,19 @@
 	return out
 }
 
+// QueuedJobs returns the jobs that have queued pieces.
+func (p *Pool) QueuedJobs() []*Job {
+	seen := map[*Job]bool{}
+	var out []*Job
+	for _, q := range p.queue {
+		if !seen[q.Job] {
+			seen[q.Job] = true
+			out = append(out, q.Job)
+		}
+	}
+	return out
+}
+
 // Next returns the next call to start now, or false if there is none.
 func (p *Pool) Next(at time.Duration) (*Call, bool) {
 	if len(p.queue) == 0 || at < p.nextStart(at) {
--- a/io/gateway/batcher.go
+++ b/io/gateway/batcher.go
@@ -62,6 +62,7 @@
 	freeTimer      *time.Timer            // calls flushFree; nil if toFree is empty
 	dispatchTimers map[string]*time.Timer // scheduled dispatches, by pool
 	admission      *shed.Controller
+	evacuated      map[string]bool // pools that have no backend server in the shard because of evacuations
 }
 
 // queuedJob is a queued job with the function that returns its results.
@@ -75,7 +76,7 @@
 }
 
 func newPieceBatcher(g *Gateway, shard string) *pieceBatcher {
-	return &pieceBatcher{g: g, shard: shard, pools: map[string]*batch.Pool{}, jobs: map[string]*queuedJob{}, toFree: map[string][]string{}, dispatchTimers: map[string]*time.Timer{}, admission: shed.New()}
+	return &pieceBatcher{g: g, shard: shard, pools: map[string]*batch.Pool{}, jobs: map[string]*queuedJob{}, toFree: map[string][]string{}, dispatchTimers: map[string]*time.Timer{}, admission: shed.New(), evacuated: map[string]bool{}}
 }
 
 // pool returns the named pool, or nil if the configuration in force has no such
@@ -174,6 +175,7 @@
 		servers = slices.DeleteFunc(usable, func(a tanagerroad.Announcement) bool { return !p.HasServer(a.ID) })
 	}
 	p.SetServers(at, servers)
+	b.evacuated[name] = len(servers) == 0 && (b.g.evacuations.heldBack || b.g.evacuations.reduced[name])
 	for _, l := range limits {
 		p.SetLimit(at, l.ID, l.StartMillis, l.PerSecond)
 	}
@@ -339,6 +341,7 @@
 func (b *pieceBatcher) dispatch(name string, p *batch.Pool) {
 	now := b.g.now()
 	b.deliverResults(name, p, p.Expire(now))
+	b.refuseQueued(name, p)
 	for {
 		call, ok := p.Next(now)
 		if !ok {
--- a/io/gateway/evacuations.go
+++ b/io/gateway/evacuations.go
@@ -6,6 +6,7 @@
 	"go.uber.org/zap"
 
 	"tanagerroad"
+	"tanagerroad/core/batch"
 	"tanagerroad/core/evacuation"
 	"tanagerroad/core/event"
 	"tanagerroad/core/wire"
@@ -24,6 +25,7 @@
 	updatedAt  time.Duration                       // when the first came
 	heldBack   bool                                // no backend server is used, since the evacuations are not known
 	excluded   map[string]tanagerroad.Announcement // backend servers of evacuated zones, by address
+	reduced    map[string]bool                     // pools that have usable backend servers in evacuated zones
 	emptyPools map[string]bool                     // pools whose usable backend servers are all in evacuated zones
 }
 
@@ -72,7 +74,7 @@
 // the others. g.mu must be held.
 func (g *Gateway) withoutEvacuated(now time.Duration, usable []tanagerroad.Announcement) []tanagerroad.Announcement {
 	e := &g.evacuations
-	e.excluded, e.emptyPools = map[string]tanagerroad.Announcement{}, map[string]bool{}
+	e.excluded, e.reduced, e.emptyPools = map[string]tanagerroad.Announcement{}, map[string]bool{}, map[string]bool{}
 	if e.heldBack = !e.settled(now); e.heldBack {
 		return nil
 	}
@@ -80,7 +82,7 @@
 	for _, a := range usable {
 		if e.view.Active(a.Zone) {
 			e.excluded[a.Address] = a
-			e.emptyPools[a.Pool] = true
+			e.reduced[a.Pool], e.emptyPools[a.Pool] = true, true
 		} else {
 			out = append(out, a)
 		}
@@ -159,6 +161,24 @@
 	}
 }
 
+// reasonShardEvacuated is the reason of a refusal by an owner that has no backend servers in a
+// shard because of evacuations. The pool may have some in other shards.
+const reasonShardEvacuated = "the backend servers of its shard are evacuated"
+
+// refuseQueued refuses the jobs that have queued pieces, if the pool has no backend server in
+// this shard because of evacuations: they would wait for their deadlines. b.mu must be held.
+func (b *pieceBatcher) refuseQueued(pool string, p *batch.Pool) {
+	if !b.evacuated[pool] {
+		return
+	}
+	for _, job := range p.QueuedJobs() {
+		if queued := b.jobs[job.ID]; queued != nil {
+			b.remove(job.ID)
+			queued.deliver(&wire.PieceResult{Number: queued.number, Refused: reasonShardEvacuated, RetryMillis: refusalRetryDelay.Milliseconds()})
+		}
+	}
+}
+
 func newEvacuatedResult(job uint64) *wire.PieceResult {
 	return &wire.PieceResult{Number: job, Refused: reasonEvacuated, RetryMillis: refusalRetryDelay.Milliseconds()}
 }
--- a/io/gateway/evacuations_test.go
+++ b/io/gateway/evacuations_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"net/http"
 	"testing"
 	"time"
@@ -189,3 +190,91 @@
 		t.Errorf("results are freed in the evacuated zone: %v", p.freed)
 	}
 }
+
+// TestQueueOfEvacuatedShard guards against jobs that stay queued until their deadline at the
+// owner of a shard all of whose backend servers are evacuated, while the pool has others.
+func TestQueueOfEvacuatedShard(t *testing.T) {
+	var all, near []*backend
+	var calls []*pieceServer
+	for i := range 4 {
+		p := newPieceServerOf(t, fmt.Sprint("prep", i))
+		all, calls = append(all, p.backend, p.second), append(calls, p)
+		if i < 2 {
+			near = append(near, p.backend, p.second)
+		}
+	}
+	hold := make(chan struct{})
+	for _, p := range calls[:2] {
+		p.status = func(int64) int { <-hold; return http.StatusServiceUnavailable }
+	}
+	g, _ := newTestGateway(t, all...)
+	moveTo(g, "far", all[4:]...)
+	results := make(chan *wire.PieceResult, 30)
+	submit := func(number uint64) {
+		g.batcher("z").submit("a", &wire.PieceJob{
+			Number: number, Request: fmt.Sprint(number), Pool: "prep", Shard: "z", LeftMillis: 5000, SlackMillis: 5000, Pieces: []uint32{0, 1, 2, 3},
+		}, func(r *wire.PieceResult) { results <- r })
+	}
+	for n := range uint64(len(near) + 2) { // a call to each server, and two jobs that wait
+		submit(n)
+	}
+	if !eventually(func() bool { return calls[0].calls.Load()+calls[1].calls.Load() == int64(len(near)) }) {
+		t.Fatalf("%d calls", calls[0].calls.Load()+calls[1].calls.Load())
+	}
+	expect := func(what string, n int) {
+		t.Helper()
+		for range n {
+			select {
+			case r := <-results:
+				if r.GetRefused() != reasonShardEvacuated {
+					t.Errorf("%s: got %v, want a refusal with which it is made elsewhere", what, r)
+				}
+			case <-time.After(500 * time.Millisecond):
+				t.Errorf("%s: a job waits", what)
+			}
+		}
+	}
+	evacuate(g, 2, "z")
+	expect("queued jobs", 2)
+	submit(100)
+	expect("a new job", 1)
+	close(hold) // the servers have not run the pieces
+	expect("jobs that were not run", len(near))
+}
+
+// TestJobsMoveOutOfEvacuatedShard guards against requests that fail, or wait, since the shard
+// that makes their pieces is evacuated while the pool has backend servers elsewhere.
+func TestJobsMoveOutOfEvacuatedShard(t *testing.T) {
+	var all []*backend
+	var calls []*pieceServer
+	for i := range 4 {
+		p := newPieceServerOf(t, fmt.Sprint("prep", i))
+		all, calls = append(all, p.backend, p.second), append(calls, p)
+	}
+	servers, _ := newScripted(t, 1, good)
+	g, address := newTestGateway(t, append(all, servers...)...)
+	moveTo(g, "far", all[4:]...)
+	hold := make(chan struct{})
+	for _, p := range calls[:2] {
+		p.status = func(int64) int { <-hold; return http.StatusServiceUnavailable }
+	}
+	const requests = 6
+	statuses := make(chan int, requests)
+	for n := range requests {
+		go func() {
+			status, _, _ := call(t, address, "/chain/", fmt.Sprint(n), headerPieces, "4,0")
+			statuses <- status
+		}()
+	}
+	if !eventually(func() bool { return calls[0].calls.Load()+calls[1].calls.Load() > 0 }) {
+		t.Fatal("no call in the zone")
+	}
+	evacuate(g, 2, "z")
+	moveTo(g, "far", servers...)
+	close(hold)
+	for range requests {
+		if status := <-statuses; status != http.StatusOK {
+			t.Errorf("status %d, want 200", status)
+		}
+	}
+}
--- a/io/gateway/stages.go
+++ b/io/gateway/stages.go
@@ -232,10 +232,11 @@
 	if reason := result.GetRefused(); reason != "" {
 		delete(s.jobs, result.GetNumber())
 		s.logEnd(job, reason)
-		if reason == reasonOwnerLost {
+		lost := reason == reasonOwnerLost || reason == reasonShardEvacuated && s.place(job.Job) != job.shard
+		if lost {
 			s.admitted = len(job.Inputs) > 0 // the next owner decides anew, unless results of earlier stages exist
 		}
-		if reason == reasonOwnerLost && s.ownerLosses < maxOwnerLosses && x.deadline > x.g.now() {
+		if lost && s.ownerLosses < maxOwnerLosses && x.deadline > x.g.now() {
 			s.ownerLosses++
 			s.submit(job.Job)
 			return true
