core/fleet, core/region: turns at cold servers are kept for the regions of the request that waits

A turn that a request waited for was kept in its whole pool. While requests bound to one region waited, others found no turn at idle cold servers of another region, and were told to wait behind turns there that they had no part in. Most were refused, since they could not wait that long. With requests always waiting in one region, the rate of cold servers in the others went unused. Each of these came from two parts that were written apart.

A promise now names the regions of its request, and only turns at servers there are kept. A request redeems a promise of its own regions only.

TestPromisesOfOtherRegions was red: a request in the south waited 3 s for turns in the north, and neither it nor one for all regions found a turn. The tests of core/fleet pass as before.

--- a/core/fleet/cold.go
+++ b/core/fleet/cold.go
@@ -68,9 +68,9 @@
 	version   uint64                   // of gateways
 	bornAt    time.Duration
 	born      bool
-	keptAt    time.Duration              // of the latest housekeeping; 0: none
-	cautious  time.Duration              // end of the caution after a freeze
-	promises  map[string][]time.Duration // times that requests wait for, by pool
+	keptAt    time.Duration        // of the latest housekeeping; 0: none
+	cautious  time.Duration        // end of the caution after a freeze
+	promises  map[string][]promise // turns that requests wait for, by pool
 	divisions map[divisionKey]cold.Division
 }
 
@@ -84,7 +84,7 @@
 func newColdState() coldState {
 	return coldState{
 		pools: map[string]coldPool{}, servers: map[string]*coldServer{}, zones: map[string]time.Duration{},
-		poolSeen: map[string]time.Duration{}, lost: map[string]time.Duration{}, promises: map[string][]time.Duration{}, divisions: map[divisionKey]cold.Division{}, version: 1,
+		poolSeen: map[string]time.Duration{}, lost: map[string]time.Duration{}, promises: map[string][]promise{}, divisions: map[divisionKey]cold.Division{}, version: 1,
 	}
 }
 
@@ -408,27 +408,49 @@
 	return false
 }
 
-// Promise keeps a turn of a pool's cold backend servers for a request that waits until the
-// given time, so that requests that arrive later don't take it.
-func (f *Fleet) Promise(pool string, until time.Duration) {
-	f.cold.promises[pool] = append(f.cold.promises[pool], until)
+// promise is a turn that is kept for a request.
+type promise struct {
+	until   time.Duration
+	regions region.Set // in which the request may be served
 }
 
-// promised returns the number of requests that turns of a pool are kept for.
-func (f *Fleet) promised(at time.Duration, pool string) int {
-	kept := slices.DeleteFunc(f.cold.promises[pool], func(until time.Duration) bool { return at > until+promiseGrace })
+// Promise keeps a turn of a pool's cold backend servers in the allowed regions for a request
+// that waits until the given time, so that requests that arrive later don't take it.
+func (f *Fleet) Promise(pool string, until time.Duration, regions region.Set) {
+	f.cold.promises[pool] = append(f.cold.promises[pool], promise{until, regions})
+}
+
+// keptPromises returns the turns of a pool that are kept for requests.
+func (f *Fleet) keptPromises(at time.Duration, pool string) []promise {
+	kept := slices.DeleteFunc(f.cold.promises[pool], func(p promise) bool { return at > p.until+promiseGrace })
 	if len(kept) == 0 {
 		delete(f.cold.promises, pool)
 	} else {
 		f.cold.promises[pool] = kept
 	}
-	return len(kept)
+	return kept
+}
+
+// isPromised reports whether one of the kept turns may be at a backend server in a zone.
+func (f *Fleet) isPromised(kept []promise, zone string) bool {
+	for i := range kept {
+		if f.allowed(kept[i].regions, zone) {
+			return true
+		}
+	}
+	return false
 }
 
-// redeem ends the oldest promise of a pool, whose request is placed now or waits again.
-func (f *Fleet) redeem(pool string) {
-	if kept := f.cold.promises[pool]; len(kept) > 0 {
-		oldest := slices.Index(kept, slices.Min(kept))
+// redeem ends the oldest promise for the regions of a request, which is placed now or waits
+// again.
+func (f *Fleet) redeem(pool string, regions region.Set) {
+	kept, oldest := f.cold.promises[pool], -1
+	for i, p := range kept {
+		if p.regions.Equal(regions) && (oldest < 0 || p.until < kept[oldest].until) {
+			oldest = i
+		}
+	}
+	if oldest >= 0 {
 		f.cold.promises[pool] = slices.Delete(kept, oldest, oldest+1)
 	}
 }
@@ -442,32 +464,34 @@
 	})
 }
 
-// turnAfter returns when the turn after those that are promised comes, of a pool all of
-// whose backend servers are unavailable or cold. queued is the number of promises.
-func (f *Fleet) turnAfter(at time.Duration, pool string, queued int, regions region.Set) time.Duration {
-	type sequence struct{ next, spacing time.Duration }
+// turnAfter returns when the turn in the allowed regions after those that are promised comes,
+// of a pool all of whose allowed backend servers are unavailable or cold.
+func (f *Fleet) turnAfter(at time.Duration, pool string, kept []promise, regions region.Set) time.Duration {
+	type sequence struct {
+		next, spacing time.Duration
+		zone          string
+	}
 	var turns []sequence
 	for _, s := range f.pools[pool] {
-		if !f.allowed(regions, s.Zone) {
-			continue
-		}
 		next, spacing := max(at, f.unavailableUntil(at, s.Announcement)), time.Duration(0)
 		if c, p := f.paced(at, s.Announcement); c != nil && next < c.until {
 			spacing = f.division(at, p).Spacing
 		}
-		turns = append(turns, sequence{next, spacing})
+		turns = append(turns, sequence{next, spacing, s.Zone})
 	}
-	for {
-		first := 0
+	first := func(regions region.Set) int {
+		first := -1
 		for i, s := range turns {
-			if s.next < turns[first].next {
+			if f.allowed(regions, s.zone) && (first < 0 || s.next < turns[first].next) {
 				first = i
 			}
 		}
-		if queued == 0 || turns[first].spacing == 0 { // with no spacing it takes any number
-			return turns[first].next
+		return first
+	}
+	for _, p := range kept {
+		if i := first(p.regions); i >= 0 {
+			turns[i].next += turns[i].spacing // 0: it takes any number
 		}
-		turns[first].next += turns[first].spacing
-		queued--
 	}
+	return turns[first(regions)].next
 }
--- a/core/fleet/cold_test.go
+++ b/core/fleet/cold_test.go
@@ -75,7 +75,7 @@
 	choice, ok := g.Pick(s.now, fleet.Request{Pool: "p", From: tanagerroad.Place{Zone: "z2", Region: "north"}, TieBreak: s.random.Uint64(), Promised: promised})
 	if !ok {
 		if until := g.PoolPausedUntil(s.now, "p", region.Set{}); until > 0 && until < arrived+coldPatience {
-			g.Promise("p", until)
+			g.Promise("p", until, region.Set{})
 			s.after(max(0, until-s.now-coldTick), i, func() { s.request(i, arrived, true) })
 		}
 		return
@@ -320,7 +320,7 @@
 			t.Errorf("%s: at %v: a request waits %v, want %d ms", what, at, got, *s.WaitMs)
 		}
 		if until > at {
-			f.Promise("p", until)
+			f.Promise("p", until, region.Set{})
 		}
 	case s.Sent != nil:
 		n := 0
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -225,9 +225,9 @@
 	if len(req.PromptParts) > 0 {
 		home = f.homeServer(at, req.Pool, lastSharedPart(req.PromptParts), req.Regions)
 	}
-	queued := f.promised(at, req.Pool) > 0
+	kept := f.keptPromises(at, req.Pool)
 	if req.Promised {
-		f.redeem(req.Pool)
+		f.redeem(req.Pool, req.Regions)
 	}
 	for i := range list {
 		// A random starting point spreads requests over servers of equal cost.
@@ -235,7 +235,7 @@
 		if !f.allowed(req.Regions, s.Zone) || slices.Contains(req.Exclude, s.ID) || f.unavailableUntil(at, s.Announcement) > 0 || req.Software != "" && s.Software != req.Software {
 			continue
 		}
-		if queued && !req.Promised {
+		if !req.Promised && f.isPromised(kept, s.Zone) {
 			if c, _ := f.paced(at, s.Announcement); c != nil {
 				continue // its turns are kept for requests that wait
 			}
@@ -426,7 +426,7 @@
 // otherwise. Turns that Promise keeps for other requests are left out.
 func (f *Fleet) PoolPausedUntil(at time.Duration, pool string, regions region.Set) time.Duration {
 	var first time.Duration
-	allowed, queued := false, f.promised(at, pool)
+	allowed, kept := false, f.keptPromises(at, pool)
 	for _, s := range f.pools[pool] {
 		if !f.allowed(regions, s.Zone) {
 			continue
@@ -434,7 +434,7 @@
 		allowed = true
 		until := f.unavailableUntil(at, s.Announcement)
 		if until == 0 {
-			if c, _ := f.paced(at, s.Announcement); c == nil || queued == 0 {
+			if c, _ := f.paced(at, s.Announcement); c == nil || !f.isPromised(kept, s.Zone) {
 				return 0
 			}
 		}
@@ -442,8 +442,8 @@
 			first = until
 		}
 	}
-	if queued > 0 && allowed {
-		return f.turnAfter(at, pool, queued, regions)
+	if len(kept) > 0 && allowed {
+		return f.turnAfter(at, pool, kept, regions)
 	}
 	return first
 }
--- a/core/fleet/regions_test.go
+++ b/core/fleet/regions_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"tanagerroad"
 	"tanagerroad/core/fleet"
@@ -32,3 +33,48 @@
 		}
 	}
 }
+
+// TestPromisesOfOtherRegions guards against requests that find no turn at an idle cold server,
+// since turns are kept for requests that must not be sent there.
+func TestPromisesOfOtherRegions(t *testing.T) {
+	f := fleet.New(regions)
+	f.SetPools([]tanagerroad.CatalogPool{{Name: "p", ColdTime: time.Minute, ColdPerSecond: 10}})
+	f.SetGateways("g", []string{"g"})
+	f.ExpireCold(0)
+	north, south := region.Intersect([]string{"north"}, nil), region.Intersect([]string{"south"}, nil)
+	f.Update([]tanagerroad.Announcement{
+		{ID: "n", Pool: "p", Address: "n:1", Zone: "z1", StartMillis: 1, Sequence: 1, WarmUp: time.Minute},
+		{ID: "s", Pool: "p", Address: "s:1", Zone: zoneOf("south"), StartMillis: 1, Sequence: 1, WarmUp: time.Minute},
+	})
+	at := 10 * time.Second
+	f.UpdateCold(at, at.Milliseconds())
+	at += time.Second
+	if _, ok := f.Pick(at, fleet.Request{Pool: "p", Regions: north}); !ok {
+		t.Fatal("no turn in the north")
+	}
+	for range 30 {
+		f.Promise("p", f.PoolPausedUntil(at, "p", north), north)
+	}
+	if until := f.PoolPausedUntil(at, "p", south); until > at {
+		t.Errorf("a request in the south waits %v for turns in the north", until-at)
+	}
+	if choice, ok := f.Pick(at, fleet.Request{Pool: "p", Regions: south}); !ok || choice.ID != "s" {
+		t.Error("a request in the south finds no turn")
+	}
+	if wait := f.PoolPausedUntil(at, "p", north) - at; wait < 2*time.Second {
+		t.Errorf("a request in the north waits %v behind 30 others at 10 a second", wait)
+	}
+	at += 200 * time.Millisecond
+	if choice, ok := f.Pick(at, fleet.Request{Pool: "p"}); !ok || choice.ID != "s" {
+		t.Errorf("a request for all regions got %q (%t), want the server with no promised turns", choice.ID, ok)
+	}
+}
+
+func zoneOf(name string) string {
+	for zone, r := range regions {
+		if r == name {
+			return zone
+		}
+	}
+	return ""
+}
--- a/core/region/region.go
+++ b/core/region/region.go
@@ -43,6 +43,11 @@
 	return s.names, s.restricted && len(s.names) == 0
 }
 
+// Equal reports whether two sets come from the same names.
+func (s Set) Equal(other Set) bool {
+	return s.restricted == other.restricted && slices.Equal(s.names, other.names)
+}
+
 // AllowsAll reports whether the set allows every region.
 func (s Set) AllowsAll() bool { return !s.restricted }
 
--- a/io/gateway/cold.go
+++ b/io/gateway/cold.go
@@ -48,7 +48,7 @@
 	action := x.retryState.NextPaused(x.pausedUntil)
 	if action == attempt.Wait {
 		x.promised = true
-		g.fleet.Promise(x.pool, x.pausedUntil)
+		g.fleet.Promise(x.pool, x.pausedUntil, x.regions)
 		g.meters.count("turns.awaited")
 	} else {
 		g.meters.count("turns.refused")
