core/evacuation, io/gateway: the end of an evacuation that a gateway missed marks the zone cold

A gateway that learned of the beginning and the end of an evacuation in one update, such as after a lost link, took the end of an earlier evacuation for the latest one. It did not count the backend servers of the zone as cold, which had had no requests of the other gateways. The time of the change in the update now tells the two ends apart.

TestMissedEvacuationEnds was red: the server was not cold.

--- a/core/evacuation/evacuation.go
+++ b/core/evacuation/evacuation.go
@@ -21,6 +21,7 @@
 	active  bool
 	ended   bool // an evacuation has ended
 	endedAt time.Duration
+	millis  int64 // Unix time of the latest change
 }
 
 // Apply takes over the evacuations of an update, unless they are not newer than those that
@@ -32,13 +33,13 @@
 	next := map[string]zone{}
 	for _, e := range list {
 		before := v.zones[e.GetZone()]
-		z := zone{active: e.GetActive(), ended: before.ended, endedAt: before.endedAt}
+		z := zone{active: e.GetActive(), ended: before.ended, endedAt: before.endedAt, millis: e.GetAtMillis()}
 		switch {
 		case z.active || e.GetAtMillis() == 0: // no evacuation has ended, or another has begun since
 			z.ended = false
 		case before.active: // clocks differ, and the end may have been long ago by the control instance's
 			z.ended, z.endedAt = true, at
-		case !before.ended:
+		case !before.ended || z.millis != before.millis: // it may have begun and ended between two updates
 			z.ended, z.endedAt = true, at-time.Duration(max(0, unixMillis-e.GetAtMillis()))*time.Millisecond
 		}
 		next[e.GetZone()] = z
--- a/io/gateway/evacuations.go
+++ b/io/gateway/evacuations.go
@@ -46,9 +46,12 @@
 	if !e.updated {
 		e.updated, e.updatedAt = true, now
 	}
-	known := map[string]bool{} // zones whose end of evacuation is known already
+	known := map[string]time.Duration{} // ends of evacuations that are known already, by zone; 0: none
 	for _, z := range update.GetEvacuations() {
-		_, known[z.GetZone()] = e.view.EndedAt(z.GetZone())
+		known[z.GetZone()] = 0
+		if at, ended := e.view.EndedAt(z.GetZone()); ended {
+			known[z.GetZone()] = at
+		}
 	}
 	if !e.view.Apply(now, g.config.Clock.Wall().UnixMilli(), update.GetEvacuationChanges(), update.GetEvacuations()) {
 		return false
@@ -60,7 +63,7 @@
 		}
 	}
 	for zone, before := range known {
-		if at, ended := e.view.EndedAt(zone); ended && !before && now-at < recentEnd {
+		if at, ended := e.view.EndedAt(zone); ended && at != before && now-at < recentEnd {
 			g.fleet.MarkCold(now, zone)
 		}
 	}
--- a/io/gateway/evacuations_test.go
+++ b/io/gateway/evacuations_test.go
@@ -278,3 +278,23 @@
 		}
 	}
 }
+
+// TestMissedEvacuationEnds guards against servers that are taken for warm since the gateway
+// learned of the beginning and the end of an evacuation at once, after an earlier one.
+func TestMissedEvacuationEnds(t *testing.T) {
+	servers, _ := newScripted(t, 1, good)
+	g, _ := newTestGateway(t, servers...)
+	g.mu.Lock()
+	g.fleet.SetPools([]tanagerroad.CatalogPool{{Name: "p", ColdTime: time.Minute, ColdPerSecond: 10}})
+	g.mu.Unlock()
+	wall := g.config.Clock.Wall().UnixMilli()
+	for i, c := range []struct {
+		millis int64
+		cold   bool
+	}{{wall - 60_000, false}, {wall - 1000, true}} {
+		g.applyUpdate("127.0.0.1:1", &wire.Update{EvacuationChanges: uint64(3 + 2*i), Evacuations: []*wire.Evacuation{{Zone: "z", Version: uint64(2 + 2*i), AtMillis: c.millis}}})
+		if got := g.isLimited(servers[0].Listener.Addr().String()); got != c.cold {
+			t.Errorf("update %d: cold is %t, want %t", i, got, c.cold)
+		}
+	}
+}
