--- a/core/shed/shed.go
+++ b/core/shed/shed.go
@@ -257,7 +257,7 @@
 		return
 	}
 	if r.pieces -= pieces; r.pieces <= 0 {
-		c.lateness.Add(min(at-r.end, maxError))
+		c.lateness.Add(min(max(0, at-r.end), maxError))
 		delete(c.running, request)
 	}
 }
--- a/io/gateway/evacuations.go
+++ b/io/gateway/evacuations.go
@@ -6,6 +6,7 @@
 	"go.uber.org/zap"
 
 	"tanagerroad"
+	"tanagerroad/core/batch"
 	"tanagerroad/core/evacuation"
 	"tanagerroad/core/event"
 	"tanagerroad/core/wire"
@@ -24,6 +25,7 @@
 	updatedAt  time.Duration                       // when the first came
 	heldBack   bool                                // no backend server is used, since the evacuations are not known
 	excluded   map[string]tanagerroad.Announcement // backend servers of evacuated zones, by address
+	reduced    map[string]bool                     // pools that have usable backend servers in evacuated zones
 	emptyPools map[string]bool                     // pools whose usable backend servers are all in evacuated zones
 }
 
@@ -44,9 +46,12 @@
 	if !e.updated {
 		e.updated, e.updatedAt = true, now
 	}
-	known := map[string]bool{} // zones whose end of evacuation is known already
+	known := map[string]time.Duration{} // ends of evacuations that are known already, by zone; 0: none
 	for _, z := range update.GetEvacuations() {
-		_, known[z.GetZone()] = e.view.EndedAt(z.GetZone())
+		known[z.GetZone()] = 0
+		if at, ended := e.view.EndedAt(z.GetZone()); ended {
+			known[z.GetZone()] = at
+		}
 	}
 	if !e.view.Apply(now, g.config.Clock.Wall().UnixMilli(), update.GetEvacuationChanges(), update.GetEvacuations()) {
 		return false
@@ -58,7 +63,7 @@
 		}
 	}
 	for zone, before := range known {
-		if at, ended := e.view.EndedAt(zone); ended && !before && now-at < recentEnd {
+		if at, ended := e.view.EndedAt(zone); ended && at != before && now-at < recentEnd {
 			g.fleet.MarkCold(now, zone)
 		}
 	}
@@ -72,7 +77,7 @@
 // the others. g.mu must be held.
 func (g *Gateway) withoutEvacuated(now time.Duration, usable []tanagerroad.Announcement) []tanagerroad.Announcement {
 	e := &g.evacuations
-	e.excluded, e.emptyPools = map[string]tanagerroad.Announcement{}, map[string]bool{}
+	e.excluded, e.reduced, e.emptyPools = map[string]tanagerroad.Announcement{}, map[string]bool{}, map[string]bool{}
 	if e.heldBack = !e.settled(now); e.heldBack {
 		return nil
 	}
@@ -80,7 +85,7 @@
 	for _, a := range usable {
 		if e.view.Active(a.Zone) {
 			e.excluded[a.Address] = a
-			e.emptyPools[a.Pool] = true
+			e.reduced[a.Pool], e.emptyPools[a.Pool] = true, true
 		} else {
 			out = append(out, a)
 		}
@@ -99,12 +104,13 @@
 	return g.evacuations.view.Zones(), len(g.evacuations.excluded)
 }
 
-// isEvacuated reports whether the backend server at an address is in an evacuated zone.
+// isEvacuated reports whether the backend server at an address is in an evacuated zone, or
+// may be. It need not be usable: one that leaves still stores results.
 func (g *Gateway) isEvacuated(address string) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	_, ok := g.evacuations.excluded[address]
-	return ok
+	e := &g.evacuations
+	return e.heldBack || e.view.Zones() > 0 && g.roster.HasAddress(address, e.view.Active)
 }
 
 // isPoolEvacuated reports whether all usable backend servers of a pool are in evacuated
@@ -129,8 +135,10 @@
 		return false
 	}
 	pools := []string{x.pool}
-	for _, stage := range x.route.Stages {
-		pools = append(pools, stage.Pool)
+	for i, stage := range x.route.Stages {
+		if x.hasPieces(i) {
+			pools = append(pools, stage.Pool)
+		}
 	}
 	for _, pool := range pools {
 		if empty[pool] {
@@ -156,6 +164,24 @@
 	}
 }
 
+// reasonShardEvacuated is the reason of a refusal by an owner that has no backend servers in a
+// shard because of evacuations. The pool may have some in other shards.
+const reasonShardEvacuated = "the backend servers of its shard are evacuated"
+
+// refuseQueued refuses the jobs that have queued pieces, if the pool has no backend server in
+// this shard because of evacuations: they would wait for their deadlines. b.mu must be held.
+func (b *pieceBatcher) refuseQueued(pool string, p *batch.Pool) {
+	if !b.evacuated[pool] {
+		return
+	}
+	for _, job := range p.QueuedJobs() {
+		if queued := b.jobs[job.ID]; queued != nil {
+			b.remove(job.ID)
+			queued.deliver(&wire.PieceResult{Number: queued.number, Refused: reasonShardEvacuated, RetryMillis: refusalRetryDelay.Milliseconds()})
+		}
+	}
+}
+
 func newEvacuatedResult(job uint64) *wire.PieceResult {
 	return &wire.PieceResult{Number: job, Refused: reasonEvacuated, RetryMillis: refusalRetryDelay.Milliseconds()}
 }
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -156,10 +156,16 @@
 			case <-ctx.Done():
 				return
 			case <-ticker.C:
-				if now := g.now(); now-lastRun > freezeThreshold {
-					g.owners.markDisrupted(now) // other gateways may have chosen another owner
+				frozen := g.now()-lastRun > freezeThreshold
+				if frozen {
+					g.owners.markDisrupted(g.now()) // other gateways may have chosen another owner
 				}
 				g.housekeep()
+				if frozen {
+					g.mu.Lock()
+					g.applyRoster(g.now()) // servers that may have become cold meanwhile are paced
+					g.mu.Unlock()
+				}
 				lastRun = g.now()
 			}
 		}
--- a/io/gateway/watch.go
+++ b/io/gateway/watch.go
@@ -11,6 +11,7 @@
 	"tanagerroad/core/catalog"
 	"tanagerroad/core/event"
 	"tanagerroad/core/fleet"
+	"tanagerroad/core/quantile"
 	"tanagerroad/core/roster"
 	"tanagerroad/core/shard"
 	"tanagerroad/core/wire"
@@ -252,6 +253,9 @@
 	}
 	g.mu.Lock()
 	g.fleet.SetPools(next.Pools)
+	maps.DeleteFunc(g.requestTimes, func(route string, _ *quantile.Estimate) bool {
+		return !slices.ContainsFunc(next.Routes, func(r tanagerroad.CatalogRoute) bool { return r.Name == route })
+	})
 	g.divide(g.now())
 	g.mu.Unlock()
 	event.CatalogInForce.Log(g.config.Logger, zap.Uint64("version", next.Version), zap.String("source", address),
