core/quarantine: a conviction gives way to a cause that explains more

Cause, from a trace: at the sixth crash the part and a sound one had been in the same three outages and the same six crashes. The sound one had more evidence and was convicted, which explained all six; the other started from nothing, and two more sound parts were convicted before it. widest() helps only if the other cause is in more crashes at that moment.

A cause that is not convicted, was in all crashes of an equally narrow convicted one, and is in two more outages that nothing explains is convicted now, and the other conviction is withdrawn. One outage is not enough, since it may have another reason; after three another sound part may be convicted.

--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -150,13 +150,17 @@
 	}
 }
 
-// convictNext convicts the next cause that is to be, or nil if there is none. A request
+// convictNext convicts the next cause that is to be, or nil if there is none. One that
+// explains more than a convicted one comes first. A request
 // that is sent again comes before what different ones share and flows: it may explain the
 // same crashes, and a trial will tell.
 func (l *Ledger) convictNext(atMillis int64) *wire.Conviction {
 	settled := atMillis - l.config.SettleTime.Milliseconds()
 	explained := l.explained()
 	e := l.evaluate(settled, explained)
+	if s, ok := l.withdraw(e); ok {
+		return l.convict(atMillis, s.cause, s.outages, l.config.TrialWait)
+	}
 	if s, ok := e.culprit(e.speaksAgainst); ok {
 		return l.convict(atMillis, s.cause, s.outages, l.config.TrialWait)
 	}
--- a/core/quarantine/quarantine_test.go
+++ b/core/quarantine/quarantine_test.go
@@ -231,6 +231,55 @@
 	}
 }
 
+// TestConvictionTakesCrashesFromTheirCause guards against a sound part of prompts that was in
+// the same crashes as the one that causes them and is convicted first: it explains these
+// crashes, further sound parts are convicted in turn, and the cause goes on.
+func TestConvictionTakesCrashesFromTheirCause(t *testing.T) {
+	config := quarantine.DefaultConfig()
+	ledger := quarantine.New(config)
+	at := int64(0)
+	crash := func(others ...string) {
+		server := fmt.Sprint("s", at)
+		requests := suspects([][]string{{fmt.Sprint("r", at), "bad"}}, false)
+		requests[0].Flowed = true
+		for i, name := range others {
+			requests = append(requests, suspects([][]string{{fmt.Sprint("t", at, i), name}}, true)...)
+		}
+		for _, suspects := range [][]*wire.CrashSuspect{requests, nil} {
+			ledger.Report(at, &wire.CrashReport{Server: server, Start: 1, Suspects: suspects})
+			at += config.SettleTime.Milliseconds()
+			restored := quarantine.New(config)
+			restored.Restore(ledger.Crashes(), ledger.Entries(), ledger.Histories())
+			ledger = restored
+		}
+	}
+	expect := func(when, want string) {
+		t.Helper()
+		var convicted []string
+		for _, c := range ledger.Entries() {
+			if c.GetConvicted() {
+				convicted = append(convicted, c.GetLabel())
+			}
+		}
+		if !slices.Equal(convicted, []string{want}) {
+			t.Errorf("%s: got convictions %v, want one of %s", when, convicted, want)
+		}
+	}
+	for range 3 {
+		crash("sound")
+		at += 300
+	}
+	expect("both parts in three outages", "sound")
+	crash("other")
+	at += 300
+	expect("one more without the first, which may have another reason", "sound")
+	crash("other")
+	expect("two more without the first", "bad")
+	crash("sound")
+	at += 300
+	expect("requests with the first part are in flight again", "bad")
+}
+
 // TestLateReportsAreOneOutage guards against crashes at different times that count as one
 // since they were reported together.
 func TestLateReportsAreOneOutage(t *testing.T) {
