core/quarantine: a part of all prompts is not convicted for a narrower one

A narrower part that was in as many outages and crashes as the culprit, over three different requests, is convicted in its place.

TestPartOfAllPromptsIsConvictedForOne was red before.

--- a/core/quarantine/evidence.go
+++ b/core/quarantine/evidence.go
@@ -337,8 +337,9 @@
 }
 
 // widest returns the cause that was in the most crashes, if that is more than the culprit
-// was in, at as many outages and equally narrow. A sound part that many requests have is in
-// many of the crashes of another one; convicted first, it would explain these.
+// was in, at as many outages and equally narrow; a narrower one may be in equally many. A
+// sound part that many requests have is in many of the crashes of another one; convicted
+// first, it would explain these, and a part of all prompts would take all requests with it.
 func (e *evaluation) widest(culprit suspicion) suspicion {
 	best := culprit
 	for fingerprint := range e.ledger.common {
@@ -346,10 +347,15 @@
 			continue
 		}
 		s := e.suspicion(fingerprint)
-		if s.rank != culprit.rank || s.cause.GetExact() || s.requests < e.ledger.config.MinCrashes || s.servers <= culprit.servers {
+		more := s.servers > culprit.servers || s.servers == culprit.servers && s.rank < culprit.rank
+		if s.rank > culprit.rank || s.cause.GetExact() || s.requests < e.ledger.config.MinCrashes || !more {
 			continue
 		}
-		if cmp.Or(cmp.Compare(best.servers, s.servers), cmp.Compare(best.outages, s.outages), cmp.Compare(fingerprint, best.cause.GetFingerprint())) < 0 {
+		s.evidence += e.flowing(fingerprint)
+		if cmp.Or(
+			cmp.Compare(best.servers, s.servers), cmp.Compare(s.rank, best.rank), cmp.Compare(best.outages, s.outages),
+			cmp.Compare(best.evidence, s.evidence), cmp.Compare(fingerprint, best.cause.GetFingerprint()),
+		) < 0 {
 			best = s
 		}
 	}
--- a/core/quarantine/quarantine_test.go
+++ b/core/quarantine/quarantine_test.go
@@ -280,6 +280,34 @@
 	expect("requests with the first part are in flight again", "bad")
 }
 
+// TestPartOfAllPromptsIsConvictedForOne guards against the conviction of a part that all
+// prompts have, whose requests are all refused, for crashes that a narrower part was in too.
+func TestPartOfAllPromptsIsConvictedForOne(t *testing.T) {
+	config := quarantine.DefaultConfig()
+	ledger := quarantine.New(config)
+	var convicted []*wire.Conviction
+	for outage := range int64(3) {
+		for i := range int64(2) {
+			at := 600*outage + i*config.SettleTime.Milliseconds()
+			requests := suspects([][]string{{fmt.Sprint("r", at), "bad", "all"}}, false)
+			for n := range 2 {
+				requests = append(requests, suspects([][]string{{fmt.Sprint("t", at, n), fmt.Sprint("sound", at, n), "all"}}, false)...)
+			}
+			for _, r := range requests {
+				r.Flowed = true
+			}
+			begun := suspects([][]string{{fmt.Sprint("u", at), fmt.Sprint("sound", at), "all"}}, true)
+			for _, suspects := range [][]*wire.CrashSuspect{append(requests, begun...), nil} {
+				convicted = append(convicted, ledger.Report(at, &wire.CrashReport{Server: fmt.Sprint("s", at), Start: 1, Suspects: suspects})...)
+				at += config.SettleTime.Milliseconds()
+			}
+		}
+	}
+	if len(convicted) != 1 || convicted[0].GetLabel() != "bad" {
+		t.Errorf("got convictions %v, want one of the narrower part", convicted)
+	}
+}
+
 // TestLateReportsAreOneOutage guards against crashes at different times that count as one
 // since they were reported together.
 func TestLateReportsAreOneOutage(t *testing.T) {
