--- a/core/settings/settings.go
+++ b/core/settings/settings.go
@@ -283,6 +283,7 @@
 		GroupCommit:       true,
 		Registrar:         HTTPListener{MaxBody: 4 * mib, MaxHeader: 16 * kib, HeaderTimeout: duration(5 * time.Second), MaxInFlight: 256},
 		Bootstrap:         true,
+		Zones:             []ZoneRegion{},
 		MemoryLimit:       256 * mib,
 	}
 }
