core/fair: rounding is no excess of a share

Traced: between two decisions the sums decay by steps of their own, which left a workspace exactly at its share with an excess of some 1e-16; it was counted, and yielded a few nanoseconds.

--- a/core/fair/fair.go
+++ b/core/fair/fair.go
@@ -15,6 +15,8 @@
 )
 
 const (
+	// rounding is an excess that the decay in steps may leave of none.
+	rounding = 1e-6
 	// decayTime is the time in which the sums decay to 1/e. Bursts last for several seconds;
 	// sums over much less would be too noisy at a few requests a second.
 	decayTime = 4 * time.Second
@@ -93,7 +95,10 @@
 	if level <= 0 { // nothing was admitted
 		return 0
 	}
-	return max(0, a.admitted/level-1)
+	if over := a.admitted/level - 1; over > rounding {
+		return over
+	}
+	return 0
 }
 
 // Starved reports whether a workspace was admitted less than half of its fair share.
