io/httpserver: the test of dropped bodies sends them one after the other

The test takes the body that was sent first for the one that stopped first; on a busy machine the second one, sent at the same moment, can be there before, and is dropped in its place, as it should be.

--- a/io/httpserver/httpserver_test.go
+++ b/io/httpserver/httpserver_test.go
@@ -185,6 +185,7 @@
 	address := start(t)
 	text := post("/", maxBody) + strings.Repeat("x", maxBody-1)
 	_, first := dial(t, address, strings.NewReader(text))
+	time.Sleep(300 * time.Millisecond) // on a busy machine the second body could arrive before the first
 	_, _ = dial(t, address, strings.NewReader(text))
 	time.Sleep(1200 * time.Millisecond) // longer than the stall time of large requests
 	res, err := http.Post("http://"+address+"/", "", strings.NewReader(strings.Repeat("x", maxBody)))
