--- /dev/null
+++ b/review/lib.sh
@@ -0,0 +1,41 @@
+# Functions of the scripts run.sh. A script sets here to its folder and sources this file.
+# The program and the stand-in are built by the deploy file and by review/build.sh.
+
+root=$(cd "$here/../.." && pwd)
+work=$(mktemp -d)
+pids=""
+trouble=${TROUBLE:-1}
+
+# finish ends the processes that this script started.
+finish() {
+  for pid in $pids; do kill -CONT "$pid" 2>/dev/null; kill -KILL "$pid" 2>/dev/null; done
+  wait 2>/dev/null
+  rm -rf "$work"
+}
+trap finish EXIT
+trap 'exit 2' INT TERM
+
+# start_cluster CONTROLS GATEWAYS starts the processes with the commands of the deploy file.
+start_cluster() {
+  cd "$root" || exit 2
+  [ -x target/tanagerroad ] && [ -x target/review-stand ] || { echo "build first: the deploy file's build, then review/build.sh" >&2; exit 2; }
+  target/review-stand settings "$work" "$1" "$2" || exit 2
+  for role in control gateway; do
+    for file in "$work"/$role-*.json; do
+      name=$(basename "$file" .json)
+      target/tanagerroad $role "$file" >"$work/$name.log" 2>&1 &
+      echo $! >"$work/$name.pid"
+      pids="$pids $!"
+    done
+  done
+}
+
+# play CASE runs the stand-ins and clients of a case; its status is the script's.
+play() {
+  target/review-stand play "$1" "$work" "$here/record.txt" "$trouble" &
+  stand=$!
+  pids="$pids $stand"
+  wait "$stand"
+  status=$?
+  case $status in 0 | 1 | 2) ;; *) status=2 ;; esac
+}
