--- a/review/lib.sh
+++ b/review/lib.sh
@@ -20,21 +20,43 @@
   cd "$root" || exit 2
   [ -x target/tanagerroad ] && [ -x target/review-stand ] || { echo "build first: the deploy file's build, then review/build.sh" >&2; exit 2; }
   target/review-stand settings "$work" "$1" "$2" || exit 2
+  start_processes
+}
+
+# start_processes starts all processes.
+start_processes() {
   for role in control gateway; do
     for file in "$work"/$role-*.json; do
       name=$(basename "$file" .json)
-      target/tanagerroad $role "$file" >"$work/$name.log" 2>&1 &
+      target/tanagerroad $role "$file" >>"$work/$name.log" 2>&1 &
       echo $! >"$work/$name.pid"
       pids="$pids $!"
     done
   done
 }
 
+# kill_and_start kills all processes at once, and starts them again after half a second, no
+# longer for the first time.
+kill_and_start() {
+  kill -KILL $(cat "$work"/*.pid)
+  sed -i 's/"bootstrap": true/"bootstrap": false/' "$work"/control-*.json
+  sleep 0.5
+  start_processes
+  : >"$work/started"
+}
+
 # play CASE runs the stand-ins and clients of a case; its status is the script's.
 play() {
   target/review-stand play "$1" "$work" "$here/record.txt" "$trouble" &
   stand=$!
   pids="$pids $stand"
+  while kill -0 "$stand" 2>/dev/null; do
+    if [ -e "$work/kill" ]; then
+      rm "$work/kill"
+      kill_and_start
+    fi
+    sleep 0.05
+  done
   wait "$stand"
   status=$?
   case $status in 0 | 1 | 2) ;; *) status=2 ;; esac
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -21,6 +21,7 @@
 	"odd-heartbeat":   playOddHeartbeat,
 	"repeated-answer": playRepeatedAnswer,
 	"new-version":     playNewVersion,
+	"gone-runner":     playGoneRunner,
 }
 
 func main() {
--- a/review/stand/runner.go
+++ b/review/stand/runner.go
@@ -38,6 +38,7 @@
 	listener net.Listener
 	conns    map[net.Conn]bool
 	down     chan struct{} // closed when this start ends
+	silent   bool          // it sends no heartbeats any more
 }
 
 // newRunner starts a runner, whose first heartbeat is sent at once.
@@ -100,6 +101,13 @@
 	r.s.logf("runner %s (%s, %s) crashes", r.id, r.service, r.version)
 }
 
+// stopBeats ends the heartbeats of a runner that leaves.
+func (r *runner) stopBeats() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.silent = true
+}
+
 // beat sends heartbeats, each to a node that it picks, and to the next one if that doesn't
 // acknowledge it within a second.
 func (r *runner) beat(first time.Duration, down chan struct{}) {
@@ -114,6 +122,10 @@
 		}
 		wait = heartbeatInterval
 		r.mu.Lock()
+		if r.silent {
+			r.mu.Unlock()
+			return
+		}
 		r.seq++
 		body, _ := json.Marshal(map[string]any{ // plain values
 			"service": r.service, "address": r.address, "zone": r.zone, "version": r.version, "slots": r.slots, "state": "ready",
--- a/review/stand/stage.go
+++ b/review/stand/stage.go
@@ -18,6 +18,7 @@
 // stage is what a case plays on: a deployment, and the record of what is seen.
 type stage struct {
 	deployment
+	dir     string
 	trouble bool
 	began   time.Time
 	ctx     context.Context
@@ -38,7 +39,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &stage{trouble: trouble, began: time.Now(), record: record, broken: map[string]int{}}
+	s := &stage{dir: dir, trouble: trouble, began: time.Now(), record: record, broken: map[string]int{}}
 	s.ctx, s.end = context.WithCancel(context.Background())
 	// Connections are not reused, so that nothing is sent twice by the client library.
 	s.http = &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}}
--- a/review/stand/versions.go
+++ b/review/stand/versions.go
@@ -79,18 +79,18 @@
 	s.sleep(3 * time.Second)
 	var clients sync.WaitGroup
 	answered := &counter{}
-	const streams = 120
+	const streams = 240
 	for i := range streams {
 		clients.Go(func() { answered.add(s.readStream(i)) })
-		s.sleep(50 * time.Millisecond)
-		if i == 80 && s.trouble {
+		s.sleep(25 * time.Millisecond)
+		if i == 160 && s.trouble {
 			go func() {
 				old.crash()
 				s.sleep(700 * time.Millisecond)
 				old.mu.Lock()
 				old.version = "v2"
 				old.mu.Unlock()
-				if err := old.start(heartbeatInterval); err != nil {
+				if err := old.start(0); err != nil {
 					s.logf("the runner does not start again: %v", err)
 				}
 			}()
