--- a/review/lib.sh
+++ b/review/lib.sh
@@ -6,10 +6,12 @@
 pids=""
 trouble=${TROUBLE:-1}
 
-# finish ends the processes that this script started.
+# finish ends the processes that this script started. Their logs are kept in the folder that
+# KEEP_LOGS names, if it is set.
 finish() {
   for pid in $pids; do kill -CONT "$pid" 2>/dev/null; kill -KILL "$pid" 2>/dev/null; done
   wait 2>/dev/null
+  [ -z "$KEEP_LOGS" ] || cp "$work"/*.log "$KEEP_LOGS"
   rm -rf "$work"
 }
 trap finish EXIT
@@ -38,13 +40,24 @@
 # kill_and_start kills all processes at once, and starts them again after half a second, no
 # longer for the first time.
 kill_and_start() {
-  kill -KILL $(cat "$work"/*.pid)
+  old=$(cat "$work"/*.pid)
+  kill -KILL $old
+  for pid in $old; do wait "$pid" 2>/dev/null; done
+  pids=$stand
   sed -i 's/"bootstrap": true/"bootstrap": false/' "$work"/control-*.json
   sleep 0.5
   start_processes
   : >"$work/started"
 }
 
+# freeze_machine MACHINE SECONDS freezes the processes of a machine.
+freeze_machine() {
+  frozen="$(cat "$work/control-$1.pid") $(cat "$work/gateway-$1.pid")"
+  kill -STOP $frozen
+  sleep "$2"
+  kill -CONT $frozen
+}
+
 # play CASE runs the stand-ins and clients of a case; its status is the script's.
 play() {
   target/review-stand play "$1" "$work" "$here/record.txt" "$trouble" &
@@ -55,6 +68,11 @@
       rm "$work/kill"
       kill_and_start
     fi
+    if [ -e "$work/freeze" ]; then
+      read -r machine seconds <"$work/freeze"
+      rm "$work/freeze"
+      freeze_machine "$machine" "$seconds"
+    fi
     sleep 0.05
   done
   wait "$stand"
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -22,6 +22,7 @@
 	"repeated-answer": playRepeatedAnswer,
 	"new-version":     playNewVersion,
 	"gone-runner":     playGoneRunner,
+	"release":         playRelease,
 }
 
 func main() {
--- a/review/stand/settings.go
+++ b/review/stand/settings.go
@@ -13,7 +13,8 @@
 	Controls []string // registrar listeners
 	Fronts   []string // caller listeners of the gateways
 	Ready    []string // readiness listeners of the gateways
-	Operator []string // operator listeners of the gateways
+	// ControlOperators are the operator listeners of the control instances.
+	ControlOperators []string
 }
 
 const deploymentFile = "deployment.json"
@@ -93,7 +94,7 @@
 			if err := writeJSON(filepath.Join(dir, fmt.Sprintf("control-%d.json", i)), settings); err != nil {
 				return err
 			}
-			d.Controls = append(d.Controls, at(i, control))
+			d.Controls, d.ControlOperators = append(d.Controls, at(i, control)), append(d.ControlOperators, at(i, controlOperator))
 		}
 		if i < gateways {
 			settings := map[string]any{
@@ -106,7 +107,7 @@
 			if err := writeJSON(filepath.Join(dir, fmt.Sprintf("gateway-%d.json", i)), settings); err != nil {
 				return err
 			}
-			d.Fronts, d.Ready, d.Operator = append(d.Fronts, at(i, front)), append(d.Ready, at(i, ready)), append(d.Operator, at(i, gatewayOperator))
+			d.Fronts, d.Ready = append(d.Fronts, at(i, front)), append(d.Ready, at(i, ready))
 		}
 	}
 	return writeJSON(filepath.Join(dir, deploymentFile), d)
--- a/review/stand/stage.go
+++ b/review/stand/stage.go
@@ -30,6 +30,9 @@
 	broken map[string]int // what broke a rule, with how often
 }
 
+// maxLength bounds a case, which has 120 s.
+const maxLength = 116 * time.Second
+
 func newStage(dir, recordPath string, trouble bool) (*stage, error) {
 	data, err := os.ReadFile(filepath.Join(dir, deploymentFile))
 	if err != nil {
@@ -41,6 +44,10 @@
 	}
 	s := &stage{dir: dir, trouble: trouble, began: time.Now(), record: record, broken: map[string]int{}}
 	s.ctx, s.end = context.WithCancel(context.Background())
+	time.AfterFunc(maxLength, func() {
+		s.logf("NOT RUN in time")
+		os.Exit(exitNotRun)
+	})
 	// Connections are not reused, so that nothing is sent twice by the client library.
 	s.http = &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}}
 	return s, json.Unmarshal(data, &s.deployment)
--- a/review/stand/versions.go
+++ b/review/stand/versions.go
@@ -20,9 +20,15 @@
 	maxTries = 6
 )
 
-// runStream answers with a stream of events, each with the software version that wrote it,
-// behind the one that the request names.
-func runStream(r *runner, conn net.Conn, request *http.Request, _ []byte) []byte {
+// runStream answers with a stream of so many events, each with the software version that
+// wrote it, behind the one that the request names.
+func runStream(events int) func(*runner, net.Conn, *http.Request, []byte) []byte {
+	return func(r *runner, conn net.Conn, request *http.Request, _ []byte) []byte {
+		return r.stream(conn, request, events)
+	}
+}
+
+func (r *runner) stream(conn net.Conn, request *http.Request, events int) []byte {
 	if refused := r.refusal(request); refused != nil {
 		return refused
 	}
@@ -39,7 +45,7 @@
 	if _, err := conn.Write([]byte(head)); err != nil {
 		return nil
 	}
-	for ; next <= streamEvents; next++ {
+	for ; next <= events; next++ {
 		time.Sleep(eventInterval)
 		event := fmt.Sprintf("id: %d\ndata: %s\n\n", next, version)
 		if _, err := fmt.Fprintf(conn, "%x\r\n%s\r\n", len(event), event); err != nil {
@@ -65,7 +71,7 @@
 	}}
 	var old *runner
 	for i := range 6 {
-		r := &runner{id: "i-" + newID(), service: "knus-llm", zone: zones[i%3], slots: 32, version: "v2", handle: runStream}
+		r := &runner{id: "i-" + newID(), service: "knus-llm", zone: zones[i%3], slots: 32, version: "v2", handle: runStream(streamEvents)}
 		if i == 0 {
 			r.version, old = "v1", r
 		}
@@ -81,7 +87,7 @@
 	answered := &counter{}
 	const streams = 240
 	for i := range streams {
-		clients.Go(func() { answered.add(s.readStream(i)) })
+		clients.Go(func() { answered.add(s.readStream(i, streamEvents, 12*time.Second)) })
 		s.sleep(25 * time.Millisecond)
 		if i == 160 && s.trouble {
 			go func() {
@@ -106,8 +112,7 @@
 
 // readStream reads a stream as a client does, which takes it up again where it broke off.
 // It returns 1 if the stream was complete, else 0.
-func (s *stage) readStream(number int) int {
-	const deadline = 12 * time.Second
+func (s *stage) readStream(number, events int, deadline time.Duration) int {
 	until := time.Now().Add(deadline)
 	session := newID()
 	last, begunBy := 0, ""
@@ -123,7 +128,7 @@
 			break
 		}
 		id := newID()
-		complete, wait := s.readOnce(s.Fronts[(number+try)%len(s.Fronts)], id, session, left, &last, &begunBy, versions)
+		complete, wait := s.readOnce(s.Fronts[(number+try)%len(s.Fronts)], id, session, left, events, &last, &begunBy, versions)
 		if complete {
 			return 1
 		}
@@ -138,7 +143,7 @@
 
 // readOnce makes one client attempt. It returns whether the stream was complete, and how
 // long to wait before the next attempt, 0 if that wasn't said.
-func (s *stage) readOnce(front, id, session string, left time.Duration, last *int, begunBy *string, versions map[string]int) (complete bool, wait time.Duration) {
+func (s *stage) readOnce(front, id, session string, left time.Duration, events int, last *int, begunBy *string, versions map[string]int) (complete bool, wait time.Duration) {
 	ctx, cancel := context.WithTimeout(s.ctx, left)
 	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+front+"/quote/1", strings.NewReader("a quote for "+session))
@@ -185,5 +190,5 @@
 		}
 	}
 	s.logf("client of %s: the answer ends after event %d, error %v", id, *last, lines.Err())
-	return lines.Err() == nil && *last == streamEvents, 0
+	return lines.Err() == nil && *last == events, 0
 }
