--- a/review/stand/gone.go
+++ b/review/stand/gone.go
@@ -24,10 +24,10 @@
 // which is acknowledged. Then all processes of the core are killed and start again.
 func playGoneRunner(s *stage) int {
 	routes := []map[string]any{
-		{"name": "r-book", "host": "desk.example", "pathPrefix": "/book/", "kind": "non_idempotent", "timeoutMs": 2000, "sloMs": 200, "priority": 1, "service": "hire-desk", "maxAttempts": 1, "public": false, "sticky": false, "resumable": false},
+		{"name": "r-book", "host": "desk.example", keyPrefix: "/book/", "kind": "non_idempotent", keyTimeout: 2000, keyObjective: 200, "priority": 1, "service": "hire-desk", keyAttempts: 1, "public": false, "sticky": false, "resumable": false},
 	}
 	services := []map[string]any{
-		{"name": "hire-desk", "healthPath": "/healthz", "maxConns": 56, "protocol": "h1", "tls": false},
+		{"name": "hire-desk", keyHealth: "/healthz", keyConns: 56, "protocol": "h1", "tls": false},
 	}
 	var mu sync.Mutex
 	var notBefore time.Time // of requests that break the rule
@@ -36,7 +36,7 @@
 		mu.Lock()
 		defer mu.Unlock()
 		if r == all[0] && !notBefore.IsZero() && time.Now().After(notBefore) {
-			s.breaks(afterGone, "runner %s runs %s", r.id, request.Header.Get("X-Attempt-Id"))
+			s.breaks(afterGone, "runner %s runs %s", r.id, request.Header.Get(headerAttempt))
 		}
 	}
 	for i := range 3 {
@@ -57,7 +57,7 @@
 		gone.seq++
 		late, _ := json.Marshal(map[string]any{ // plain values
 			"service": gone.service, "address": gone.address, "zone": gone.zone, "version": gone.version, "slots": gone.slots, "state": "ready",
-			"coldLeftMs": 0, "seq": gone.seq, "born": gone.born,
+			keyColdLeft: 0, "seq": gone.seq, "born": gone.born,
 		})
 		gone.seq++
 		last, _ := json.Marshal(map[string]any{"seq": gone.seq, "born": gone.born}) // plain values
@@ -67,13 +67,13 @@
 		if s.trouble {
 			go func() {
 				s.sleep(lateness)
-				status := s.post(s.Controls[1], "/tanagerroad/Instances.Heartbeat/"+gone.id, late, time.Second)
+				status := s.post(s.Controls[1], pathHeartbeat+gone.id, late, time.Second)
 				s.logf("heartbeat %d of runner %s arrives, %v late; status %d", seq-1, gone.id, lateness, status)
 			}()
 		} else {
-			s.post(s.Controls[1], "/tanagerroad/Instances.Heartbeat/"+gone.id, late, time.Second)
+			s.post(s.Controls[1], pathHeartbeat+gone.id, late, time.Second)
 		}
-		status := s.post(s.Controls[0], "/tanagerroad/Instances.Deregister/"+gone.id, last, time.Second)
+		status := s.post(s.Controls[0], pathDeregister+gone.id, last, time.Second)
 		acknowledged := time.Now()
 		s.logf("runner %s says that it is gone; status %d", gone.id, status)
 		mu.Lock()
--- a/review/stand/odd.go
+++ b/review/stand/odd.go
@@ -15,12 +15,12 @@
 func playOddHeartbeat(s *stage) int {
 	const foreignRun = "ROUTE run by a service to which no configuration allows it"
 	routes := []map[string]any{
-		{"name": "r-book", "host": "desk.example", "pathPrefix": "/book/", "kind": "non_idempotent", "timeoutMs": 2000, "sloMs": 200, "priority": 1, "service": "hire-desk", "maxAttempts": 1, "public": false, "sticky": false, "resumable": false},
-		{"name": "r-log", "host": "depot.example", "pathPrefix": "/log/", "kind": "idempotent", "timeoutMs": 2000, "sloMs": 200, "priority": 1, "service": "yard-log", "maxAttempts": 2, "public": false, "sticky": false, "resumable": false},
+		{"name": "r-book", "host": "desk.example", keyPrefix: "/book/", "kind": "non_idempotent", keyTimeout: 2000, keyObjective: 200, "priority": 1, "service": "hire-desk", keyAttempts: 1, "public": false, "sticky": false, "resumable": false},
+		{"name": "r-log", "host": "depot.example", keyPrefix: "/log/", "kind": "idempotent", keyTimeout: 2000, keyObjective: 200, "priority": 1, "service": "yard-log", keyAttempts: 2, "public": false, "sticky": false, "resumable": false},
 	}
 	services := []map[string]any{
-		{"name": "hire-desk", "healthPath": "/healthz", "maxConns": 56, "protocol": "h1", "tls": false},
-		{"name": "yard-log", "healthPath": "/healthz", "maxConns": 56, "protocol": "h1", "tls": false},
+		{"name": "hire-desk", keyHealth: "/healthz", keyConns: 56, "protocol": "h1", "tls": false},
+		{"name": "yard-log", keyHealth: "/healthz", keyConns: 56, "protocol": "h1", "tls": false},
 	}
 	ran := func(r *runner, request *http.Request) {
 		if want := map[string]string{"desk.example": "hire-desk", "depot.example": "yard-log"}[request.Host]; want != r.service {
@@ -48,7 +48,7 @@
 		})
 		go func() {
 			s.sleep(8 * time.Second)
-			status := s.post(s.Controls[0], "/tanagerroad/Instances.Heartbeat/"+victim.id, body, time.Second)
+			status := s.post(s.Controls[0], pathHeartbeat+victim.id, body, time.Second)
 			s.logf("another writer sends a heartbeat of %s: %s; status %d", victim.id, body, status)
 		}()
 	}
@@ -110,6 +110,6 @@
 	defer func() { _ = res.Body.Close() }()
 	var text bytes.Buffer
 	_, err = text.ReadFrom(res.Body)
-	s.logf("client of %s gets %d, seal %q, %q, error %v", id, res.StatusCode, res.Header.Get("X-Response-Seal"), text.String(), err)
+	s.logf("client of %s gets %d, seal %q, %q, error %v", id, res.StatusCode, res.Header.Get(headerSeal), text.String(), err)
 	return res.StatusCode
 }
--- a/review/stand/pieces.go
+++ b/review/stand/pieces.go
@@ -39,7 +39,7 @@
 	var waiting atomic.Int64
 	return func(r *runner, _ net.Conn, request *http.Request, body []byte) []byte {
 		header := map[string]string{"Content-Type": "application/json"}
-		if request.URL.Path == "/tanagerroad/stage-free" {
+		if request.URL.Path == pathFree {
 			var call struct{ Handles []string }
 			if json.Unmarshal(body, &call) != nil {
 				return encodeAnswer(http.StatusBadRequest, header, nil)
@@ -51,9 +51,9 @@
 			}
 			return encodeAnswer(http.StatusOK, nil, nil)
 		}
-		header["X-Server-Load"] = fmt.Sprintf("1,%d,1", waiting.Load())
-		if expected := request.Header.Get("X-Expect-Instance"); expected != "" && expected != r.id {
-			header["X-Not-Run"] = "1"
+		header[headerLoad] = fmt.Sprintf("1,%d,1", waiting.Load())
+		if expected := request.Header.Get(headerExpected); expected != "" && expected != r.id {
+			header[headerNotRun] = "1"
 			return encodeAnswer(http.StatusMisdirectedRequest, header, nil)
 		}
 		var call struct {
@@ -67,7 +67,7 @@
 		}
 		if int(waiting.Add(1)) > 1+t.queue {
 			waiting.Add(-1)
-			header["X-Not-Run"] = "1"
+			header[headerNotRun] = "1"
 			return encodeAnswer(http.StatusServiceUnavailable, header, nil)
 		}
 		slot <- struct{}{}
@@ -98,7 +98,7 @@
 		if refused := r.refusal(request); refused != nil {
 			return refused
 		}
-		id, inputs := request.Header.Get("X-Attempt-Id"), request.Header.Get("X-Inputs")
+		id, inputs := request.Header.Get(headerAttempt), request.Header.Get(headerInputs)
 		k.mu.Lock()
 		var gone bool
 		var foreign []string
@@ -109,9 +109,9 @@
 			}
 		}
 		k.mu.Unlock()
-		header := map[string]string{"X-Attempt-Id": id, "X-Server-Load": fmt.Sprintf("1,0,%d", r.slots)}
+		header := map[string]string{headerAttempt: id, headerLoad: fmt.Sprintf("1,0,%d", r.slots)}
 		if inputs == "" || gone {
-			header["X-Not-Run"] = "1"
+			header[headerNotRun] = "1"
 			return encodeAnswer(map[bool]int{true: http.StatusBadRequest, false: http.StatusConflict}[inputs == ""], header, nil)
 		}
 		r.s.logf("runner %s runs %s with the inputs %s", r.id, id, inputs)
@@ -119,7 +119,7 @@
 			r.s.breaks(foreignInput, "runner %s runs %s, but %s", r.id, id, strings.Join(foreign, ", "))
 		}
 		time.Sleep(work)
-		header["Content-Type"], header["X-Response-Seal"], header["X-Weight-Versions"] = "text/event-stream", "seal."+id, "1"
+		header["Content-Type"], header[headerSeal], header[headerWeights] = "text/event-stream", "seal."+id, "1"
 		return encodeAnswer(http.StatusOK, header, []byte("id: 1\ndata: of "+id+"\n\nid: 2\ndata: end\n\n"))
 	}
 }
@@ -137,18 +137,18 @@
 func playRepeatedAnswer(s *stage) int {
 	const runners = 48
 	routes := []map[string]any{{
-		"name": "r-brief", "host": "brief.example", "pathPrefix": "/brief/", "kind": "streaming", "timeoutMs": 20000, "sloMs": 6000, "gapSloMs": 400, "priority": 1,
-		"service": "knus-llm", "maxAttempts": 1, "public": false, "sticky": true, "resumable": false,
+		"name": "r-brief", "host": "brief.example", keyPrefix: "/brief/", "kind": "streaming", keyTimeout: 20000, keyObjective: 6000, keyGapObjective: 400, "priority": 1,
+		"service": "knus-llm", keyAttempts: 1, "public": false, "sticky": true, "resumable": false,
 		"stages": []map[string]any{{"service": "plan-render", "after": []int{}, "bytes": 8000}},
 	}}
 	services := []map[string]any{
 		{
-			"name": "knus-llm", "healthPath": "/healthz", "maxConns": 170, "protocol": "h1", "tls": false,
-			"engine": map[string]any{"slots": 32, "kvCapacityTokens": 801857, "kvTokenBytes": 18432, "linkMbps": 180000.0, "models": []map[string]any{{"name": "m"}}},
+			"name": "knus-llm", keyHealth: "/healthz", keyConns: 170, "protocol": "h1", "tls": false,
+			"engine": map[string]any{"slots": 32, keyCapacity: 801857, "kvTokenBytes": 18432, "linkMbps": 180000.0, "models": []map[string]any{{"name": "m"}}},
 		},
 		{
-			"name": "plan-render", "healthPath": "/healthz", "maxConns": 170, "protocol": "h1", "tls": false,
-			"pieces": map[string]any{"slots": 1, "queue": 2, "batch": 1, "callMs": 1500.0, "itemMs": 100.0, "headroomMb": 24.0, "handleS": 4.0, "linkMbps": 10000},
+			"name": "plan-render", keyHealth: "/healthz", keyConns: 170, "protocol": "h1", "tls": false,
+			"pieces": map[string]any{"slots": 1, "queue": 2, "batch": 1, "callMs": 1500.0, "itemMs": 100.0, keyRoom: 24.0, "handleS": 4.0, "linkMbps": 10000},
 		},
 	}
 	k := &results{of: map[string]madeFor{}, kept: map[string]bool{}}
@@ -213,11 +213,11 @@
 	}
 	request.Host = "brief.example"
 	setHeaders(request, id, deadlineMs)
-	request.Header.Set("X-Model", "m")
-	request.Header.Set("X-Token-Counts", "660,42")
-	request.Header.Set("X-Prompt-Prefix", "5c1e07a2:198,"+id[:8]+":462")
-	request.Header.Set("X-Pieces", "1")
-	request.Header.Set("X-Piece-Key", "k-"+id)
+	request.Header.Set(headerModel, "m")
+	request.Header.Set(headerTokens, "660,42")
+	request.Header.Set(headerPrompt, "5c1e07a2:198,"+id[:8]+":462")
+	request.Header.Set(headerPieces, "1")
+	request.Header.Set(headerPieceKey, "k-"+id)
 	s.logf("client sends %s", id)
 	res, err := s.http.Do(request)
 	if err != nil {
--- a/review/stand/release.go
+++ b/review/stand/release.go
@@ -58,12 +58,12 @@
 // version. Machines that lead have frozen some time before, and one does at the end.
 func playRelease(s *stage) int {
 	routes := []map[string]any{{
-		"name": "r-quote", "host": "quote.example", "pathPrefix": "/quote/", "kind": "streaming", "timeoutMs": 20000, "sloMs": 1100, "gapSloMs": 300, "priority": 1,
-		"service": "knus-llm", "maxAttempts": 2, "public": false, "sticky": true, "resumable": true,
+		"name": "r-quote", "host": "quote.example", keyPrefix: "/quote/", "kind": "streaming", keyTimeout: 20000, keyObjective: 1100, keyGapObjective: 300, "priority": 1,
+		"service": "knus-llm", keyAttempts: 2, "public": false, "sticky": true, "resumable": true,
 	}}
 	services := []map[string]any{{
-		"name": "knus-llm", "healthPath": "/healthz", "maxConns": 170, "protocol": "h1", "tls": false,
-		"engine": map[string]any{"slots": 32, "kvCapacityTokens": 801857, "kvTokenBytes": 18432, "linkMbps": 180000.0, "models": []map[string]any{{"name": "m"}}},
+		"name": "knus-llm", keyHealth: "/healthz", keyConns: 170, "protocol": "h1", "tls": false,
+		"engine": map[string]any{"slots": 32, keyCapacity: 801857, "kvTokenBytes": 18432, "linkMbps": 180000.0, "models": []map[string]any{{"name": "m"}}},
 	}}
 	start := func(version string) ([]*runner, error) {
 		var out []*runner
@@ -149,7 +149,7 @@
 	body, _ := json.Marshal(map[string]any{"seq": r.seq, "born": r.born}) // plain values
 	r.mu.Unlock()
 	for i := range len(s.Controls) {
-		status := s.post(s.Controls[i], "/tanagerroad/Instances.Deregister/"+r.id, body, time.Second)
+		status := s.post(s.Controls[i], pathDeregister+r.id, body, time.Second)
 		s.logf("runner %s says that it is gone; status %s", r.id, strconv.Itoa(status))
 		if status/100 == 2 {
 			break
--- a/review/stand/runner.go
+++ b/review/stand/runner.go
@@ -129,14 +129,14 @@
 		r.seq++
 		body, _ := json.Marshal(map[string]any{ // plain values
 			"service": r.service, "address": r.address, "zone": r.zone, "version": r.version, "slots": r.slots, "state": "ready",
-			"coldLeftMs": 0, "seq": r.seq, "born": r.born,
+			keyColdLeft: 0, "seq": r.seq, "born": r.born,
 		})
 		seq, version := r.seq, r.version
 		r.mu.Unlock()
 		node := mathrand.IntN(len(r.s.Controls))
 		for try := range len(r.s.Controls) {
 			address := r.s.Controls[(node+try)%len(r.s.Controls)]
-			if status := r.s.post(address, "/tanagerroad/Instances.Heartbeat/"+r.id, body, time.Second); status/100 == 2 {
+			if status := r.s.post(address, pathHeartbeat+r.id, body, time.Second); status/100 == 2 {
 				if seq <= 2 {
 					r.s.logf("runner %s (%s): heartbeat %d acknowledged by %s", r.id, version, seq, address)
 				}
@@ -201,9 +201,9 @@
 // refusal returns the answer to a request that the runner does not run, or nil if it may
 // run it: another runner is named in it, or it has no id.
 func (r *runner) refusal(request *http.Request) []byte {
-	id := request.Header.Get("X-Attempt-Id")
-	header := map[string]string{"X-Attempt-Id": id, "X-Not-Run": "1"}
-	switch expected := request.Header.Get("X-Expect-Instance"); {
+	id := request.Header.Get(headerAttempt)
+	header := map[string]string{headerAttempt: id, headerNotRun: "1"}
+	switch expected := request.Header.Get(headerExpected); {
 	case id == "":
 		return encodeAnswer(http.StatusBadRequest, header, nil)
 	case expected != "" && expected != r.id:
@@ -219,13 +219,13 @@
 		if refused := r.refusal(request); refused != nil {
 			return refused
 		}
-		id := request.Header.Get("X-Attempt-Id")
+		id := request.Header.Get(headerAttempt)
 		r.s.logf("runner %s (%s) runs %s: %s %s", r.id, r.service, id, request.Method, request.URL.Path)
 		ran(r, request)
 		time.Sleep(work)
 		text := fmt.Sprintf("%s ran %s with %d bytes", r.id, id, len(body))
 		return encodeAnswer(http.StatusOK, map[string]string{
-			"X-Attempt-Id": id, "X-Response-Seal": "seal." + id, "Content-Type": "text/plain", "X-Server-Load": "1,0," + strconv.Itoa(r.slots),
+			headerAttempt: id, headerSeal: "seal." + id, "Content-Type": "text/plain", headerLoad: "1,0," + strconv.Itoa(r.slots),
 		}, []byte(text))
 	}
 }
--- a/review/stand/stage.go
+++ b/review/stand/stage.go
@@ -132,7 +132,7 @@
 		return false
 	}
 	for i := range 100 {
-		if s.post(s.Controls[i%len(s.Controls)], "/tanagerroad/Config.Replace", body, time.Second) == http.StatusOK {
+		if s.post(s.Controls[i%len(s.Controls)], pathConfig, body, time.Second) == http.StatusOK {
 			s.logf("operator: version %v acknowledged", config["version"])
 			return true
 		}
@@ -146,7 +146,7 @@
 	for range 150 {
 		ready := 0
 		for _, address := range s.Ready {
-			request, err := http.NewRequestWithContext(s.ctx, http.MethodGet, "http://"+address+"/tanagerroad/readyz", nil)
+			request, err := http.NewRequestWithContext(s.ctx, http.MethodGet, "http://"+address+pathReady, nil)
 			if err != nil {
 				return false
 			}
@@ -186,6 +186,6 @@
 func newConfig(version int, routes, services []map[string]any) map[string]any {
 	return map[string]any{
 		"version": version, "routes": routes, "services": services, "limits": limits,
-		"tenants": []map[string]any{{"name": tenant, "apiKeys": []string{apiKey}, "priority": 1}},
+		"tenants": []map[string]any{{"name": tenant, keyKeys: []string{apiKey}, "priority": 1}},
 	}
 }
--- a/review/stand/versions.go
+++ b/review/stand/versions.go
@@ -35,13 +35,14 @@
 	r.mu.Lock()
 	version := r.version
 	r.mu.Unlock()
-	id := request.Header.Get("X-Attempt-Id")
+	id := request.Header.Get(headerAttempt)
 	next := 1
 	if last, err := strconv.Atoi(request.Header.Get("Last-Event-Id")); err == nil {
 		next = last + 1
 	}
 	r.s.logf("runner %s (%s) runs %s from event %d", r.id, version, id, next)
-	head := fmt.Sprintf("HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Response-Seal: seal.%s\r\nX-Weight-Versions: 1\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", id, id)
+	head := fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: seal.%s\r\n%s: 1\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
+		headerAttempt, id, headerSeal, id, headerWeights)
 	if _, err := conn.Write([]byte(head)); err != nil {
 		return nil
 	}
@@ -62,12 +63,12 @@
 // crashes and starts again a little later, under its id, with the new version.
 func playNewVersion(s *stage) int {
 	routes := []map[string]any{{
-		"name": "r-quote", "host": "quote.example", "pathPrefix": "/quote/", "kind": "streaming", "timeoutMs": 12000, "sloMs": 1100, "gapSloMs": 300, "priority": 1,
-		"service": "knus-llm", "maxAttempts": 2, "public": false, "sticky": true, "resumable": true,
+		"name": "r-quote", "host": "quote.example", keyPrefix: "/quote/", "kind": "streaming", keyTimeout: 12000, keyObjective: 1100, keyGapObjective: 300, "priority": 1,
+		"service": "knus-llm", keyAttempts: 2, "public": false, "sticky": true, "resumable": true,
 	}}
 	services := []map[string]any{{
-		"name": "knus-llm", "healthPath": "/healthz", "maxConns": 170, "protocol": "h1", "tls": false,
-		"engine": map[string]any{"slots": 32, "kvCapacityTokens": 801857, "kvTokenBytes": 18432, "linkMbps": 180000.0, "models": []map[string]any{{"name": "m"}}},
+		"name": "knus-llm", keyHealth: "/healthz", keyConns: 170, "protocol": "h1", "tls": false,
+		"engine": map[string]any{"slots": 32, keyCapacity: 801857, "kvTokenBytes": 18432, "linkMbps": 180000.0, "models": []map[string]any{{"name": "m"}}},
 	}}
 	var old *runner
 	for i := range 6 {
@@ -152,9 +153,9 @@
 	}
 	request.Host = "quote.example"
 	setHeaders(request, id, int(left.Milliseconds()))
-	request.Header.Set("X-Model", "m")
-	request.Header.Set("X-Token-Counts", "660,42")
-	request.Header.Set("X-Prompt-Prefix", session[:8]+":462")
+	request.Header.Set(headerModel, "m")
+	request.Header.Set(headerTokens, "660,42")
+	request.Header.Set(headerPrompt, session[:8]+":462")
 	if *last > 0 {
 		request.Header.Set("Last-Event-Id", strconv.Itoa(*last))
 		request.Header.Set("Resumes", *begunBy)
