--- a/review/stand/release.go
+++ b/review/stand/release.go
@@ -13,7 +13,8 @@
 
 const (
 	freezeTime = 2 * time.Second // of a machine; run.sh thaws it
-	catchUp    = 4 * time.Second // catchUpS
+	// catchUp is catchUpS, and half a second for run.sh to see what it is asked for.
+	catchUp = 4*time.Second + 500*time.Millisecond
 	// leadersForget is how long ago the other machines have led when the last one is frozen.
 	leadersForget = 61 * time.Second
 	longEvents    = 60
--- a/review/stand/versions.go
+++ b/review/stand/versions.go
@@ -16,8 +16,8 @@
 const (
 	streamEvents  = 24
 	eventInterval = 200 * time.Millisecond
-	// maxTries is how often a client tries, with its first attempt.
-	maxTries = 6
+	// maxTries is how often a client tries, with its first attempt: clients "retry a few times".
+	maxTries = 4
 )
 
 // runStream answers with a stream of so many events, each with the software version that
