core/origin: a leader counts no time from before its election

The base version of the pool had moved on about a second after the last servers of it had left, where a minute is wanted; the log of the case has base-changed right after the election.

Cause: Base keeps the time at which a server of the base version was last seen. Only a leader observes, and the times of an earlier leadership were kept while another instance led, so an instance that leads again after more than a minute took the whole time between for absence.

An instance that does not lead now forgets its watch. The new case in core/origin/testdata/bases.json was red before: 'step 2: the base moves on to "v2", want ""'.

Related paths: evacuations keep no times of their own at the leader, claims and quarantine use the time in the commands, and limits of backend servers are kept by all instances alike.

--- a/core/origin/origin.go
+++ b/core/origin/origin.go
@@ -139,7 +139,8 @@
 	}
 }
 
-// Base watches the backend servers of all pools and decides when a base version has gone.
+// Base watches the backend servers of all pools and decides when a base version has gone. Its
+// owner calls Observe all the time, or Forget while it does not watch.
 type Base struct {
 	absence time.Duration
 	seenAt  map[string]time.Duration // by pool: when a server of the base version was last seen
@@ -151,6 +152,10 @@
 	return &Base{absence: absence, seenAt: map[string]time.Duration{}}
 }
 
+// Forget starts the watch anew: servers may have come and gone since the latest observation,
+// and the streams that began at them have no record.
+func (b *Base) Forget() { clear(b.seenAt) }
+
 // Change is a base version that has gone, and the version that replaces it.
 type Change struct{ Pool, From, To string }
 
--- a/core/origin/origin_test.go
+++ b/core/origin/origin_test.go
@@ -99,6 +99,7 @@
 			AtS     int      `json:"at-s"`
 			Servers []string // software versions of the known servers
 			Down    []string // of those that are down
+			Pause   bool     // nobody watches until the next step
 			To      string   // expected
 		}
 	}
@@ -107,6 +108,10 @@
 		base := origin.NewBase(time.Minute)
 		bases := []*wire.PoolBase{{Pool: "p", Software: "v1"}}
 		for i, s := range script.Steps {
+			if s.Pause {
+				base.Forget()
+				continue
+			}
 			var known []tanagerroad.Announcement
 			for _, software := range s.Servers {
 				known = append(known, tanagerroad.Announcement{Pool: "p", Software: software, State: tanagerroad.Serving})
--- a/io/control/service.go
+++ b/io/control/service.go
@@ -23,6 +23,7 @@
 	"tanagerroad/core/fleet"
 	"tanagerroad/core/origin"
 	"tanagerroad/core/registry"
+	"tanagerroad/core/replica"
 	"tanagerroad/core/roster"
 	"tanagerroad/core/wire"
 	"tanagerroad/io/peer"
@@ -142,11 +143,15 @@
 	}
 }
 
-// moveBases proposes the changes of base versions, if this instance leads. The caller holds
-// s.mu.
+// moveBases proposes the changes of base versions, if this instance leads; only its watch
+// since it was elected counts. The caller holds s.mu.
 func (s *Service) moveBases(now time.Duration) {
 	view := s.quorum.View()
-	if view.Role != "leader" || len(view.Bases) == 0 {
+	if view.Role != replica.Leader {
+		s.base.Forget()
+		return
+	}
+	if len(view.Bases) == 0 {
 		return
 	}
 	entries, _ := s.roster.Since(thisInstance, 0)
