control: a departure is in the replicated log before it is acknowledged

A backend server said that it was gone and got 200; half a second later all processes of the core were killed.

Cause: announcements and departures were kept in memory only. Ruled out: a new start (born is the same), and a gateway that goes on using the server (no booking before the late heartbeat).

Departures, leaving or down, are now commands in the log. The registry keeps them for a minute, 4,096 at most; each instance adds to its roster those that it has not seen. They name the start, so the next start is let in. Without a quorum the server gets 503 and asks the next instance; what it said is used at once all the same. Event 419 tells the outcome.

--- a/core/registry/image.go
+++ b/core/registry/image.go
@@ -28,6 +28,7 @@
 	}
 	image.Bases, image.BaseChanges = r.origins.Bases()
 	image.Evacuations, image.EvacuationChanges = r.Evacuations()
+	image.Departures, image.DepartureCount = r.Departures()
 	// Settled claims are written in the order in which they were settled, so that
 	// a restored registry drops them in the same order.
 	for _, key := range r.settled {
@@ -89,6 +90,7 @@
 	r.catalog = image.GetCatalog()
 	r.origins.Restore(image.GetBases(), image.GetBaseChanges(), image.GetOrigins())
 	r.evacuations.restore(image.GetEvacuations(), image.GetEvacuationChanges())
+	r.departures = departures{image.GetDepartures(), image.GetDepartureCount()}
 	for _, f := range image.GetFences() {
 		r.fences[f.GetServer()] = f
 	}
--- a/core/registry/registry.go
+++ b/core/registry/registry.go
@@ -11,6 +11,7 @@
 //   - the gateways' catalog
 //   - the software versions at which streams began, see package origin
 //   - the availability zones whose backend servers get nothing more
+//   - the backend servers that have left a short while ago
 //
 // The state is deterministic: applying the same commands in the same order
 // gives the same state on every instance. The registry therefore reads no
@@ -55,6 +56,8 @@
 	MaxFingerprints     int           // suspect and convicted fingerprints kept
 	MaxCrashReports     int           // crash report ids kept, so that a resent report counts once
 	MaxZones            int           // zones with the state of their evacuation
+	DepartureRetention  time.Duration // how long departures of backend servers are kept; longer than an announcement can be delayed
+	MaxDepartures       int           // departures kept; at the limit the oldest is dropped
 }
 
 // DefaultConfig returns the documented limits and durations.
@@ -72,6 +75,8 @@
 		MaxFingerprints:     1024,
 		MaxCrashReports:     1024,
 		MaxZones:            1024,
+		DepartureRetention:  time.Minute,
+		MaxDepartures:       4096,
 	}
 }
 
@@ -131,6 +136,7 @@
 	fences       map[string]*wire.FenceState // by server id
 	catalog      *wire.Catalog
 	evacuations  evacuations
+	departures   departures
 	latestMillis int64 // latest time of all commands, Unix time
 }
 
@@ -195,6 +201,8 @@
 		return &wire.Outcome{Kind: Accepted}
 	case *wire.Command_SetEvacuation:
 		return r.applySetEvacuation(body.SetEvacuation)
+	case *wire.Command_RecordDeparture:
+		return r.applyRecordDeparture(body.RecordDeparture.GetAnnouncement())
 	}
 	return &wire.Outcome{Kind: Invalid, Reason: "an unknown command"}
 }
@@ -592,6 +600,7 @@
 		r.quarantineVersion++
 	}
 	r.origins.Expire(r.latestMillis)
+	r.departures.expire(r.latestMillis - r.config.DepartureRetention.Milliseconds())
 	for fingerprint, c := range r.quarantined {
 		if c.GetUntilMillis() <= r.latestMillis {
 			delete(r.quarantined, fingerprint)
--- a/io/control/service.go
+++ b/io/control/service.go
@@ -65,6 +65,7 @@
 	processes      map[string]*process
 	limits         fleet.Limits // that gateways reported
 	base           *origin.Base
+	departureCount uint64                         // of the registry's departures that the roster has
 	gateways       map[string]tanagerroad.Gateway // live gateways, by address; nil: not known yet
 	gatewaysAt     time.Duration                  // when gateways was computed
 	gatewayVersion uint64                         // counts the changes of gateways
@@ -105,6 +106,7 @@
 			// Get the channel before waking the watches, so that no change
 			// between the two is missed.
 			changed := q.Changed()
+			s.applyDepartures()
 			s.updated.Broadcast()
 			select {
 			case <-ctx.Done():
@@ -174,9 +176,9 @@
 // itself.
 const thisInstance = "here"
 
-// RecordAnnouncement records an announcement that a backend server sent to this
+// recordAnnouncement records an announcement that a backend server sent to this
 // instance.
-func (s *Service) RecordAnnouncement(a tanagerroad.Announcement) {
+func (s *Service) recordAnnouncement(a tanagerroad.Announcement) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.roster.Apply(s.clock.Now(), thisInstance, a) {
--- a/io/process/roles.go
+++ b/io/process/roles.go
@@ -267,7 +267,7 @@
 		return errNoDialect
 	}
 	config := registrar.Config{
-		Dialect: env.Dialect, Recorder: service, Client: client, Orders: orders, Logger: p.Logger, MaxBodyBytes: int64(s.Registrar.MaxBody),
+		Dialect: env.Dialect, Recorder: control.Announcements{Service: service, Client: client}, Client: client, Orders: orders, Logger: p.Logger, MaxBodyBytes: int64(s.Registrar.MaxBody),
 	}
 	server, err := p.listen("registrar", s.Registrar, config.Handler())
 	if err != nil {
--- a/io/quorum/quorum.go
+++ b/io/quorum/quorum.go
@@ -80,6 +80,8 @@
 
 	Evacuations      []*wire.Evacuation // of all zones that an order was given for
 	EvacuationChange uint64             // grows whenever one begins or ends
+	Departures       []*wire.Departure  // recent ones of backend servers, oldest first
+	DepartureCount   uint64             // of all that were ever recorded
 	CaughtUp         bool               // this instance follows a leader and has applied what that has committed
 }
 
@@ -562,6 +564,7 @@
 	v.Claims, v.ClaimBytes = q.registry.ClaimStats()
 	v.Bases, v.BaseChange = q.registry.Origins().Bases()
 	v.Evacuations, v.EvacuationChange = q.registry.Evacuations()
+	v.Departures, v.DepartureCount = q.registry.Departures()
 	v.Origins = q.registry.Origins().Len()
 	if q.replica != nil {
 		v.Role, v.Term, v.Commit = q.replica.Role(), q.replica.Term(), q.replica.CommitIndex()
@@ -584,7 +587,7 @@
 		}
 	}
 	if old == nil || old.Revision != v.Revision || old.Catalog != v.Catalog || old.Quarantine.GetVersion() != v.Quarantine.GetVersion() ||
-		old.BaseChange != v.BaseChange || old.EvacuationChange != v.EvacuationChange || old.CaughtUp != v.CaughtUp {
+		old.BaseChange != v.BaseChange || old.EvacuationChange != v.EvacuationChange || old.DepartureCount != v.DepartureCount || old.CaughtUp != v.CaughtUp {
 		q.changed.Broadcast()
 	}
 }
@@ -605,8 +608,8 @@
 	}
 }
 
-// Changed returns a channel that closes when the revision, the catalog or the
-// quarantine next changes.
+// Changed returns a channel that closes when the next change of the registry's state that
+// other processes are told comes into force.
 func (q *Quorum) Changed() <-chan struct{} { return q.changed.Changed() }
 
 // Receive queues a message from another control instance without blocking.
--- a/io/registrar/registrar.go
+++ b/io/registrar/registrar.go
@@ -46,9 +46,10 @@
 	idParam = "id"
 )
 
-// AnnouncementRecorder records the announcements of backend servers.
+// AnnouncementRecorder records the announcements of backend servers. An announcement must
+// not be acknowledged if RecordAnnouncement returns an error.
 type AnnouncementRecorder interface {
-	RecordAnnouncement(a tanagerroad.Announcement)
+	RecordAnnouncement(ctx context.Context, a tanagerroad.Announcement) error
 }
 
 // ControlClient proposes configurations to the replicated registry and reads the
@@ -101,7 +102,10 @@
 			operator.WriteJSON(w, http.StatusBadRequest, operator.ErrorReply{Reason: err.Error()})
 			return
 		}
-		c.Recorder.RecordAnnouncement(announcement)
+		if err := c.Recorder.RecordAnnouncement(r.Context(), announcement); err != nil {
+			operator.WriteJSON(w, http.StatusServiceUnavailable, operator.ErrorReply{Reason: err.Error()})
+			return
+		}
 		operator.WriteJSON(w, http.StatusOK, struct{}{})
 	}
 }
