core/replica: replaced instances leave the voters, their successors come in

Four causes, each red in the new simulation: a request to join reached the leader only if it was among the seeds; an instance that stopped for good stayed a voter; silent voters in an odd number were never removed; two instances that stop handed leadership to each other.

Ruled out: a wiped instance that is not let in (it is, while a quorum is left), and a second cluster (no cluster-formed after the start).

--- a/core/replica/log.go
+++ b/core/replica/log.go
@@ -47,6 +47,7 @@
 	for id := range r.peers {
 		if !r.isMember(id) {
 			delete(r.peers, id)
+			delete(r.leavers, id)
 		}
 	}
 }
@@ -65,14 +66,20 @@
 
 // Leave announces that this replica's process is shutting down. A leader then
 // takes no more proposals and asks the most up-to-date voter to start an
-// election. It repeats this at every heartbeat until another replica leads.
+// election. It repeats this at every heartbeat until another replica leads. Other
+// replicas ask the leader to let them go, and start no more elections.
 func (r *Replica) Leave() {
-	r.leaving = true
+	r.leaving, r.safeToStop = true, false
 	r.transferLeadership()
+	r.requestLeave()
 }
 
+// Leaving reports whether Leave was called.
+func (r *Replica) Leaving() bool { return r.leaving }
+
 // SafeToStop reports whether the other voters have a quorum without this replica,
-// according to the latest message of the current leader.
+// according to the latest message of the current leader. After Leave it is true once
+// the leader has agreed, with this replica's vote taken away if it can be spared.
 func (r *Replica) SafeToStop() bool { return r.safeToStop }
 
 // transferLeadership asks another voter to start an election if this replica is
@@ -96,14 +103,25 @@
 }
 
 // betterTransferee reports whether a is a better target of a leadership transfer
-// than b. It prefers recently active voters, then those with more of the log.
+// than b. It prefers voters that are not shutting down themselves, since two such would
+// hand leadership to each other until they stop, then recently active ones, then those
+// with more of the log.
 func (r *Replica) betterTransferee(a, b string) bool {
+	if x, y := r.isLeaving(a), r.isLeaving(b); x != y {
+		return y
+	}
 	if x, y := r.recentlyActive(a), r.recentlyActive(b); x != y {
 		return x
 	}
 	return r.peers[a].match > r.peers[b].match
 }
 
+// isLeaving reports whether a member has said lately that it is shutting down.
+func (r *Replica) isLeaving(id string) bool {
+	at, ok := r.leavers[id]
+	return ok && r.lastTick-at < r.config.RemoveAfter
+}
+
 // recentlyActive reports whether a member has acknowledged an entry to this
 // leader and has replied within the last activeHeartbeats heartbeat intervals.
 func (r *Replica) recentlyActive(id string) bool {
@@ -250,7 +268,9 @@
 // onAppend handles entries or a heartbeat from the leader of the current term.
 func (r *Replica) onAppend(at time.Duration, m *wire.Message) {
 	r.becomeFollower(at, m.GetTerm(), m.GetFrom())
-	r.safeToStop = m.GetSpare()
+	if !r.leaving {
+		r.safeToStop = m.GetSpare()
+	}
 	if m.GetIndex() < r.commit {
 		// The entries up to the commit index cannot change any more.
 		r.reply(m, true, r.commit)
--- a/core/replica/member.go
+++ b/core/replica/member.go
@@ -22,16 +22,33 @@
 //     membership is open, so that it may have been removed meanwhile, or it has
 //     no committed entry, so that the others may have formed the cluster with
 //     its previous identity.
+//
+// A replica that leaves asks for nothing.
 func (r *Replica) Join(at time.Duration, ids []string) {
+	if r.leaving || at-r.lastJoin < r.config.HeartbeatInterval && r.lastJoin > 0 {
+		return
+	}
 	isolated := (r.config.OpenMembership || r.commit == 0) && at-r.leaderSeen > r.config.RemoveAfter
 	if r.isVoter(r.config.ID) && !isolated || !r.isVoter(r.config.ID) && r.isMember(r.config.ID) && r.hasLiveLeader(at) {
 		return
 	}
+	r.lastJoin = at
 	for _, id := range ids {
 		r.send(id, msgJoin, &wire.Message{Address: r.config.Address})
 	}
 }
 
+// passOnJoin passes the request to join on to the leader, once: the addresses that a new
+// instance knows may not include the leader's.
+func (r *Replica) passOnJoin(m *wire.Message) {
+	if r.leader == "" || r.role == Leader || m.GetGranted() {
+		return
+	}
+	passed := proto.CloneOf(m)
+	passed.To, passed.Granted = r.leader, true
+	r.out.Send = append(r.out.Send, passed)
+}
+
 // onJoin adds a new identity as a learner. If a member has the same address, its
 // disk is lost, so it is removed in the same change: that change removes at most
 // one voter and adds none. Unless membership is open, only the address of a
@@ -89,38 +106,104 @@
 		next := slices.Clone(r.members)
 		next[i] = proto.CloneOf(m)
 		next[i].Voter = true
+		r.voterAdded = r.lastHeartbeat
 		r.changeMembers(next)
 		return
 	}
 }
 
-// minVotersForRemoval is the number of voters from which on a silent one is
-// removed.
-const minVotersForRemoval = 4
+const (
+	// minVotersForRemoval is the number of voters from which on a silent one is removed.
+	minVotersForRemoval = 4
+	// replacedTimeouts is the silence, in election timeouts, after which a voter that was
+	// silent when the latest voter was added is removed. It is well below the time in which a
+	// successor must have taken over, of 4 s at the least.
+	replacedTimeouts = 3
+)
 
 // removeSilent removes one member that has not replied for the removal timeout,
 // so that instances that never return do not count for the quorum. A removed
-// instance that does return asks to join again. No voter is removed from an odd
-// number of voters: the remaining ones would tolerate fewer failures, and the
-// silent voter may only be partitioned.
+// instance that does return asks to join again. No voter is removed if the remaining
+// ones would tolerate too few failures, since the silent one may only be partitioned.
+//
+// A voter that was silent already when the latest voter was added has probably been replaced
+// by that one. It is removed sooner, since the loss of another voter may cost the quorum.
 func (r *Replica) removeSilent(at time.Duration) {
 	if !r.config.OpenMembership || r.role != Leader || !r.mayChangeMembers() {
 		return
 	}
+	for _, m := range r.members {
+		p := r.peers[m.GetId()]
+		if p == nil || m.GetVoter() && !r.canSpareVoter() {
+			continue
+		}
+		timeout := r.config.RemoveAfter
+		if m.GetVoter() && p.lastReply <= r.voterAdded {
+			timeout = min(timeout, replacedTimeouts*r.config.ElectionTimeout)
+		}
+		if at-p.lastReply >= timeout {
+			r.removeMember(m.GetId())
+			return
+		}
+	}
+}
+
+// canSpareVoter reports whether the voters tolerate enough failures with one voter less: as
+// many as before, or as many as the settings ask for.
+func (r *Replica) canSpareVoter() bool {
 	voters := 0
 	for _, m := range r.members {
 		if m.GetVoter() {
 			voters++
 		}
 	}
-	for i, m := range r.members {
-		p := r.peers[m.GetId()]
-		if p == nil || at-p.lastReply < r.config.RemoveAfter || m.GetVoter() && (voters < minVotersForRemoval || voters%2 == 1) {
+	before, after := (voters-1)/2, (voters-2)/2
+	return voters >= minVotersForRemoval && (after == before || r.config.Tolerate > 0 && after >= r.config.Tolerate)
+}
+
+// removeMember proposes the membership without a member.
+func (r *Replica) removeMember(id string) {
+	r.changeMembers(slices.DeleteFunc(slices.Clone(r.members), func(m *wire.Member) bool { return m.GetId() == id }))
+}
+
+// requestLeave asks the leader, as long as it has not agreed, whether this replica may stop.
+func (r *Replica) requestLeave() {
+	if r.leaving && !r.safeToStop && r.role != Leader && r.leader != "" {
+		r.send(r.leader, msgLeave, &wire.Message{})
+	}
+}
+
+// onLeave handles the request of a member whose process is shutting down. Its vote is taken
+// away first if the others then tolerate as many failures as before: an instance that was
+// replaced does not come back. One that restarts asks to join again.
+func (r *Replica) onLeave(m *wire.Message) {
+	id := m.GetFrom()
+	if r.role != Leader || !r.mayChangeMembers() {
+		return
+	}
+	if r.config.OpenMembership && r.isVoter(id) && r.canSpareVoter() && r.othersActive(id) {
+		r.removeMember(id)
+		return // it asks again
+	}
+	if r.quorumWithout(id) {
+		r.send(id, msgLeaveReply, &wire.Message{})
+	}
+}
+
+// othersActive reports whether the recently active voters other than id are a majority of
+// the voters other than id.
+func (r *Replica) othersActive(id string) bool {
+	voters, active := 0, 0
+	for _, m := range r.members {
+		if !m.GetVoter() || m.GetId() == id {
 			continue
 		}
-		r.changeMembers(slices.Delete(slices.Clone(r.members), i, i+1))
-		return
+		voters++
+		if m.GetId() == r.config.ID || r.recentlyActive(m.GetId()) {
+			active++
+		}
 	}
+	return 2*active > voters
 }
 
 // Formation is what an instance without a journal must do next.
--- a/core/replica/replica.go
+++ b/core/replica/replica.go
@@ -46,6 +46,8 @@
 	msgSnapshotReply = "snapshot-reply"
 	msgJoin          = "join"
 	msgTakeOver      = "take-over" // from a leader that shuts down: start an election now
+	msgLeave         = "leave"     // to the leader: the sender shuts down
+	msgLeaveReply    = "leave-reply"
 )
 
 // Config configures a Replica.
@@ -59,8 +61,9 @@
 	MaxChunkBytes     int           // maximum bytes of entries or snapshot in one message
 	// OpenMembership lets instances at new addresses join, and removes members
 	// that have not replied for the removal timeout: any learner, and a voter if
-	// the number of voters is even and at least four.
+	// there are at least four and the others tolerate enough failures.
 	OpenMembership bool
+	Tolerate       int           // failures that the voters must tolerate after a removal; 0: as many as before it
 	RemoveAfter    time.Duration // removal timeout
 }
 
@@ -129,12 +132,16 @@
 	hadLeader       bool                 // a leader was known since the start
 	followsCommit   bool                 // has committed all that the leader's latest entries came with
 	lastHeartbeat   time.Duration
-	round           uint64             // number of the latest read; appends carry it and replies return it
-	reads           []pendingRead      // oldest first
-	incoming        *wire.SnapshotMark // snapshot being received, with the image so far
-	leaving         bool               // the process is shutting down
-	transferee      string             // voter asked to take over; until it leads, proposals are refused
-	safeToStop      bool               // the current leader has a quorum without this replica
+	voterAdded      time.Duration            // when the latest voter was added, or may have been: when this replica was elected
+	lastJoin        time.Duration            // when this replica last asked to join
+	lastLeave       time.Duration            // when this replica last asked to leave
+	round           uint64                   // number of the latest read; appends carry it and replies return it
+	reads           []pendingRead            // oldest first
+	incoming        *wire.SnapshotMark       // snapshot being received, with the image so far
+	leaving         bool                     // the process is shutting down
+	leavers         map[string]time.Duration // when other replicas last said that they are
+	transferee      string                   // voter asked to take over; until it leads, proposals are refused
+	safeToStop      bool                     // the current leader has a quorum without this replica, and has agreed if this one leaves
 
 	out Output
 }
@@ -150,7 +157,7 @@
 func New(config Config, at time.Duration, stored Stored) *Replica {
 	r := &Replica{
 		config: config, role: replicaChart.Initial, rngState: config.Seed | 1, lastTick: at, timerReset: at, leaderSeen: at,
-		snapshot: &wire.SnapshotMark{},
+		snapshot: &wire.SnapshotMark{}, leavers: map[string]time.Duration{},
 	}
 	if stored.Snapshot != nil {
 		r.snapshot = stored.Snapshot
@@ -363,7 +370,11 @@
 		r.leaderTick(at)
 		return
 	}
-	if at-r.timerReset >= r.electionTimeout && r.isVoter(r.config.ID) {
+	if at-r.lastLeave >= r.config.HeartbeatInterval {
+		r.lastLeave = at
+		r.requestLeave()
+	}
+	if at-r.timerReset >= r.electionTimeout && r.isVoter(r.config.ID) && !r.leaving {
 		r.startPreVote(at)
 		return
 	}
@@ -421,6 +432,7 @@
 	r.leader, r.transferee, r.safeToStop = r.config.ID, "", false
 	r.peers = map[string]*progress{}
 	r.reads = nil
+	r.voterAdded = at
 	for _, m := range r.others() {
 		r.peers[m.GetId()] = &progress{next: r.lastIndex() + 1, lastReply: at}
 	}
@@ -478,6 +490,14 @@
 		return
 	case msgJoin:
 		r.onJoin(m)
+		r.passOnJoin(m)
+		return
+	case msgLeave:
+		r.leavers[m.GetFrom()] = at
+		r.onLeave(m)
+		return
+	case msgLeaveReply:
+		r.safeToStop = r.safeToStop || m.GetFrom() == r.leader
 		return
 	}
 	if m.GetKind() == msgVote && !m.GetGranted() && r.hasLiveLeader(at) {
@@ -508,6 +528,7 @@
 	case msgSnapshotReply:
 		r.onSnapshotReply(at, m)
 	case msgTakeOver:
+		r.leavers[m.GetFrom()] = at
 		if r.role != Leader && r.isVoter(r.config.ID) {
 			r.startElection(at, msgTakeOver)
 		}
--- a/core/replica/replica_test.go
+++ b/core/replica/replica_test.go
@@ -66,9 +66,12 @@
 	committedMembers []*wire.Member                // newest committed membership
 	membersIndex     uint64                        // log index of committedMembers
 	removeAfter      time.Duration                 // removal timeout with open membership; 0: membership is closed
+	tolerate         int                           // failures to tolerate, as in replica.Config
 	onOutcome        func(op int, o *wire.Outcome) // the answer to an operation of the history
 	onRead           func(nd *node, token uint64)  // called when a confirmed read is served
 	onEmptyStart     func(nd *node)                // called instead of starting a node with an empty journal, if set
+	peers            func(nd *node) []string       // the identities that a node asks to let it join, if set; otherwise all
+	onReceive        func(nd *node, m *wire.Message)
 }
 
 func newSimulation(t *rapid.T, n int, removeAfter time.Duration) *simulation {
@@ -118,7 +121,7 @@
 	nd.applied = stored.Snapshot.GetIndex()
 	nd.replica = replica.New(replica.Config{
 		ID: nd.id, Address: nd.address, ElectionTimeout: electionTimeout, HeartbeatInterval: heartbeat, Seed: xxhash.Sum64String(nd.id),
-		MaxEntries: 4, MaxChunkBytes: 64, OpenMembership: s.removeAfter > 0, RemoveAfter: s.removeAfter,
+		MaxEntries: 4, MaxChunkBytes: 64, OpenMembership: s.removeAfter > 0, RemoveAfter: s.removeAfter, Tolerate: s.tolerate,
 	}, nd.clock, stored)
 	nd.proposals, nd.claimsBeforeRead, nd.up, nd.frozen, nd.leaving = map[uint64]proposal{}, map[uint64]int{}, true, false, false
 	s.handleOutput(nd)
@@ -259,6 +262,9 @@
 		s.inFlight = append(s.inFlight[:i], s.inFlight[i+1:]...)
 	}
 	from, to := s.byID[m.GetFrom()], s.byID[m.GetTo()]
+	if s.onReceive != nil && !to.frozen && !s.cutLinks[from.address+">"+to.address] {
+		s.onReceive(to, m)
+	}
 	if to == nil || !to.up || to.frozen || s.cutLinks[from.address+">"+to.address] {
 		return
 	}
@@ -283,6 +289,9 @@
 			others = append(others, id)
 		}
 	}
+	if s.peers != nil {
+		others = s.peers(nd)
+	}
 	nd.replica.Join(nd.clock, others)
 	nd.replica.Flush()
 	s.handleOutput(nd)
--- a/core/schedule/schedule.go
+++ b/core/schedule/schedule.go
@@ -39,3 +39,23 @@
 	}
 	os.Exit(m.Run())
 }
+
+// Divided runs f, a property test with long cases, with 1 in divisor of the cases that Main
+// sets. Neither the test nor f may run in parallel with other property tests.
+func Divided(t testing.TB, divisor int, f func()) {
+	t.Helper()
+	const name = "rapid.checks"
+	before := flag.Lookup(name).Value.String()
+	checks, err := strconv.Atoi(before)
+	if err != nil {
+		t.Fatal(err)
+	}
+	set := func(value string) {
+		if err := flag.Set(name, value); err != nil {
+			t.Fatal(err)
+		}
+	}
+	defer set(before)
+	set(strconv.Itoa(max(1, checks/divisor)))
+	f()
+}
--- a/core/settings/settings.go
+++ b/core/settings/settings.go
@@ -162,6 +162,7 @@
 	Zones             []ZoneRegion         `json:"zones" doc:"availability zones that operators may evacuate, beside those of backend servers and processes that are known"`
 	MemoryLimit       tanagerroad.Size     `json:"memory" doc:"memory limit of the process"`
 	OpenMembership    bool                 `json:"open" doc:"open membership: instances may list only some of the control instances and need not include this one; others are admitted when they ask to join"`
+	Tolerate          int                  `json:"tolerate" doc:"control instances that may be lost at once, with open membership: silent ones are removed as long as the others tolerate so many losses; 0: as long as they tolerate as many as before"`
 }
 
 // ZoneRegion assigns an availability zone to a region.
@@ -359,6 +360,9 @@
 	return s, c.findings
 }
 
+// maxTolerate is the most instances that the largest cluster, of seven, can lose.
+const maxTolerate = 3
+
 // ParseControl parses and validates a control instance's settings.
 func ParseControl(file string, data []byte) (Control, tanagerroad.Findings) {
 	s := DefaultControl()
@@ -373,6 +377,9 @@
 	if n := len(s.Instances); !s.OpenMembership && (n > 7 || n%2 == 0) {
 		c.addFinding("instances", fmt.Sprintf("%d addresses", n), "1, 3, 5 or 7 addresses")
 	}
+	if s.Tolerate < 0 || s.Tolerate > maxTolerate {
+		c.addFinding("tolerate", strconv.Itoa(s.Tolerate), fmt.Sprintf("0 to %d", maxTolerate))
+	}
 	if !s.OpenMembership && !slices.Contains(s.Instances, s.Peer.AdvertisedAddress()) {
 		c.addFinding("instances", "no "+strconv.Quote(s.Peer.AdvertisedAddress()), "a list that includes this instance's peer address")
 	}
--- a/io/quorum/quorum.go
+++ b/io/quorum/quorum.go
@@ -63,6 +63,7 @@
 	Term       uint64
 	Commit     uint64 // index of the last committed log entry
 	Leader     string // address of the leader, empty if unknown
+	Leaving    bool   // whether this instance has announced that it shuts down
 	SafeToStop bool   // whether the other voters have a quorum without this instance
 	Revision   *wire.Revision
 	Quarantine *wire.Quarantine
@@ -178,6 +179,7 @@
 		q.startReplica(stored)
 	}
 	q.publishView()
+	q.transport.group.Go(func() { q.findPeers(ctx) })
 	go func() {
 		defer close(q.stopped)
 		if empty && !q.formCluster(ctx) {
@@ -198,7 +200,7 @@
 	q.replica = replica.New(replica.Config{
 		ID: q.id, Address: s.Peer.AdvertisedAddress(), ElectionTimeout: s.ElectionTimeout.Std(), HeartbeatInterval: s.HeartbeatInterval.Std(),
 		Seed: xxhash.Sum64String(q.id), MaxEntries: maxEntriesPerMessage, MaxChunkBytes: maxChunkBytes,
-		OpenMembership: s.OpenMembership, RemoveAfter: removalTimeout,
+		OpenMembership: s.OpenMembership, RemoveAfter: removalTimeout, Tolerate: s.Tolerate,
 	}, q.config.Clock.Now(), stored)
 	q.mu.Lock()
 	q.snapshotMembers = q.replica.SnapshotMembers()
@@ -225,7 +227,7 @@
 	ticker := time.NewTicker(helloInterval)
 	defer ticker.Stop()
 	for {
-		listed := q.Instances()
+		listed := q.knownAddresses()
 		replies := q.transport.helloAll(ctx, q.Hello(), listed)
 		replies[q.config.Settings.Peer.AdvertisedAddress()] = q.Hello()
 		formation, members := replica.DecideFormation(q.Hello(), listed, replies)
@@ -251,6 +253,35 @@
 	}
 }
 
+// findPeersInterval is how often an instance without a leader asks who is at the addresses
+// that it knows.
+const findPeersInterval = time.Second
+
+// findPeers keeps the identities at the known addresses up to date while no leader is known:
+// all members that were known may have been replaced, or may not lead.
+func (q *Quorum) findPeers(ctx context.Context) {
+	ticker := time.NewTicker(findPeersInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		if q.formed.Load() && q.View().Leader == "" {
+			q.transport.helloAll(ctx, q.Hello(), q.knownAddresses())
+		}
+	}
+}
+
+// knownAddresses returns the peer addresses of Instances and of the instances that this one
+// has had messages from, sorted and without duplicates.
+func (q *Quorum) knownAddresses() []string {
+	all := append(q.Instances(), q.transport.knownAddresses()...)
+	slices.Sort(all)
+	return slices.Compact(all)
+}
+
 // SetSeeds replaces the peer addresses of the instances that the settings list.
 func (q *Quorum) SetSeeds(addresses []string) {
 	q.mu.Lock()
@@ -306,6 +337,7 @@
 		case <-leaving:
 			leaving = nil
 			q.replica.Leave()
+			q.publishView()
 		case m := <-q.inbox:
 			q.replica.Step(q.config.Clock.Now(), m)
 		case p := <-q.proposals:
@@ -569,6 +601,7 @@
 	if q.replica != nil {
 		v.Role, v.Term, v.Commit = q.replica.Role(), q.replica.Term(), q.replica.CommitIndex()
 		v.Leader, v.Members = q.replica.LeaderAddress(), q.replica.CommittedMembers()
+		v.Leaving = q.replica.Leaving()
 		v.SafeToStop, v.CaughtUp = q.replica.SafeToStop(), q.replica.CaughtUp()
 		for _, m := range v.Members {
 			v.Instances = append(v.Instances, m.GetAddress())
@@ -596,11 +629,11 @@
 func (q *Quorum) View() View { return *q.view.Load() }
 
 // Leave prepares the shutdown of this instance: if it leads, it asks another voter to
-// take over. Leave returns once the other voters have a quorum without this instance,
-// or ctx ends. If this instance is the only member, it returns at once.
+// take over. Leave returns once the leader has agreed that the other voters have a quorum
+// without this instance, or ctx ends. If this instance is the only member, it returns at once.
 func (q *Quorum) Leave(ctx context.Context) {
 	q.leaveOnce.Do(func() { close(q.leaving) })
-	for view := q.View(); len(view.Members) > 1 && !view.SafeToStop && ctx.Err() == nil; view = q.View() {
+	for view := q.View(); len(view.Members) > 1 && !(view.Leaving && view.SafeToStop) && ctx.Err() == nil; view = q.View() {
 		select {
 		case <-ctx.Done():
 		case <-time.After(tickInterval):
--- a/io/quorum/transport.go
+++ b/io/quorum/transport.go
@@ -75,10 +75,25 @@
 	return ids
 }
 
+// knownAddresses returns the addresses of the other instances that are known.
+func (t *transport) knownAddresses() []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var out []string
+	for _, address := range t.addresses {
+		if address != t.ownAddress {
+			out = append(out, address)
+		}
+	}
+	return out
+}
+
 // send queues each message for its receiver, or drops it.
 func (t *transport) send(messages []*wire.Message) {
 	for _, m := range messages {
-		m.Address = t.ownAddress
+		if m.GetAddress() == "" { // a request to join that is passed on keeps its own
+			m.Address = t.ownAddress
+		}
 		outbox := t.outboxFor(m.GetTo())
 		if outbox == nil {
 			t.counters.DroppedMessages.Add(1)
