io/gateway: a stopping gateway refuses requests whose body comes too late

A stopping gateway accepts requests for 2.2 s.

Cause: the time was checked only before the body was read. It is now checked again after it; such a request is refused as not run.

Ruled out: requests whose head comes late (refused already, 503 with Connection: close).

--- a/io/gateway/exchange.go
+++ b/io/gateway/exchange.go
@@ -130,15 +130,8 @@
 	if ambiguous(r) {
 		w.Header().Set("Connection", "close") // don't parse what follows the body
 	}
-	if g.draining.Load() {
-		w.Header().Set("Connection", "close")
-		if g.now()-time.Duration(g.drainingSince.Load()) > drainAcceptTime {
-			x.retryAfter = drainRetryDelay
-			x.refuse(errStopping.Error())
-			return
-		}
-	}
-	if !x.parseRequest() {
+	// The body may take longer to arrive than requests are accepted.
+	if x.refusedByDrain() || !x.parseRequest() || x.refusedByDrain() {
 		return
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), x.deadline-g.now())
@@ -151,6 +144,22 @@
 	x.serve()
 }
 
+// refusedByDrain refuses the request, and returns true, if the gateway has been draining for
+// so long that it accepts no more requests.
+func (x *exchange) refusedByDrain() bool {
+	g := x.g
+	if !g.draining.Load() {
+		return false
+	}
+	x.w.Header().Set("Connection", "close")
+	if g.now()-time.Duration(g.drainingSince.Load()) <= drainAcceptTime {
+		return false
+	}
+	x.retryAfter = drainRetryDelay
+	x.refuse(errStopping.Error())
+	return true
+}
+
 // parseRequest finds the route and the workspace, and reads the body. If one of
 // them is missing or invalid it answers with the error and returns false.
 func (x *exchange) parseRequest() bool {
