--- a/io/gateway/origins_test.go
+++ b/io/gateway/origins_test.go
@@ -113,6 +113,8 @@
 		{"recorded", true, []string{"v1", "v2", "v3"}, "known", "v2"},
 		{"not recorded", true, []string{"v2", "v1", "v3"}, "unknown", "v1"},
 		{"no server of its version", true, []string{"v1", "v3"}, "known", ""},
+		{"a gateway that has not heard of servers of its version", true, []string{"v1", "v1"}, "known", ""},
+		{"a gateway that has not heard of servers of the base version", true, []string{"v2", "v2"}, "unknown", ""},
 		{"no quorum", false, []string{"v1", "v2"}, "known", ""},
 		{"nothing names it", true, []string{"v1", "v2"}, "", ""},
 		{"nothing names it, and there is one version", true, []string{"v2", "v2"}, "", "v2"},
