cmd/tanagerroad: wait until an instance that lost its disk votes again

TestAcceptedChangesSurvive failed once beside load: change 302 was not accepted within 20 s. Its logs have the second instance that lost its disk at term 0, following nobody, when control-0 was killed: awaitVoters had found three voters because the instance's earlier identity was still one of them, so the test took two of three disks. It now waits until a new identity is among the voters; the numbers, times and faults are as before.

--- a/cmd/tanagerroad/kill_test.go
+++ b/cmd/tanagerroad/kill_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -69,6 +70,7 @@
 	change(50)
 	y.wantInForce(revision, processes)
 
+	before := y.awaitVoters(3)
 	wiped := y.leader()
 	y.kill(wiped)
 	if err := os.RemoveAll(filepath.Join(y.dir, wiped)); err != nil {
@@ -76,7 +78,7 @@
 	}
 	y.start(wiped)
 	change(50)
-	y.awaitVoters(3)
+	before = y.awaitVoters(3, before...)
 	wipedNext := y.leader() // loses its disk as soon as the first loss is repaired
 	y.kill(wipedNext)
 	if err := os.RemoveAll(filepath.Join(y.dir, wipedNext)); err != nil {
@@ -88,7 +90,7 @@
 
 	// Until the repair is done, only two instances vote. A loss of one of them before that
 	// would be the loss of two disks at once, which three instances don't survive.
-	y.awaitVoters(3)
+	y.awaitVoters(3, before...)
 	killed := "control-0"
 	y.kill(killed)
 	y.kill("sidecar-0")
@@ -100,26 +102,34 @@
 	y.checkLog(revision)
 }
 
-// awaitVoters waits until there are exactly n control instances and all of them vote.
-func (y *system) awaitVoters(n int) {
+// awaitVoters waits until there are exactly n control instances, all of them vote, and they
+// are not all among the earlier ones: until it joins, one that lost its disk is still a voter
+// by its earlier identity. It returns their identities.
+func (y *system) awaitVoters(n int, earlier ...string) (ids []string) {
 	y.t.Helper()
 	y.await("all control instances to vote", func() bool {
 		var status struct {
-			Members []struct{ Voter bool }
+			Members []struct {
+				ID    string
+				Voter bool
+			}
 		}
 		leader := y.leader()
 		address := y.controls[int(leader[len(leader)-1]-'0')]
 		if _, err := operator.Call(context.Background(), y.http, http.MethodGet, address, "/status", "", nil, &status); err != nil {
 			return false
 		}
-		voters := 0
+		ids = nil
+		repaired := len(earlier) == 0
 		for _, m := range status.Members {
 			if m.Voter {
-				voters++
+				ids = append(ids, m.ID)
 			}
+			repaired = repaired || !slices.Contains(earlier, m.ID)
 		}
-		return voters == n && len(status.Members) == n
+		return repaired && len(ids) == n && len(status.Members) == n
 	})
+	return ids
 }
 
 // checkLog checks that the change log holds every revision up to this one once, in order.
