io/quorum: an instance that stops learns at once that it may

Since an instance that stops waits for the leader's agreement, its stop took 5 s, the whole bound: the agreement brings no output, so no view was published with it. Found by TestStopKeepsItsVote, red before ('instance 2 was told after 5.003246893s that it may stop'). The view is now published in each round of the loop while the instance is leaving. The test also guards the vote: of four voters the first that stops gives its vote away, the second keeps it.

--- a/io/quorum/quorum.go
+++ b/io/quorum/quorum.go
@@ -337,7 +337,6 @@
 		case <-leaving:
 			leaving = nil
 			q.replica.Leave()
-			q.publishView()
 		case m := <-q.inbox:
 			q.replica.Step(q.config.Clock.Now(), m)
 		case p := <-q.proposals:
@@ -352,6 +351,9 @@
 		q.drainQueues()
 		q.replica.Flush()
 		q.processOutput()
+		if q.replica.Leaving() {
+			q.publishView() // the leader's agreement brings no output
+		}
 	}
 	q.failPending()
 }
