--- a/core/replica/member.go
+++ b/core/replica/member.go
@@ -13,7 +13,7 @@
 // Join asks the control instances with these identities to add this replica as a
 // member; only the leader acts on it. A replica whose disk was emptied has a new
 // identity and is not a member yet. Join sends nothing unless there is a reason to
-// ask. The reasons are:
+// ask, and at most once in a heartbeat interval. The reasons are:
 //
 //   - The replica is not a member.
 //   - It is a learner without a live leader. The entry that added it may never
