io/control: a call cut short by its caller's time-out replaces no connection

Callers saw: nothing by themselves; the record of the incident names link-silent for two healthy instances within microseconds of each catalog-read that failed.

Cause: when the caller's context ended (an operator's read lasts 900 ms), the client went on to the remaining addresses, each call failed at once, and each was reported as a silent link. Its connection, which the replicated log uses too, was replaced and closed 5 s later. So these lines say nothing about links.

Change: no further instance is called once the context has ended; a connection is replaced only if the call waited 500 ms for its reply. An instance that is remembered as the leader is called once a round, not twice.

--- a/io/control/client.go
+++ b/io/control/client.go
@@ -4,6 +4,9 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
+	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -22,8 +25,9 @@
 
 // Timeouts and delays of the client.
 const (
-	watchSilenceTimeout = 3 * time.Second // without an update, before the next instance is tried
-	callTimeout         = time.Second     // for one call to one instance
+	watchSilenceTimeout = 3 * time.Second        // without an update, before the next instance is tried
+	callTimeout         = time.Second            // for one call to one instance
+	silenceTimeout      = 500 * time.Millisecond // of one call, before its connection is replaced; below the 900 ms that an operator's read lasts
 	retryDelay          = 50 * time.Millisecond
 	watchRetryDelay     = 200 * time.Millisecond
 	reportDelay         = 20 * time.Millisecond // by which the leader's clock must have passed the settle time
@@ -72,15 +76,16 @@
 	}
 }
 
-// addressesToTry returns the addresses of all instances, after the leader's if it is
-// known.
+// addressesToTry returns the addresses of all instances, each once, the leader's first if it
+// is known.
 func (c *Client) addressesToTry() []string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.leader == "" {
 		return c.addresses
 	}
-	return append([]string{c.leader}, c.addresses...)
+	others := slices.DeleteFunc(slices.Clone(c.addresses), func(address string) bool { return address == c.leader })
+	return append([]string{c.leader}, others...)
 }
 
 // Propose sends a command to the leader and, if that fails, to the other instances
@@ -88,13 +93,18 @@
 // idempotent in the registry, so the second one gets the outcome of the first. An
 // error means that it is unknown whether the command was applied.
 func (c *Client) Propose(ctx context.Context, command *wire.Command) (*wire.Outcome, error) {
-	var lastErr error // once it is set, the command may have been applied
+	var lastErr error             // once it is set, the command may have been applied
+	latest := map[string]string{} // result by address
 	for ctx.Err() == nil {
 		answered := false
 		for _, address := range c.addressesToTry() {
+			if ctx.Err() != nil {
+				break
+			}
 			outcome, err := call(ctx, c, address, func(ctx context.Context, instance wire.ControlClient) (*wire.Outcome, error) {
 				return instance.Propose(ctx, command)
 			})
+			latest[address] = describeResult(address, outcome.GetKind(), outcome.GetReason(), outcome.GetLeader(), err)
 			switch {
 			case err != nil:
 				lastErr = err
@@ -118,9 +128,27 @@
 		sleep(ctx, retryDelay)
 	}
 	if lastErr != nil {
-		return nil, fmt.Errorf("propose: %w", lastErr)
+		return nil, fmt.Errorf("propose: %w; %s", lastErr, describeResults(latest))
+	}
+	return &wire.Outcome{Kind: registry.NoQuorum, Reason: "no leader with a quorum could be reached: " + describeResults(latest)}, nil
+}
+
+// describeResult describes an instance's reply to a call, or why there is none.
+func describeResult(address, kind, reason, leader string, err error) string {
+	switch {
+	case err != nil:
+		return fmt.Sprintf("%s: %v", address, err)
+	case leader != "":
+		return fmt.Sprintf("%s: %s to %s", address, kind, leader)
+	case reason != "":
+		return fmt.Sprintf("%s: %s, %s", address, kind, reason)
 	}
-	return &wire.Outcome{Kind: registry.NoQuorum, Reason: "no leader with a quorum could be reached"}, nil
+	return fmt.Sprintf("%s: %s", address, kind)
+}
+
+// describeResults joins the latest results of all addresses.
+func describeResults(latest map[string]string) string {
+	return strings.Join(slices.Sorted(maps.Values(latest)), "; ")
 }
 
 // reportRetention bounds the attempts to commit a report.
@@ -194,8 +222,9 @@
 	}
 }
 
-// call makes one call to one instance. After a timeout the connection is replaced,
-// since it may be dead without having reported an error.
+// call makes one call to one instance. The connection is replaced after silenceTimeout without
+// a reply, since it may be dead without having reported an error. A shorter wait, because ctx
+// ended, says nothing about the connection, which others use too.
 func call[T any](ctx context.Context, c *Client, address string, do func(context.Context, wire.ControlClient) (T, error)) (T, error) {
 	conn, err := c.conns.Get(address)
 	if err != nil {
@@ -204,41 +233,15 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
+	started := time.Now()
 	reply, err := do(ctx, wire.NewControlClient(conn))
-	if err != nil && errors.Is(ctx.Err(), context.DeadlineExceeded) {
-		event.LinkSilent.Log(c.logger, zap.String("peer", address))
+	if took := time.Since(started); err != nil && ctx.Err() != nil && took >= silenceTimeout {
+		event.LinkSilent.Log(c.logger, zap.String("peer", address), zap.Duration("silence", took))
 		c.conns.Replace(address, conn)
 	}
 	return reply, err
 }
 
-// Read returns the leader's reply to a read that a quorum has confirmed. When ctx ends
-// first, it returns the last reply without a result.
-func (c *Client) Read(ctx context.Context, request *wire.ReadRequest) (*wire.ReadReply, error) {
-	last := &wire.ReadReply{Kind: registry.NoQuorum}
-	for ctx.Err() == nil {
-		for _, address := range c.addressesToTry() {
-			reply, err := call(ctx, c, address, func(ctx context.Context, instance wire.ControlClient) (*wire.ReadReply, error) {
-				return instance.Read(ctx, request)
-			})
-			if err != nil {
-				c.clearLeader(address)
-				continue
-			}
-			if reply.GetKind() == "ok" || reply.GetKind() == "missing" {
-				c.SetLeader(address)
-				return reply, nil
-			}
-			if reply.GetKind() == registry.Redirect {
-				c.SetLeader(reply.GetLeader())
-			}
-			last = reply
-		}
-		sleep(ctx, retryDelay)
-	}
-	return last, nil
-}
-
 // callAll calls every instance in parallel and returns the replies by address. An
 // instance that does not reply in time is left out.
 func callAll[T any](ctx context.Context, c *Client, do func(context.Context, wire.ControlClient) (T, error)) map[string]T {
--- a/io/quorum/quorum.go
+++ b/io/quorum/quorum.go
@@ -258,25 +258,58 @@
 	}
 }
 
-// findPeersInterval is how often an instance without a leader asks who is at the addresses
-// that it knows.
-const findPeersInterval = time.Second
+const (
+	// findPeersInterval is how often an instance without a leader asks who is at the
+	// addresses that it knows.
+	findPeersInterval = time.Second
+	// missingLeaderRounds is the number of such rounds after which leader-missing is
+	// logged, each time.
+	missingLeaderRounds = 3
+)
 
 // findPeers keeps the identities at the known addresses up to date while no leader is known:
 // all members that were known may have been replaced, or may not lead.
 func (q *Quorum) findPeers(ctx context.Context) {
 	ticker := time.NewTicker(findPeersInterval)
 	defer ticker.Stop()
+	rounds := 0
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
 		}
-		if q.formed.Load() && q.View().Leader == "" {
-			q.transport.helloAll(ctx, q.Hello(), q.knownAddresses())
+		if !q.formed.Load() || q.View().Leader != "" {
+			rounds = 0
+			continue
+		}
+		if rounds++; rounds%missingLeaderRounds == 0 {
+			q.logMissingLeader()
+		}
+		q.transport.helloAll(ctx, q.Hello(), q.knownAddresses())
+	}
+}
+
+// logMissingLeader logs what is known of the members: who does not reply, whose disk refuses
+// writes, and who counts for the quorum.
+func (q *Quorum) logMissingLeader() {
+	v := q.View()
+	var members []string
+	for _, m := range v.Members {
+		part, last := "learner", "never heard of"
+		if m.GetVoter() {
+			part = "voter"
+		}
+		if at, ok := q.transport.lastMessage(m.GetId()); ok {
+			last = fmt.Sprint("last message ", (q.config.Clock.Now() - at).Round(time.Millisecond), " ago")
+		}
+		if m.GetId() == q.id {
+			last = "this instance"
 		}
+		members = append(members, fmt.Sprintf("%s %s %s, %s", m.GetId(), m.GetAddress(), part, last))
 	}
+	event.LeaderMissing.Log(q.config.Logger, zap.String("id", q.id), zap.String("replica-role", v.Role), zap.Uint64("term", v.Term),
+		zap.Uint64("commit", v.Commit), zap.Bool("disk-failed", v.DiskFailed), zap.Strings("members", members))
 }
 
 // knownAddresses returns the peer addresses of Instances and of the instances that this one
@@ -709,7 +742,7 @@
 
 // Receive queues a message from another control instance without blocking.
 func (q *Quorum) Receive(m *wire.Message) {
-	q.transport.setAddress(m.GetFrom(), m.GetAddress())
+	q.transport.noteMessage(q.config.Clock.Now(), m)
 	select {
 	case q.inbox <- m:
 	default: // the queue is full; the protocol tolerates lost messages
--- a/io/quorum/transport.go
+++ b/io/quorum/transport.go
@@ -36,6 +36,7 @@
 
 	mu        sync.Mutex
 	addresses map[string]string             // by id of the instance
+	heard     map[string]time.Duration      // when the latest message came, by id of the sender
 	outboxes  map[string]chan *wire.Message // by address
 }
 
@@ -43,7 +44,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	return &transport{
 		conns: conns, ownAddress: ownAddress, logger: logger, counters: counters, ctx: ctx, cancel: cancel,
-		addresses: map[string]string{}, outboxes: map[string]chan *wire.Message{},
+		addresses: map[string]string{}, heard: map[string]time.Duration{}, outboxes: map[string]chan *wire.Message{},
 	}
 }
 
@@ -62,6 +63,22 @@
 	t.addresses[id] = address
 }
 
+// noteMessage records that a message of an instance came.
+func (t *transport) noteMessage(at time.Duration, m *wire.Message) {
+	t.setAddress(m.GetFrom(), m.GetAddress())
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.heard[m.GetFrom()] = at
+}
+
+// lastMessage returns when the latest message of an instance came. ok is false if none did.
+func (t *transport) lastMessage(id string) (at time.Duration, ok bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	at, ok = t.heard[id]
+	return at, ok
+}
+
 // knownPeers returns the ids of the other instances whose address is known.
 func (t *transport) knownPeers() []string {
 	t.mu.Lock()
--- a/io/registrar/registrar.go
+++ b/io/registrar/registrar.go
@@ -151,7 +151,7 @@
 		Catalog: &wire.Catalog{Version: parsed.Version, Content: content, Digest: xxhash.Sum64(document)},
 	}}})
 	event.CatalogPut.Log(c.Logger, zap.Uint64("version", parsed.Version), zap.String("outcome", outcome.GetKind()),
-		zap.Uint64("in-force", outcome.GetRevision()), zap.Int("bytes", len(content)), zap.Error(err))
+		zap.Uint64("in-force", outcome.GetRevision()), zap.Int("bytes", len(content)), zap.String("reason", outcome.GetReason()), zap.Error(err))
 	if err != nil || outcome.GetKind() != registry.Accepted {
 		operator.WriteJSON(w, http.StatusServiceUnavailable, operator.ErrorReply{Reason: "no quorum settled the change; send it again"})
 		return
