--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -64,8 +64,12 @@
 	return &Roster{config: config, records: map[string]*record{}, departed: map[string]Departure{}}
 }
 
-// supersedes reports whether a is later than b.
+// supersedes reports whether a is later than b. An announcement without a start is not one of
+// a backend server that has named its start, unless that it is down.
 func supersedes(a, b tanagerroad.Announcement) bool {
+	if (a.StartMillis == 0) != (b.StartMillis == 0) && a.State != tanagerroad.Down && b.State != tanagerroad.Down {
+		return a.StartMillis != 0
+	}
 	if a.StartMillis != b.StartMillis && a.StartMillis != 0 && b.StartMillis != 0 {
 		return a.StartMillis > b.StartMillis
 	}
--- a/core/roster/roster_test.go
+++ b/core/roster/roster_test.go
@@ -28,6 +28,7 @@
 	Expire      string                  `json:"expire"`
 	Departing   string                  `json:"said-leaving"` // id of a backend server that said in an answer that it leaves
 	Usable      *[]string               `json:"usable"`
+	Addresses   []string                `json:"addresses"` // of the usable backend servers
 }
 
 // TestScripts runs the scenarios in testdata/scripts.json: which backend servers
@@ -53,6 +54,10 @@
 				if got := ids(r); !slices.Equal(got, *s.Usable) {
 					t.Errorf("%s: step %d: usable %v, want %v", script.What, i, got, *s.Usable)
 				}
+			case s.Addresses != nil:
+				if got := addresses(r); !slices.Equal(got, s.Addresses) {
+					t.Errorf("%s: step %d: usable addresses %v, want %v", script.What, i, got, s.Addresses)
+				}
 			case s.Departing != "":
 				r.RecordDeparture(at, s.Departing, s.StartMillis)
 			case s.Lapse != "":
@@ -78,6 +83,14 @@
 	return out
 }
 
+func addresses(r *roster.Roster) []string {
+	out := []string{}
+	for _, a := range r.Usable() {
+		out = append(out, a.Address)
+	}
+	return out
+}
+
 // TestOrderDoesNotMatter checks that two rosters that receive the same
 // announcements of a backend server in different orders list the same usable
 // backend servers.
