io/control: a dead connection is replaced also where callers wait for 400 ms

Seen while an order about an evacuation was followed through the code: it gives each proposal 400 ms, and since a connection had to be silent for 500 ms before it was replaced. An order to a leader behind a dead connection would have used the same one until its time was over. The time is 350 ms now, below the shortest wait of any caller. Read waits for the calls that it ended, so that the next one does not take a connection that one of them is about to replace.

Test: TestSilentConnectionIsReplaced waits 400 ms for the first call behind the frozen connection; red with 500 ms ("took 1.000267248s, want at most 500ms" for both calls), and once of two runs for reads before Read waited.

--- a/io/control/client.go
+++ b/io/control/client.go
@@ -27,7 +27,7 @@
 const (
 	watchSilenceTimeout = 3 * time.Second        // without an update, before the next instance is tried
 	callTimeout         = time.Second            // for one call to one instance
-	silenceTimeout      = 500 * time.Millisecond // of one call, before its connection is replaced; below the 900 ms that an operator's read lasts
+	silenceTimeout      = 350 * time.Millisecond // of one call, before its connection is replaced; below proposalTimeout, the shortest time that a caller waits
 	readHedgeDelay      = 200 * time.Millisecond // before a read is also sent to the next instance
 	retryDelay          = 50 * time.Millisecond
 	watchRetryDelay     = 200 * time.Millisecond
--- a/io/control/read.go
+++ b/io/control/read.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"slices"
+	"sync"
 	"time"
 
 	"tanagerroad/core/registry"
@@ -22,6 +23,8 @@
 // that hangs does not use up the time. When ctx ends first, Read returns the last reply without
 // a result, and an error that says what each instance replied.
 func (c *Client) Read(ctx context.Context, request *wire.ReadRequest) (*wire.ReadReply, error) {
+	var calls sync.WaitGroup
+	defer calls.Wait() // the next read must not use a connection that they replace
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	last := &wire.ReadReply{Kind: registry.NoQuorum}
@@ -44,7 +47,7 @@
 				continue
 			}
 			pending[address], tried[address], latest[address] = true, true, address+": no reply"
-			go func() {
+			calls.Go(func() {
 				reply, err := call(ctx, c, address, func(ctx context.Context, instance wire.ControlClient) (*wire.ReadReply, error) {
 					return instance.Read(ctx, request)
 				})
@@ -52,7 +55,7 @@
 				case results <- readResult{address, reply, err}:
 				case <-ctx.Done():
 				}
-			}()
+			})
 		}
 		select {
 		case <-ctx.Done():
--- a/io/control/silent_test.go
+++ b/io/control/silent_test.go
@@ -54,7 +54,10 @@
 		reply, err := client.Read(ctx, &wire.ReadRequest{What: "tables"})
 		return err == nil && reply.GetKind() == "ok"
 	}
-	const timeout = 5 * time.Second
+	const (
+		timeout      = 5 * time.Second
+		shortestWait = 400 * time.Millisecond // of any caller, see evacuations.go
+	)
 	for operation, call := range map[string]func(context.Context) bool{"status": status, "read": read} {
 		ctx, cancel := context.WithTimeout(context.Background(), timeout)
 		if !call(ctx) {
@@ -63,7 +66,9 @@
 		if proxy.Freeze() == 0 {
 			t.Fatalf("%s: there was no connection to freeze", operation)
 		}
-		call(ctx) // may time out
+		impatient, cancelImpatient := context.WithTimeout(ctx, shortestWait)
+		call(impatient) // may time out
+		cancelImpatient()
 		started := time.Now()
 		if !call(ctx) || time.Since(started) > 500*time.Millisecond {
 			t.Errorf("%s: the second call after the freeze failed or was too slow: took %s, want at most 500ms", operation, time.Since(started))
