io/disk: a replacement that fails leaves no bytes on the disk

It is removed now. Found by the review of the mended full disk; shown by the test: TestFailedReplaceKeepsItsBytes, red before ("file too large; 65536 bytes of it are still on the disk").

--- a/io/disk/disk.go
+++ b/io/disk/disk.go
@@ -148,19 +148,21 @@
 	return nil
 }
 
-// writeSynced writes a file of exactly data and syncs it.
+// writeSynced writes a file of exactly data and syncs it. If that fails it removes the file,
+// whose bytes would take room from the next try.
 func writeSynced(path string, data []byte) error {
 	file, err := os.OpenFile(path, os.O_CREATE|os.O_TRUNC|os.O_WRONLY, fileMode)
 	if err != nil {
 		return err
 	}
-	if _, err := file.Write(data); err != nil {
-		return errors.Join(err, file.Close())
+	_, err = file.Write(data)
+	if err == nil {
+		err = file.Sync()
 	}
-	if err := file.Sync(); err != nil {
-		return errors.Join(err, file.Close())
+	if err = errors.Join(err, file.Close()); err != nil {
+		return errors.Join(err, os.Remove(path))
 	}
-	return file.Close()
+	return nil
 }
 
 func (d *Dir) syncDir() error {
