io/quorum: the tests of failed disks count the claims, and wait for the whole cluster

TestFailedDiskAcknowledgesNothing proposed the claims again after the loss of power and took them for remembered if they were granted; a claim that was lost is granted anew. It now waits until the instance holds as many claims as before. startCluster returned when the leader knew all members; TestStopKeepsItsVote saw "0 members after instance 3 may stop" once in 61 runs, from an instance that had not formed yet. It now waits until each instance knows them.

--- a/io/quorum/cluster_test.go
+++ b/io/quorum/cluster_test.go
@@ -63,10 +63,18 @@
 		if time.Now().After(end) {
 			t.Fatal("nobody leads")
 		}
+		leader, known := -1, 0
 		for i, q := range all {
-			if v := q.View(); v.Role == "leader" && len(v.Members) == n {
-				return all, disks, i
+			v := q.View()
+			if v.Role == "leader" {
+				leader = i
 			}
+			if v.Leader != "" && len(v.Members) == n {
+				known++
+			}
+		}
+		if leader >= 0 && known == n {
+			return all, disks, leader
 		}
 	}
 }
--- a/io/quorum/quorum_test.go
+++ b/io/quorum/quorum_test.go
@@ -184,10 +184,12 @@
 			if o, err := proposeClaim(q, "after"); !granted(o, err) {
 				t.Errorf("after the disk took writes again: %v, %v", o, err)
 			}
+			acknowledged := q.View().Claims
 			stop()
 			f.losePower(t, dir)
 			q, _, stop = startSingle(t, dir)
 			defer stop()
+			awaitClaims(t, q, acknowledged)
 			for _, id := range []string{"before", "after"} {
 				o, err := proposeClaim(q, id)
 				if !granted(o, err) || o.GetClaim().GetKey().GetRequest() != id {
@@ -217,6 +219,12 @@
 	after.losePower(t, dir)
 	q, _, stop = startSingle(t, dir)
 	defer stop()
+	awaitClaims(t, q, want)
+}
+
+// awaitClaims waits until an instance that lost its power holds the claims that it held before.
+func awaitClaims(t *testing.T, q *quorum.Quorum, want int) {
+	t.Helper()
 	for end := time.Now().Add(2 * time.Second); q.View().Claims < want; time.Sleep(5 * time.Millisecond) {
 		if time.Now().After(end) {
 			t.Fatalf("%d claims after a loss of power, want the %d that were acknowledged or read before", q.View().Claims, want)
