--- a/core/replica/replica.go
+++ b/core/replica/replica.go
@@ -244,6 +244,9 @@
 	return ""
 }
 
+// AppliedLength returns the number of applied entries after the snapshot.
+func (r *Replica) AppliedLength() int { return int(r.applied - r.snapshot.GetIndex()) }
+
 // LogLength returns the number of entries after the snapshot.
 func (r *Replica) LogLength() int { return len(r.entries) }
 
--- a/core/replica/store.go
+++ b/core/replica/store.go
@@ -76,11 +76,11 @@
 
 // Persist makes the records of out durable. all returns the records of a journal that
 // holds the replica's whole state, out included; they replace a journal that may not be
-// durable. Persist returns the number of bytes that it appended. If it fails, nothing
-// of out may be sent or applied before a later Persist succeeds.
-func (s *Store) Persist(out Output, all func() []*wire.Record) (appended int, err error) {
+// durable. Persist returns the number of bytes that it wrote, without those of Install. If
+// it fails, nothing of out may be sent or applied before a later Persist succeeds.
+func (s *Store) Persist(out Output, all func() []*wire.Record) (written int, err error) {
 	if s.suspect {
-		return 0, s.Replace(all())
+		return s.replace(all())
 	}
 	if out.Install != nil {
 		if err := s.Replace(out.Install); err != nil {
@@ -113,16 +113,22 @@
 
 // Replace replaces the whole journal with records, in a new file.
 func (s *Store) Replace(records []*wire.Record) error {
+	_, err := s.replace(records)
+	return err
+}
+
+// replace is Replace; it returns the size of the new file in bytes.
+func (s *Store) replace(records []*wire.Record) (int, error) {
 	frame, err := encodeFrame(records)
 	if err != nil {
-		return err
+		return 0, err
 	}
 	s.suspect = true
 	if err := s.disk.Replace(journalFile, frame); err != nil {
-		return err
+		return 0, err
 	}
 	s.suspect = false
-	return nil
+	return len(frame), nil
 }
 
 // encodeFrame returns the journal frame that holds records.
--- a/io/quorum/quorum.go
+++ b/io/quorum/quorum.go
@@ -137,7 +137,7 @@
 	waiters       map[uint64]waiter      // by log index
 	pendingReads  map[uint64]readRequest // by read token
 	lastReadToken uint64
-	journalBytes  int64
+	journalBytes  int64           // of the journal at the start, and of what was appended since the latest snapshot
 	held          *replica.Output // whose records could not be written yet; the replica stands still meanwhile
 	broken        bool            // the state cannot be applied; the instance acknowledges nothing more
 	diskFailedAt  time.Duration   // when the disk failed, while it does; otherwise 0
@@ -665,7 +665,7 @@
 // compact replaces the journal with a snapshot once it reaches the size that the
 // settings allow.
 func (q *Quorum) compact() {
-	if q.journalBytes < int64(q.config.Settings.CompactAtSize) {
+	if q.journalBytes < int64(q.config.Settings.CompactAtSize) || q.replica.AppliedLength() == 0 {
 		return
 	}
 	image, err := q.registry.Snapshot()
