io/quorum: an instance that cannot write does not report that it is caught up

An instance whose output is held kept CaughtUp as of the failed write (commit 2 against 7 after 3 s), and control.Service sends the evacuations of such an instance to gateways that start: they could use an evacuated zone until a newer list came. Like the leader, it is cleared while the disk refuses writes, or the log cannot be applied.

Test, red before: TestHeldInstanceClaimsToBeCaughtUp.

--- a/io/quorum/quorum.go
+++ b/io/quorum/quorum.go
@@ -704,7 +704,7 @@
 		}
 		v.LogEntries = q.replica.LogLength()
 		if v.DiskFailed || q.broken {
-			v.Leader = "" // as of the failure; who leads now is not known here
+			v.Leader, v.CaughtUp = "", false // what the replica says is as of the failure
 		}
 	}
 	old := q.view.Swap(&v)
