--- a/io/quorum/quorum.go
+++ b/io/quorum/quorum.go
@@ -178,6 +178,11 @@
 	if err != nil {
 		return nil, nil, fmt.Errorf("control instance: %w", err)
 	}
+	// The snapshot is committed, so it is restored although the disk may refuse the first
+	// write of this start.
+	if err := q.restore(stored.Snapshot.GetImage()); err != nil {
+		return nil, nil, fmt.Errorf("control instance: %w", err)
+	}
 	q.transport = newTransport(config.Conns, config.Settings.Peer.AdvertisedAddress(), config.Logger, &q.Counters)
 	ctx, cancel := context.WithCancel(context.Background())
 	if !empty {
@@ -513,11 +518,9 @@
 	q.held = nil
 	q.logDisk(nil)
 	q.transport.send(out.Send)
-	if out.Restore != nil {
-		if err := q.registry.Restore(out.Restore); err != nil {
-			q.onBroken(fmt.Errorf("restore the snapshot: %w", err))
-			return
-		}
+	if err := q.restore(out.Restore); err != nil {
+		q.onBroken(err)
+		return
 	}
 	for _, e := range out.Apply {
 		if err := q.apply(e); err != nil {
@@ -531,6 +534,17 @@
 	q.publishView()
 }
 
+// restore replaces the registry's state with that of an image, if there is one.
+func (q *Quorum) restore(image []byte) error {
+	if len(image) == 0 {
+		return nil
+	}
+	if err := q.registry.Restore(image); err != nil {
+		return fmt.Errorf("restore the snapshot: %w", err)
+	}
+	return nil
+}
+
 // persist writes and syncs the records of out.
 func (q *Quorum) persist(out replica.Output) error {
 	started := q.config.Clock.Now()
