io/quorum: leader-missing names the members in force, and instances that have not formed

The view has the membership in force beside the committed one; leader-missing names the former, the list of instances holds both.

Tests, red before: TestRestartedInstanceNamesFormerMembers, TestUnformedInstanceIsSilent.

--- a/io/control/client.go
+++ b/io/control/client.go
@@ -98,7 +98,13 @@
 	latest := map[string]string{} // result by address
 	for ctx.Err() == nil {
 		answered := false
-		for _, address := range c.addressesToTry() {
+		all := c.addressesToTry()
+		for _, address := range all {
+			if latest[address] == "" {
+				latest[address] = address + ": not asked"
+			}
+		}
+		for _, address := range all {
 			if ctx.Err() != nil {
 				break
 			}
--- a/io/quorum/quorum.go
+++ b/io/quorum/quorum.go
@@ -70,16 +70,17 @@
 	SafeToStop bool   // whether the other voters have a quorum without this instance
 	Revision   *wire.Revision
 	Quarantine *wire.Quarantine
-	Members    []*wire.Member
-	Claims     int  // number of claims that the registry keeps
-	ClaimBytes int  // total size of their answers
-	LogEntries int  // number of log entries after the snapshot
-	DiskFailed bool // whether a write that failed has not succeeded yet; Leader is empty then
+	Members    []*wire.Member // of the newest membership that is known to be committed
+	InForce    []*wire.Member // of the newest membership in the log, which counts for the quorum
+	Claims     int            // number of claims that the registry keeps
+	ClaimBytes int            // total size of their answers
+	LogEntries int            // number of log entries after the snapshot
+	DiskFailed bool           // whether a write that failed has not succeeded yet; Leader is empty then
 	Catalog    *wire.Catalog
 	Bases      []*wire.PoolBase // base versions of the pools, see package origin
 	BaseChange uint64           // grows with each change of Bases
 	Origins    int              // number of recorded streams
-	Instances  []string         // peer addresses of the members, sorted
+	Instances  []string         // peer addresses of Members and InForce, sorted
 	Retention  time.Duration    // of settled claims
 
 	Evacuations      []*wire.Evacuation // of all zones that an order was given for
@@ -284,14 +285,16 @@
 			return
 		case <-ticker.C:
 		}
-		if !q.formed.Load() || q.View().Leader != "" {
+		if q.View().Leader != "" {
 			rounds = 0
 			continue
 		}
 		if rounds++; rounds%missingLeaderRounds == 0 {
 			q.logMissingLeader()
 		}
-		q.transport.helloAll(ctx, q.Hello(), q.knownAddresses())
+		if q.formed.Load() { // otherwise formCluster asks them
+			q.transport.helloAll(ctx, q.Hello(), q.knownAddresses())
+		}
 	}
 }
 
@@ -300,7 +303,7 @@
 func (q *Quorum) logMissingLeader() {
 	v := q.View()
 	var members []string
-	for _, m := range v.Members {
+	for _, m := range v.InForce {
 		part, last := "learner", "never heard of"
 		if m.GetVoter() {
 			part = "voter"
@@ -313,8 +316,9 @@
 		}
 		members = append(members, fmt.Sprintf("%s %s %s, %s", m.GetId(), m.GetAddress(), part, last))
 	}
-	event.LeaderMissing.Log(q.config.Logger, zap.String("id", q.id), zap.String("replica-role", v.Role), zap.Uint64("term", v.Term),
-		zap.Uint64("commit", v.Commit), zap.Bool("disk-failed", v.DiskFailed), zap.Strings("members", members))
+	event.LeaderMissing.Log(q.config.Logger, zap.String("id", q.id), zap.Bool("formed", q.formed.Load()), zap.String("replica-role", v.Role),
+		zap.Uint64("term", v.Term), zap.Uint64("commit", v.Commit), zap.Bool("disk-failed", v.DiskFailed), zap.Strings("members", members),
+		zap.Strings("known", q.knownAddresses()))
 }
 
 // knownAddresses returns the peer addresses of Instances and of the instances that this one
@@ -361,6 +365,7 @@
 		record := &wire.Record{Body: &wire.Record_Snapshot{Snapshot: mark}}
 		if err := q.store.Replace([]*wire.Record{record}); err != nil {
 			q.logDisk(err)
+			q.publishView()
 			return false
 		}
 		q.logDisk(nil)
@@ -698,7 +703,7 @@
 // publishView stores a new View, logs changes of role and leader, and announces
 // changes of the revision, catalog or quarantine.
 func (q *Quorum) publishView() {
-	v := View{ID: q.id, Revision: q.registry.CurrentRevision(), Quarantine: q.registry.Quarantine(), DiskFailed: q.held != nil, Catalog: q.registry.Catalog(), Retention: q.registry.ClaimRetention()}
+	v := View{ID: q.id, Revision: q.registry.CurrentRevision(), Quarantine: q.registry.Quarantine(), DiskFailed: q.diskFailedAt > 0, Catalog: q.registry.Catalog(), Retention: q.registry.ClaimRetention()}
 	v.Claims, v.ClaimBytes = q.registry.ClaimStats()
 	v.Bases, v.BaseChange = q.registry.Origins().Bases()
 	v.Evacuations, v.EvacuationChange = q.registry.Evacuations()
@@ -709,10 +714,12 @@
 		v.Leader, v.Members = q.replica.LeaderAddress(), q.replica.CommittedMembers()
 		v.Leaving = q.replica.Leaving()
 		v.SafeToStop, v.CaughtUp = q.replica.SafeToStop(), q.replica.CaughtUp()
-		for _, m := range v.Members {
+		v.InForce = q.replica.Members()
+		for _, m := range slices.Concat(v.Members, v.InForce) {
 			v.Instances = append(v.Instances, m.GetAddress())
 		}
 		slices.Sort(v.Instances)
+		v.Instances = slices.Compact(v.Instances)
 		for _, m := range q.replica.Members() {
 			q.transport.setAddress(m.GetId(), m.GetAddress())
 		}
