io/gateway: a request without an id is sent on a new connection

Callers saw: a request without an id could be answered with another caller's answer, if the backend server sent a second copy of that one late, on the connection that the request then used.

Cause: forwarded requests are told from copies by the id that answers repeat. A request without an id took any answer for its own.

Evidence: TestLateCopyIsTakenForAnswerWithoutID, red before: "/book/3 with the id "": got 200 "for /book/2" (<nil>), want its own answer".

Change: such a request gets a connection on which nothing was answered before, so that the first answer is its own. Requests with an id reuse connections as before; the test counts two connections for three of them and one without.

Ruled out: to take only answers without an id. A server may give an id of its own to a request that has none, which would then never be answered.

--- a/io/gateway/try.go
+++ b/io/gateway/try.go
@@ -143,7 +143,8 @@
 	res, err := g.client.Do(x.ctx, http1.Request{
 		Address: choice.Address, Method: x.r.Method, Target: x.target(), Host: x.r.Host,
 		Header: g.config.Dialect.ForwardHeaders(x.r.Header, options), Body: x.body,
-		Allow: func() error { return errors.Join(g.checkServer(choice), x.checkQuarantine()) },
+		NewConn: x.headers.AttemptID == "", // on a used one a late copy of another answer could not be told from its own
+		Allow:   func() error { return errors.Join(g.checkServer(choice), x.checkQuarantine()) },
 		Matches: func(h http.Header) bool {
 			return x.headers.AttemptID == "" || g.config.Dialect.DecodeResponseHeaders(0, h).AttemptID == x.headers.AttemptID
 		},
