io/gateway: a connection with an unmatched stage answer is not used again

Cause: answers to stage calls carry no id. An answer that is not the call's own leaves the own one to come, and the next call on the connection takes that for its own: its count fits and its results are new. The connection was kept - after answers that were rejected: undecodable, another number of items; - after copies that were accepted: failures only; the same piece, made before; results named before the server left the pool for a moment (the memory of names belonged to the pool's view of the server); the answer to a request, with its id; - after any answer to a call that frees results, which was not read.

Ruled out: copies on idle connections and behind an answer (closed already, io/http1 TestStrayResponseOnIdleConnection); answers to forwarded requests with an id; a connection whose caller gave up (closed already, TestConnectionOfEndedContextIsReused).

Change: after a stage call the connection is closed unless the answer is proved to be the call's: status 200, no id, the right number of items, and a result that no answer on the connection has named (or the first answer on it that names none). The names are remembered with the connection, until 15 s and 8 further answers have passed, in place of 15 s with the pool. An answer to a call that frees results must be a success, have no id and name no results.

TestRepeatedAnswers asked Pool.IsRepeated, which is gone; it asks batch.Answers the same, but that a copy after 16 s is now noticed where it was not, and that a start is now a connection. That names are forgotten at all moved to TestOldNamesAreForgotten.

--- a/core/batch/batch.go
+++ b/core/batch/batch.go
@@ -157,7 +157,7 @@
 	for _, a := range servers {
 		w, ok := p.workers[a.ID]
 		if !ok || w.StartMillis != a.StartMillis || w.Address != a.Address {
-			w = &worker{slowdown: 1, results: map[string]storedResult{}, answered: map[string]answeredPiece{}, idleSince: at}
+			w = &worker{slowdown: 1, results: map[string]storedResult{}, idleSince: at}
 		}
 		w.Announcement, w.region = a, p.regions[a.Zone]
 		next[a.ID] = w
--- a/core/batch/repeated_test.go
+++ b/core/batch/repeated_test.go
@@ -12,49 +12,72 @@
 // TestRepeatedAnswers guards against an answer that is taken for that of another call, and
 // against one that is refused though it is the call's own.
 func TestRepeatedAnswers(t *testing.T) {
-	server := tanagerroad.Announcement{ID: "s", Pool: "p", Address: "s:1", Zone: "z", StartMillis: 1}
-	p := batch.New(tanagerroad.PieceTraits{Slots: 1, MaxBatch: 4, CallTime: time.Millisecond, PieceTime: time.Millisecond})
-	p.SetServers(0, []tanagerroad.Announcement{server})
-	call := func(start int64, request string, stage int) *batch.Call {
-		s := server
-		s.StartMillis = start
-		return &batch.Call{Server: s, Pieces: []*batch.Piece{{Job: &batch.Job{Request: request, Stage: stage}}}}
+	call := func(request string, stage int) *batch.Call {
+		job := &batch.Job{Request: request, Stage: stage}
+		return &batch.Call{Pieces: []*batch.Piece{{Job: job}, {Job: job, Index: 1}}}
 	}
-	for _, c := range []struct {
-		what   string
-		at     time.Duration
-		call   *batch.Call
-		handle string
-		want   bool
+	first, other := &batch.Answers{}, &batch.Answers{}
+	for i, c := range []struct {
+		what    string
+		at      time.Duration
+		conn    *batch.Answers
+		call    *batch.Call
+		handles [2]string
+		want    batch.Match
 	}{
-		{"the first answer", 0, call(1, "a", 0), "h1", false},
-		{"its copy, for another request", time.Second, call(1, "b", 0), "h1", true},
-		{"its copy, for another stage", time.Second, call(1, "a", 1), "h1", true},
-		{"the piece made again, under the same handle", time.Second, call(1, "a", 0), "h1", false},
-		{"another result", 2 * time.Second, call(1, "b", 0), "h2", false},
-		{"failures, which name no result", 2 * time.Second, call(1, "b", 1), "", false},
-		{"failures again", 2 * time.Second, call(1, "c", 1), "", false},
-		{"the answer to a call of an earlier start", 3 * time.Second, call(0, "c", 0), "h2", false},
-		{"a copy after 14 s", 16 * time.Second, call(1, "c", 0), "h2", true},
-		{"a copy after 16 s", 18 * time.Second, call(1, "c", 0), "h2", false},
+		{"the first answer", 0, first, call("a", 0), [2]string{"h1"}, batch.Own},
+		{"its copy, for another request", time.Second, first, call("b", 0), [2]string{"h1"}, batch.Repeated},
+		{"its copy, for another stage", time.Second, first, call("a", 1), [2]string{"h1"}, batch.Repeated},
+		{"its result, in another place", time.Second, first, call("a", 0), [2]string{"", "h1"}, batch.Repeated},
+		{"its result, beside another one", time.Second, first, call("b", 0), [2]string{"h0", "h1"}, batch.Repeated},
+		{"the piece made again, under the same handle", time.Second, first, call("a", 0), [2]string{"h1"}, batch.Unproved},
+		{"the same, beside another result", time.Second, first, call("a", 0), [2]string{"h1", "h3"}, batch.Own},
+		{"another result", 2 * time.Second, first, call("b", 0), [2]string{"h2"}, batch.Own},
+		{"failures, which name no result", 2 * time.Second, first, call("b", 1), [2]string{}, batch.Own},
+		{"failures again", 2 * time.Second, first, call("c", 1), [2]string{}, batch.Unproved},
+		{"the same name on another connection", 3 * time.Second, other, call("c", 0), [2]string{"h2"}, batch.Own},
+		{"a copy after 14 s", 16 * time.Second, first, call("c", 0), [2]string{"h2"}, batch.Repeated},
+		{"a copy after a minute, and two answers", time.Minute, first, call("c", 0), [2]string{"h2"}, batch.Repeated},
+		{"a copy of the first answer, five answers later", time.Minute, first, call("c", 0), [2]string{"h1"}, batch.Repeated},
 	} {
-		if got := p.IsRepeated(c.at, c.call, []tanagerroad.PieceOutcome{{Handle: c.handle}}); got != c.want {
-			t.Errorf("%s: repeated %t, want %t", c.what, got, c.want)
+		outcomes := []tanagerroad.PieceOutcome{{Handle: c.handles[0]}, {Handle: c.handles[1]}}
+		if got := c.conn.Match(c.at, c.call, outcomes); got != c.want {
+			t.Errorf("%d, %s: %s, want %s", i, c.what, got, c.want)
+		}
+	}
+}
+
+// TestOldNamesAreForgotten guards against names that are remembered without end, and
+// against a copy that is taken for the call's own answer after many short calls.
+func TestOldNamesAreForgotten(t *testing.T) {
+	piece := func(request string) *batch.Call {
+		return &batch.Call{Pieces: []*batch.Piece{{Job: &batch.Job{Request: request}}}}
+	}
+	for _, c := range []struct {
+		further int // answers
+		after   time.Duration
+		want    batch.Match
+	}{{7, time.Minute, batch.Repeated}, {8, time.Minute, batch.Own}, {1000, 14 * time.Second, batch.Repeated}, {1000, 16 * time.Second, batch.Own}} {
+		a := &batch.Answers{}
+		a.Match(0, piece("a"), []tanagerroad.PieceOutcome{{Handle: "h"}})
+		for i := range c.further {
+			a.Match(time.Millisecond, piece("b"), []tanagerroad.PieceOutcome{{Handle: fmt.Sprint(i)}})
+		}
+		if got := a.Match(c.after, piece("c"), []tanagerroad.PieceOutcome{{Handle: "h"}}); got != c.want {
+			t.Errorf("the first answer's name after %d others and %v: %s, want %s", c.further, c.after, got, c.want)
 		}
 	}
 }
 
 // BenchmarkRepeatedAnswers measures an answer with 58 results behind 15 s of such answers.
 func BenchmarkRepeatedAnswers(b *testing.B) {
-	p := batch.New(tanagerroad.PieceTraits{Slots: 1, MaxBatch: 58, CallTime: time.Millisecond, PieceTime: time.Millisecond})
-	server := tanagerroad.Announcement{ID: "s", Pool: "p", Address: "s:1", Zone: "z"}
-	p.SetServers(0, []tanagerroad.Announcement{server})
 	job := &batch.Job{Request: "a"}
-	c := &batch.Call{Server: server}
+	c := &batch.Call{}
 	outcomes := make([]tanagerroad.PieceOutcome, 58)
 	for i := range outcomes {
 		c.Pieces = append(c.Pieces, &batch.Piece{Job: job, Index: i})
 	}
+	answers := &batch.Answers{}
 	at, n := time.Duration(0), 0
 	for b.Loop() {
 		for i := range outcomes {
@@ -62,6 +85,6 @@
 			n++
 		}
 		at += 450 * time.Millisecond
-		p.IsRepeated(at, c, outcomes)
+		answers.Match(at, c, outcomes)
 	}
 }
--- a/core/batch/worker.go
+++ b/core/batch/worker.go
@@ -1,7 +1,6 @@
 package batch
 
 import (
-	"maps"
 	"slices"
 	"time"
 
@@ -22,12 +21,10 @@
 	coldUntil    time.Duration
 	limitedUntil time.Duration // the limit allows no call before
 	idleSince    time.Duration
-	results      map[string]storedResult  // by handle
-	answered     map[string]answeredPiece // by handle
-	forgetAt     time.Duration            // when to look for old entries of answered
-	resultBytes  int64                    // total size of results
-	pendingBytes int64                    // reserved for the results of calls in flight
-	uncontended  bool                     // its last call started without queueing
+	results      map[string]storedResult // by handle
+	resultBytes  int64                   // total size of results
+	pendingBytes int64                   // reserved for the results of calls in flight
+	uncontended  bool                    // its last call started without queueing
 }
 
 // storedResult is a result that a backend server keeps for later stages.
@@ -36,21 +33,6 @@
 	until time.Duration // expiry
 }
 
-// answeredPiece is the piece for which an answer named a result.
-type answeredPiece struct {
-	request      string
-	stage, index int
-	at           time.Duration // of the answer
-}
-
-func (a answeredPiece) isSame(q *Piece) bool {
-	return a.request == q.Job.Request && a.stage == q.Job.Stage && a.index == q.Index
-}
-
-// answerMemory is how long the results that an answer named are remembered: longer than
-// a connection is kept for another call.
-const answerMemory = 15 * time.Second
-
 // unknownResults is the handle under which results of other owners are counted.
 const unknownResults = ""
 
@@ -137,39 +119,6 @@
 	w.resultBytes += rest
 }
 
-// forgetAnswers drops what was answered too long ago. It looks through the answers once
-// in answerMemory only, since there may be thousands.
-func (w *worker) forgetAnswers(at time.Duration) {
-	if at < w.forgetAt {
-		return
-	}
-	w.forgetAt = at + answerMemory
-	maps.DeleteFunc(w.answered, func(_ string, earlier answeredPiece) bool { return at-earlier.at > answerMemory })
-}
-
-// IsRepeated reports whether the outcomes of a call, one for each of its pieces, name a
-// result that an earlier answer of the backend server has named for another piece. They are
-// a second copy of that answer, which arrived in place of the answer to this call: calls
-// carry no id that answers repeat. A piece that is made again may have the same handle.
-func (p *Pool) IsRepeated(at time.Duration, call *Call, outcomes []tanagerroad.PieceOutcome) bool {
-	w := p.workers[call.Server.ID]
-	if w == nil || w.StartMillis != call.Server.StartMillis {
-		return false
-	}
-	w.forgetAnswers(at)
-	for i, o := range outcomes {
-		if earlier, ok := w.answered[o.Handle]; ok && at-earlier.at <= answerMemory && !earlier.isSame(call.Pieces[i]) {
-			return true
-		}
-	}
-	for i, o := range outcomes {
-		if q := call.Pieces[i]; o.Handle != "" {
-			w.answered[o.Handle] = answeredPiece{q.Job.Request, q.Job.Stage, q.Index, at}
-		}
-	}
-	return false
-}
-
 // updateWorker updates a backend server's load, slowdown and ejection after a
 // call.
 func (p *Pool) updateWorker(at time.Duration, w *worker, call *Call, outcomes []tanagerroad.PieceOutcome, full bool) {
--- a/io/gateway/batcher.go
+++ b/io/gateway/batcher.go
@@ -395,7 +395,7 @@
 		releaseTimer = time.AfterFunc(inputFetchTime, func() { b.release(inputs) })
 	}
 	overdueTimer := time.AfterFunc(call.Timeout(), func() { b.abandon(name, p, call) })
-	outcomes, full, err := b.send(name, call, items)
+	outcomes, full, err := b.send(call, items)
 	overdueTimer.Stop()
 	if outcomes == nil {
 		b.recordCrash(call, err)
@@ -472,19 +472,26 @@
 	b.dispatch(name, p)
 }
 
-// errRepeatedAnswer is the error of a call that got the answer of an earlier one.
-var errRepeatedAnswer = errors.New("the backend server sent the answer of an earlier call again")
+// Errors of calls that got an answer which is not theirs.
+var (
+	errRepeatedAnswer = errors.New("the backend server sent the answer of an earlier call again")
+	errForeignAnswer  = errors.New("the backend server sent the answer to a request, or to another kind of call")
+)
 
-func (b *pieceBatcher) isRepeated(pool string, call *batch.Call, outcomes []tanagerroad.PieceOutcome) bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	p := b.pools[pool]
-	return p != nil && p.IsRepeated(b.g.now(), call, outcomes)
+// match returns whether an answer with these outcomes belongs to the call that it came for.
+func (b *pieceBatcher) match(res *http1.Response, call *batch.Call, outcomes []tanagerroad.PieceOutcome) batch.Match {
+	shared := res.Shared()
+	answers, ok := (*shared).(*batch.Answers)
+	if !ok {
+		answers = &batch.Answers{}
+		*shared = answers
+	}
+	return answers.Match(b.g.now(), call, outcomes)
 }
 
 // send sends the items to the call's backend server and returns their outcomes.
 // full means that the backend server was busy and executed none of them.
-func (b *pieceBatcher) send(name string, call *batch.Call, items []tanagerroad.PieceItem) (outcomes []tanagerroad.PieceOutcome, full bool, err error) {
+func (b *pieceBatcher) send(call *batch.Call, items []tanagerroad.PieceItem) (outcomes []tanagerroad.PieceOutcome, full bool, err error) {
 	body, err := b.g.config.Dialect.EncodePieceRequest(items)
 	if err != nil {
 		return nil, false, err
@@ -501,7 +508,8 @@
 	if err != nil {
 		return nil, errors.Is(err, errServerUnavailable), err
 	}
-	defer res.Close()
+	// Unless the answer is proved to be this call's, its own may be still to come.
+	defer res.Discard()
 	reply := b.g.config.Dialect.DecodeResponseHeaders(res.StatusCode, res.Header)
 	b.g.heed(call.Server, reply)
 	answer, err := io.ReadAll(io.LimitReader(res, maxCallAnswer))
@@ -509,9 +517,11 @@
 		return nil, false, err
 	}
 	if res.StatusCode != http.StatusOK {
-		res.Discard() // a second copy would be taken for the answer to the next call
 		return nil, reply.NotRun && res.StatusCode == http.StatusServiceUnavailable, fmt.Errorf("backend server answered with status %d", res.StatusCode)
 	}
+	if reply.AttemptID != "" {
+		return nil, false, errForeignAnswer
+	}
 	outcomes, err = b.g.config.Dialect.DecodePieceOutcomes(answer)
 	if err != nil {
 		return nil, false, err
@@ -524,9 +534,11 @@
 			outcomes[i] = tanagerroad.PieceOutcome{Reason: tanagerroad.PieceError}
 		}
 	}
-	if b.isRepeated(name, call, outcomes) {
-		res.Discard()
+	switch b.match(res, call, outcomes) {
+	case batch.Repeated:
 		return nil, false, errRepeatedAnswer
+	case batch.Own:
+		res.Close()
 	}
 	return outcomes, false, nil
 }
@@ -648,9 +660,24 @@
 	if err != nil {
 		return err
 	}
-	defer res.Close()
-	_, err = io.Copy(io.Discard, io.LimitReader(res, maxCallAnswer))
-	return err
+	defer res.Discard() // see send
+	answer, err := io.ReadAll(io.LimitReader(res, maxCallAnswer))
+	if err != nil {
+		return err
+	}
+	if !isSuccess(res.StatusCode) {
+		return fmt.Errorf("backend server answered with status %d", res.StatusCode)
+	}
+	if b.g.config.Dialect.DecodeResponseHeaders(res.StatusCode, res.Header).AttemptID != "" {
+		return errForeignAnswer
+	}
+	if outcomes, err := b.g.config.Dialect.DecodePieceOutcomes(answer); err == nil && len(outcomes) > 0 {
+		return errForeignAnswer
+	}
+	// A copy of the answer to another such call can't be told apart. What it leaves to come
+	// names no results, so no call for pieces can take it for its own.
+	res.Close()
+	return nil
 }
 
 // wait returns the predicted queueing time of a new request in the pool where it is
--- a/io/gateway/evacuations_test.go
+++ b/io/gateway/evacuations_test.go
@@ -81,7 +81,7 @@
 	if err := g.checkServer(choice); !errors.Is(err, errServerUnavailable) {
 		t.Errorf("a request may be sent: %v", err)
 	}
-	if _, full, err := g.batcher("").send("prep", piece, []tanagerroad.PieceItem{{RequestID: "a"}}); !full || !errors.Is(err, errServerUnavailable) || p.calls.Load() > 0 {
+	if _, full, err := g.batcher("").send(piece, []tanagerroad.PieceItem{{RequestID: "a"}}); !full || !errors.Is(err, errServerUnavailable) || p.calls.Load() > 0 {
 		t.Errorf("a call for pieces: error %v, to be sent elsewhere %t, %d calls", err, full, p.calls.Load())
 	}
 	g.batcher("").release([]string{p.Listener.Addr().String() + "/1"})
--- a/io/gateway/stages_test.go
+++ b/io/gateway/stages_test.go
@@ -32,6 +32,8 @@
 	keys    []string                 // piece keys of the calls
 	outcome func(call int64) *string // what a call is answered with in place of results; nil: results
 	status  func(call int64) int     // of the answer to a call; 0: 200
+
+	freeTime time.Duration // of a call that frees results
 }
 
 func newPieceServer(t *testing.T) *pieceServer {
@@ -48,6 +50,7 @@
 			return // the gateway has given up
 		}
 		if r.URL.Path == "/free-pieces" {
+			time.Sleep(p.freeTime)
 			p.free(t, body)
 			return
 		}
--- a/io/http1/client.go
+++ b/io/http1/client.go
@@ -55,7 +55,8 @@
 	// the request is not sent.
 	Allow func() error
 	// Matches reports whether a response header belongs to this request. Other
-	// responses are skipped. If Matches is nil, the first response is returned.
+	// responses are skipped. If Matches is nil, the first response is returned, which may
+	// be a late copy of an earlier one.
 	Matches func(http.Header) bool
 }
 
@@ -95,6 +96,7 @@
 	reader      *bufio.Reader
 	idleSince   time.Time
 	idleTimeout time.Duration // how long the connection may be idle before it is no longer reused
+	shared      any           // see Response.Shared
 }
 
 // New returns a client and the function that closes its idle connections.
@@ -505,8 +507,14 @@
 // BytesRead returns the number of bytes of the body that Read has returned.
 func (r *Response) BytesRead() int64 { return r.bytesRead }
 
+// Shared returns a value that belongs to the connection. Its calls, one at a time, may use
+// it until they are closed.
+func (r *Response) Shared() *any { return &r.conn.shared }
+
 // Close ends the call. The connection is kept for reuse if the request was written
-// and the response read completely, and closed otherwise.
+// and the response read completely, and closed otherwise. Unless Request.Matches has
+// identified the response, the caller must Discard it if it may be the answer to another
+// request: the request's own is then still to come, and the next call would get it.
 func (r *Response) Close() {
 	r.closeOnce.Do(func() {
 		stopped := r.stop()
