core/replica: disks fail in the simulation

A simulated disk can be full, or fail its syncs, for a while; what a failed sync covered stays readable and never becomes durable until the file is replaced. A node does as io/quorum: the output whose records cannot be written is held and tried again, the node stands still meanwhile, and its calls fail. Processes are killed with their unsynced bytes readable, beside losses of power. The random schedules and TestReplacedInstancesCostTheQuorum have these events; a disk that refuses writes counts as lost, and for catchUp after. The other events, bounds and numbers of cases are as before.

TestDiskThatWasFullStaysLost asks for a leader within recovery, and that nothing is forgotten, when disks were full and instances were replaced, without a restart of all.

--- a/core/replica/evacuations_test.go
+++ b/core/replica/evacuations_test.go
@@ -138,9 +138,9 @@
 }
 
 func (r *evacuationRace) read(nd *node) {
-	r.lastToken++
-	r.pendingReads[uint64(r.lastToken)] = r.recordCall(evacuationCall{})
-	nd.replica.Read(uint64(r.lastToken))
+	token := r.newRead(nd)
+	r.pendingReads[token] = r.recordCall(evacuationCall{})
+	nd.replica.Read(token)
 	r.handleOutput(nd)
 }
 
@@ -169,7 +169,7 @@
 	case len(r.copies) > 0:
 		i := len(r.copies) - 1 - rapid.IntRange(0, min(len(r.copies)-1, 6)).Draw(r.t, "copy")
 		for _, each := range r.nodes {
-			if each.up && !each.frozen {
+			if each.working() {
 				r.proposeCopy(each, i)
 			}
 		}
@@ -192,7 +192,7 @@
 		}
 		for range 120 {
 			nd := s.nodes[rapid.IntRange(0, n-1).Draw(rt, "asked")]
-			if rapid.Bool().Draw(rt, "operator") && nd.up && !nd.frozen {
+			if rapid.Bool().Draw(rt, "operator") && nd.working() {
 				r.act(nd)
 				continue
 			}
--- a/core/replica/forming_test.go
+++ b/core/replica/forming_test.go
@@ -42,9 +42,12 @@
 // isUnformed reports whether a node has an empty journal and has neither formed
 // nor joined a cluster.
 func (f *formingSimulation) isUnformed(nd *node) bool {
+	if nd.up {
+		return false
+	}
 	_, empty, err := nd.store.Load()
 	f.must(err)
-	return !nd.up && empty
+	return empty
 }
 
 // collectAnswer gives nd the answer of other, if other is running.
@@ -73,7 +76,9 @@
 		return
 	case replica.StartWithMembers:
 		mark := &wire.Record{Body: &wire.Record_Snapshot{Snapshot: &wire.SnapshotMark{Members: members}}}
-		f.must(nd.store.Replace([]*wire.Record{mark}))
+		if nd.store.Replace([]*wire.Record{mark}) != nil {
+			return // it asks again
+		}
 		f.anyFormed = true
 	}
 	f.start(nd)
--- a/core/replica/linear_test.go
+++ b/core/replica/linear_test.go
@@ -92,7 +92,7 @@
 
 // submit sends a change to one instance. Its answer may be lost.
 func (r *changeRace) submit(nd *node, in change) {
-	if !nd.up || nd.frozen {
+	if !nd.working() {
 		return
 	}
 	data, err := proto.Marshal(&wire.Command{AtMillis: 1, Body: &wire.Command_PutTables{PutTables: &wire.PutTables{
--- a/core/replica/replaced_test.go
+++ b/core/replica/replaced_test.go
@@ -27,8 +27,8 @@
 	eventsPerRun = 6
 )
 
-// replacedCore is a simulation of a core whose instances restart, freeze, lose their disks and
-// are replaced by others at new addresses, never more of them at once than it tolerates.
+// replacedCore is a simulation of a core whose instances restart, freeze, have full disks, lose
+// them and are replaced by others at new addresses, never more of them at once than it tolerates.
 type replacedCore struct {
 	*simulation
 	now       time.Duration
@@ -173,11 +173,16 @@
 	return next
 }
 
-// disturb begins one event at an instance, if no more are lost then than are tolerated.
-func (c *replacedCore) disturb() {
+var (
+	diskEvents = []string{"full", "sync", "replace"} // all writes or the syncs fail for a while
+	allEvents  = append([]string{"replace-planned", "kill", "stop", "wipe", "freeze", "cut", "power"}, diskEvents...)
+)
+
+// disturb begins one of the events at an instance, if no more are lost then than are tolerated.
+func (c *replacedCore) disturb(events []string) {
 	nd := c.nodes[rapid.IntRange(0, len(c.nodes)-1).Draw(c.t, "node")]
 	away := time.Duration(rapid.Int64Range(0, int64(maxGone)).Draw(c.t, "away"))
-	kind := rapid.SampledFrom([]string{"replace", "replace-planned", "kill", "stop", "wipe", "freeze", "cut", "power"}).Draw(c.t, "kind")
+	kind := rapid.SampledFrom(events).Draw(c.t, "kind")
 	if kind == "power" { // of all; the machine of an instance that was to be replaced does not come back
 		for _, each := range slices.Clone(c.nodes) {
 			if each.leaving && c.replaced[each] {
@@ -185,8 +190,9 @@
 				continue
 			}
 			c.lost[each.address] = max(c.lost[each.address], c.now+second+catchUp)
-			if each.up {
-				c.crash(each)
+			wasUp := each.up
+			c.crash(each)
+			if wasUp {
 				c.after(second, func() {
 					if !each.up && c.lost[each.address] != forever {
 						c.restart(each)
@@ -225,7 +231,7 @@
 		nd.leaving = true
 		c.after(graceTime, func() {
 			if nd.up {
-				c.crash(nd)
+				c.kill(nd)
 			}
 			c.back(nd)
 		})
@@ -250,8 +256,18 @@
 		c.crash(nd)
 		nd.disk = newFakeDisk()
 		c.after(away, func() { c.back(nd) })
+	case "full", "sync":
+		nd.disk.refuses = refusesBytes
+		if kind == "sync" {
+			nd.disk.refuses = refusesSyncs
+		}
+		c.after(away/2, c.proposeAll)
+		c.after(away, func() {
+			nd.disk.refuses = refusesNothing
+			c.back(nd)
+		})
 	default:
-		c.crash(nd)
+		c.kill(nd)
 		c.after(away, func() { c.back(nd) })
 	}
 }
@@ -261,9 +277,7 @@
 func (c *replacedCore) loseAll() {
 	for _, nd := range slices.Clone(c.nodes) {
 		wiped := nd.up && c.mayLose(nd) && rapid.IntRange(0, 2).Draw(c.t, "wiped") > 0
-		if nd.up {
-			c.crash(nd)
-		}
+		c.crash(nd)
 		if wiped {
 			c.lost[nd.address] = forever
 			nd.disk = newFakeDisk()
@@ -272,7 +286,7 @@
 	clear(c.later)
 	c.run(second)
 	for _, nd := range c.nodes {
-		nd.frozen = false
+		nd.frozen, nd.disk.refuses = false, refusesNothing
 		if !nd.up {
 			c.restart(nd)
 		}
@@ -304,21 +318,53 @@
 	}
 }
 
+// TestDiskThatWasFullStaysLost guards against an instance whose disk refused a write once and that
+// takes no part any more, so that later losses within what is tolerated cost the quorum.
+func TestDiskThatWasFullStaysLost(t *testing.T) {
+	for n := 3; n <= 7; n++ {
+		t.Run(fmt.Sprint(n), func(t *testing.T) {
+			schedule.Divided(t, 100, func() {
+				rapid.Check(t, func(rt *rapid.T) {
+					c := newReplacedCore(rt, n)
+					c.play(diskEvents)
+					c.run(maxGone + catchUp) // all disks take bytes, and all successors count
+					c.checkRecovered()
+				})
+			})
+		})
+	}
+}
+
 func playReplacements(t *rapid.T, n int) {
 	c := newReplacedCore(t, n)
+	c.play(allEvents)
+	c.loseAll()
+	c.checkRecovered()
+}
+
+// play lets events happen while changes are proposed.
+func (c *replacedCore) play(events []string) {
 	c.run(2 * second)
 	for range eventsPerRun {
-		c.disturb()
-		c.run(time.Duration(rapid.Int64Range(0, int64(6*second)).Draw(t, "pause")))
-		for _, nd := range c.nodes {
-			c.propose(nd, fmt.Sprintf("c%d", rapid.IntRange(0, 40).Draw(t, "change")))
-		}
+		c.disturb(events)
+		c.run(time.Duration(rapid.Int64Range(0, int64(6*second)).Draw(c.t, "pause")))
+		c.proposeAll()
 	}
-	c.loseAll()
+}
+
+func (c *replacedCore) proposeAll() {
+	for _, nd := range c.nodes {
+		c.propose(nd, fmt.Sprintf("c%d", rapid.IntRange(0, 40).Draw(c.t, "change")))
+	}
+}
+
+// checkRecovered checks that somebody leads in time, now that all are back, and that nothing
+// was forgotten.
+func (c *replacedCore) checkRecovered() {
 	c.run(recovery)
 	led := slices.ContainsFunc(c.nodes, func(nd *node) bool { return nd.up && nd.replica.Role() == replica.Leader })
 	if !led {
-		t.Fatalf("nobody leads %v after all are back\n%s", recovery, c.state())
+		c.t.Fatalf("nobody leads %v after all are back\n%s", recovery, c.state())
 	}
 	c.heal()
 	c.checkConverged()
--- a/core/replica/replica_test.go
+++ b/core/replica/replica_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"fmt"
 	"strconv"
 	"testing"
@@ -22,6 +23,7 @@
 const (
 	electionTimeout = 10 * time.Millisecond // minimum; see replica.Config
 	heartbeat       = 2 * time.Millisecond  // interval
+	diskRetry       = electionTimeout / 3   // between two tries of a write that failed, as in io/quorum
 )
 
 // node is one simulated control instance.
@@ -37,6 +39,8 @@
 	up               bool
 	frozen           bool // receives nothing, and its clock is stopped
 	leaving          bool
+	held             *replica.Output     // whose records could not be written yet; the node stands still
+	retryAt          time.Duration       // when they are tried again
 	proposals        map[uint64]proposal // own proposals by log index
 	claimsBeforeRead map[uint64]int      // number of granted claims when a read began, by token
 }
@@ -123,7 +127,8 @@
 		ID: nd.id, Address: nd.address, ElectionTimeout: electionTimeout, HeartbeatInterval: heartbeat, Seed: xxhash.Sum64String(nd.id),
 		MaxEntries: 4, MaxChunkBytes: 64, OpenMembership: s.removeAfter > 0, RemoveAfter: s.removeAfter, Tolerate: s.tolerate,
 	}, nd.clock, stored)
-	nd.proposals, nd.claimsBeforeRead, nd.up, nd.frozen, nd.leaving = map[uint64]proposal{}, map[uint64]int{}, true, false, false
+	nd.up, nd.frozen, nd.leaving, nd.held = true, false, false, nil
+	nd.failPending()
 	s.handleOutput(nd)
 }
 
@@ -140,22 +145,53 @@
 	s.start(nd)
 }
 
-// crash stops a node and loses its unsynced data.
+// crash stops a node, which may be down already, by a loss of power.
 func (s *simulation) crash(nd *node) {
 	nd.up = false
 	nd.disk.crash(s.t)
 }
 
-// handleOutput carries out a replica's Output in the documented order.
+// kill stops a node's process, by a loss of power or so that its unsynced data can still be
+// read.
+func (s *simulation) kill(nd *node) {
+	if rapid.Bool().Draw(s.t, "power") {
+		s.crash(nd)
+	}
+	nd.up = false
+}
+
+// failPending ends the calls that wait for a node without an answer.
+func (nd *node) failPending() {
+	nd.proposals, nd.claimsBeforeRead = map[uint64]proposal{}, map[uint64]int{}
+}
+
+// working reports whether a node takes messages and calls.
+func (nd *node) working() bool { return nd.up && !nd.frozen && nd.held == nil }
+
+// handleOutput carries out a replica's Output, if it has one.
 func (s *simulation) handleOutput(nd *node) {
-	out := nd.replica.TakeOutput()
-	if out.Empty() {
+	if out := nd.replica.TakeOutput(); !out.Empty() {
+		s.carryOut(nd, out)
+	}
+}
+
+// onFailedWrite holds an output whose records the disk refuses, as io/quorum does.
+func (s *simulation) onFailedWrite(nd *node, out replica.Output, err error) {
+	if errors.Is(err, errCrashed) {
+		s.crash(nd)
 		return
 	}
+	nd.held, nd.retryAt = &out, nd.clock+diskRetry
+	nd.failPending()
+}
+
+// carryOut carries out an Output in the documented order.
+func (s *simulation) carryOut(nd *node, out replica.Output) {
 	if _, err := nd.store.Persist(out, nd.replica.JournalRecords); err != nil {
-		s.crash(nd)
+		s.onFailedWrite(nd, out, err)
 		return
 	}
+	nd.held = nil
 	s.inFlight = append(s.inFlight, out.Send...)
 	if out.Restore != nil {
 		s.must(nd.registry.Restore(out.Restore))
@@ -165,7 +201,11 @@
 		s.apply(nd, e)
 	}
 	for _, token := range out.Reads {
-		if granted := nd.claimsBeforeRead[token]; granted > nd.countAppliedClaims(s) {
+		granted, waits := nd.claimsBeforeRead[token]
+		if !waits {
+			continue // it has failed
+		}
+		if granted > nd.countAppliedClaims(s) {
 			s.t.Fatalf("%s served a read that misses %d claims granted before it", nd.id, granted-nd.countAppliedClaims(s))
 		}
 		if s.onRead != nil {
@@ -251,7 +291,7 @@
 	if s.onReceive != nil && !to.frozen && !s.cutLinks[from.address+">"+to.address] {
 		s.onReceive(to, m)
 	}
-	if to == nil || !to.up || to.frozen || s.cutLinks[from.address+">"+to.address] {
+	if to == nil || !to.working() || s.cutLinks[from.address+">"+to.address] {
 		return
 	}
 	to.replica.Step(to.clock, proto.CloneOf(m))
@@ -263,6 +303,12 @@
 	if !nd.up || nd.frozen {
 		return
 	}
+	if nd.held != nil {
+		if nd.clock += d; nd.clock >= nd.retryAt {
+			s.carryOut(nd, *nd.held)
+		}
+		return
+	}
 	for ; d > heartbeat; d -= heartbeat {
 		nd.clock += heartbeat
 		nd.replica.Tick(nd.clock)
@@ -285,7 +331,7 @@
 
 // propose proposes a claim of the request id at a node.
 func (s *simulation) propose(nd *node, id string) {
-	if !nd.up || nd.frozen {
+	if !nd.working() {
 		return
 	}
 	c := &wire.Command{AtMillis: 1, Body: &wire.Command_Claim{Claim: &wire.Claim{
@@ -306,19 +352,24 @@
 
 // read starts a read at a node. It must see every claim granted until now.
 func (s *simulation) read(nd *node) {
-	if !nd.up || nd.frozen {
+	if !nd.working() {
 		return
 	}
+	nd.replica.Read(s.newRead(nd))
+	s.handleOutput(nd)
+}
+
+// newRead returns the token of a new read at a node.
+func (s *simulation) newRead(nd *node) uint64 {
 	s.lastToken++
 	nd.claimsBeforeRead[uint64(s.lastToken)] = len(s.grantedClaims)
-	nd.replica.Read(uint64(s.lastToken))
-	s.handleOutput(nd)
+	return uint64(s.lastToken)
 }
 
 // compact compacts a node's log. It checks that its state is the same as that of
 // other nodes compacted at the same index.
 func (s *simulation) compact(nd *node) {
-	if !nd.up || nd.frozen || nd.applied == 0 {
+	if !nd.working() || nd.applied == 0 {
 		return
 	}
 	image, err := nd.registry.Snapshot()
@@ -327,8 +378,8 @@
 		s.t.Fatalf("%s has a state at index %d that differs from the one seen there before", nd.id, nd.applied)
 	}
 	s.snapshots[nd.applied] = image
-	if nd.store.Replace(nd.replica.Compact(image)) != nil {
-		s.crash(nd)
+	if err := nd.store.Replace(nd.replica.Compact(image)); err != nil {
+		s.onFailedWrite(nd, replica.Output{}, err)
 	}
 }
 
@@ -393,7 +444,7 @@
 func (s *simulation) step() {
 	t := s.t
 	nd := s.nodes[rapid.IntRange(0, len(s.nodes)-1).Draw(t, "node")]
-	kind := rapid.IntRange(0, 99).Draw(t, "kind")
+	kind := rapid.IntRange(0, 104).Draw(t, "kind")
 	switch {
 	case kind < 32:
 		if len(s.inFlight) > 0 {
@@ -412,7 +463,7 @@
 	case kind < 79:
 		s.read(nd)
 	case kind < 80:
-		if nd.up && !nd.frozen {
+		if nd.working() {
 			nd.replica.Leave()
 			nd.leaving = true
 			s.handleOutput(nd)
@@ -425,9 +476,7 @@
 			nd.disk.tornLength = func(n int) int { return rapid.IntRange(0, n).Draw(t, "part") }
 		}
 	case kind < 88:
-		if nd.up {
-			s.crash(nd)
-		}
+		s.kill(nd)
 	case kind < 91:
 		for _, each := range s.nodes {
 			if !each.up {
@@ -444,8 +493,16 @@
 		s.cutLinks = map[string]bool{}
 	case kind < 97:
 		s.compact(nd)
-	default:
+	case kind < 100:
 		s.loseDisk(nd)
+	case kind < 102:
+		nd.disk.refuses = refusesBytes
+	case kind < 104:
+		nd.disk.refuses = refusesSyncs
+	default:
+		for _, each := range s.nodes {
+			each.disk.refuses = refusesNothing
+		}
 	}
 }
 
@@ -453,9 +510,9 @@
 func (s *simulation) heal() {
 	s.cutLinks = map[string]bool{}
 	for _, nd := range s.nodes {
-		nd.frozen = false
+		nd.frozen, nd.disk.refuses = false, refusesNothing
 		if nd.leaving && nd.up {
-			s.crash(nd) // a process that announced its shutdown stops eventually
+			s.kill(nd) // a process that announced its shutdown stops eventually
 		}
 		if !nd.up {
 			s.restart(nd)
--- a/core/replica/versions_test.go
+++ b/core/replica/versions_test.go
@@ -73,8 +73,7 @@
 }
 
 func (r *versionRace) readVersion(nd *node) {
-	r.lastToken++
-	token := uint64(r.lastToken)
+	token := r.newRead(nd)
 	r.pendingReads[token] = r.recordCall(versionCall{})
 	nd.replica.Read(token)
 	r.handleOutput(nd)
@@ -91,7 +90,7 @@
 		r.tickAndDeliverWithout(nd)
 	}
 	for _, other := range r.nodes {
-		if other != nd && other.up && !other.frozen {
+		if other != nd && other.working() {
 			r.put(other, uint64(rapid.IntRange(1, 12).Draw(r.t, "version")))
 		}
 	}
@@ -125,7 +124,7 @@
 		}
 		for range 100 {
 			nd := s.nodes[rapid.IntRange(0, n-1).Draw(rt, "asked")]
-			busy := !nd.up || nd.frozen || len(r.history) >= 24
+			busy := !nd.working() || len(r.history) >= 24
 			switch call := rapid.IntRange(0, 5).Draw(rt, "call"); {
 			case call == 0 && !busy:
 				r.put(nd, uint64(rapid.IntRange(1, 12).Draw(rt, "version")))
