core/replica: an instance that was removed goes on asking whether it may stop

Cause, by reading and by the test below; the plays themselves were not traced: the leader takes away the vote of an instance that stops and sends it nothing from then on. If it does not agree within the election timeout, since its change is not committed or the others are not active yet, the instance knows no leader and asks nobody any more.

Change: without a leader it asks all other members; only a leader replies, and the reply counts unless it is of an earlier term.

Test, red before: TestRemovedLeaverStopsAsking ("the instance no longer asks whether it may stop"). The package's tests are green.

--- a/core/replica/guard_test.go
+++ b/core/replica/guard_test.go
@@ -472,3 +472,28 @@
 		t.Errorf("members %s, want abc: c may only be partitioned", got)
 	}
 }
+
+// TestRemovedLeaverStopsAsking guards against an instance that shuts down and waits for its time
+// to be over: a leader that has removed it sends it nothing any more, so it knows no leader
+// before that one can agree.
+func TestRemovedLeaverStopsAsking(t *testing.T) {
+	r := newFollower(threeVoters)
+	r.Step(0, &wire.Message{Kind: "append", From: "b", To: "a", Term: 2})
+	r.Leave()
+	r.TakeOutput()
+	at := 3 * electionTimeout
+	tick(r, 0, at)
+	r.TakeOutput()
+	r.Tick(at + heartbeat)
+	if got := lastOfKind(r.TakeOutput().Send, "leave"); got == nil {
+		t.Fatal("the instance no longer asks whether it may stop")
+	}
+	r.Step(at+heartbeat, &wire.Message{Kind: "leave-reply", From: "c", To: "a", Term: 1})
+	if r.SafeToStop() {
+		t.Error("the agreement of a leader of an earlier term counts")
+	}
+	r.Step(at+heartbeat, &wire.Message{Kind: "leave-reply", From: "b", To: "a", Term: 2})
+	if !r.SafeToStop() {
+		t.Error("the leader's agreement does not count")
+	}
+}
--- a/core/replica/member.go
+++ b/core/replica/member.go
@@ -166,10 +166,17 @@
 	r.changeMembers(slices.DeleteFunc(slices.Clone(r.members), func(m *wire.Member) bool { return m.GetId() == id }))
 }
 
-// requestLeave asks the leader, as long as it has not agreed, whether this replica may stop.
+// requestLeave asks the leader, as long as it has not agreed, whether this replica may stop. A
+// leader that has removed this replica sends it nothing more, so while none is known all members
+// are asked; only a leader replies.
 func (r *Replica) requestLeave() {
-	if r.leaving && !r.safeToStop && r.role != Leader && r.leader != "" {
-		r.send(r.leader, msgLeave, &wire.Message{})
+	if !r.leaving || r.safeToStop || r.role == Leader {
+		return
+	}
+	for _, m := range r.others() {
+		if r.leader == "" || m.GetId() == r.leader {
+			r.send(m.GetId(), msgLeave, &wire.Message{})
+		}
 	}
 }
 
--- a/core/replica/replica.go
+++ b/core/replica/replica.go
@@ -500,7 +500,7 @@
 		r.onLeave(m)
 		return
 	case msgLeaveReply:
-		r.safeToStop = r.safeToStop || m.GetFrom() == r.leader
+		r.safeToStop = r.safeToStop || m.GetFrom() == r.leader || r.leaving && r.leader == "" && m.GetTerm() >= r.term
 		return
 	}
 	if m.GetKind() == msgVote && !m.GetGranted() && r.hasLiveLeader(at) {
