core/replica: the simulation notices entries and votes that a loss of power takes

An instance whose syncs failed may be killed, and reads at its start what it wrote. TestDiskThatWasFullStaysLost ends with a loss of all power too.

--- a/core/replica/fakes_test.go
+++ b/core/replica/fakes_test.go
@@ -7,6 +7,7 @@
 	"pgregory.net/rapid"
 
 	"tanagerroad"
+	"tanagerroad/core/replica"
 )
 
 var (
@@ -31,6 +32,7 @@
 	tornLength func(n int) int // how much of an operation of size n is done at a crash
 	refuses    int
 	tainted    map[string]bool // a sync of the file has failed
+	saved      replica.Stored  // what was written last, as far as its writer knows
 }
 
 var _ tanagerroad.Disk = (*fakeDisk)(nil)
--- a/core/replica/replaced_test.go
+++ b/core/replica/replaced_test.go
@@ -264,6 +264,9 @@
 		c.after(away/2, c.proposeAll)
 		c.after(away, func() {
 			nd.disk.refuses = refusesNothing
+			if rapid.Bool().Draw(c.t, "killed") {
+				nd.up = false // what it wrote can be read at its start
+			}
 			c.back(nd)
 		})
 	default:
@@ -328,7 +331,13 @@
 					c := newReplacedCore(rt, n)
 					c.play(diskEvents)
 					c.run(maxGone + catchUp) // all disks take bytes, and all successors count
-					c.checkRecovered()
+					c.checkLed()
+					c.heal()
+					c.checkConverged()
+					c.loseAll()
+					c.checkLed()
+					c.heal()
+					c.checkConverged()
 				})
 			})
 		})
@@ -339,7 +348,9 @@
 	c := newReplacedCore(t, n)
 	c.play(allEvents)
 	c.loseAll()
-	c.checkRecovered()
+	c.checkLed()
+	c.heal()
+	c.checkConverged()
 }
 
 // play lets events happen while changes are proposed.
@@ -358,14 +369,11 @@
 	}
 }
 
-// checkRecovered checks that somebody leads in time, now that all are back, and that nothing
-// was forgotten.
-func (c *replacedCore) checkRecovered() {
+// checkLed checks that somebody leads in time, now that all are back.
+func (c *replacedCore) checkLed() {
 	c.run(recovery)
-	led := slices.ContainsFunc(c.nodes, func(nd *node) bool { return nd.up && nd.replica.Role() == replica.Leader })
+	led := slices.ContainsFunc(c.nodes, func(nd *node) bool { return nd.working() && nd.replica.Role() == replica.Leader })
 	if !led {
 		c.t.Fatalf("nobody leads %v after all are back\n%s", recovery, c.state())
 	}
-	c.heal()
-	c.checkConverged()
 }
--- a/core/replica/replica_test.go
+++ b/core/replica/replica_test.go
@@ -145,10 +145,31 @@
 	s.start(nd)
 }
 
-// crash stops a node, which may be down already, by a loss of power.
+// crash stops a node, which may be down already, by a loss of power. It checks that the entries
+// and the vote that were written outlive it.
 func (s *simulation) crash(nd *node) {
 	nd.up = false
 	nd.disk.crash(s.t)
+	want := nd.disk.saved
+	got, _, err := replica.NewStore(nd.disk).Load()
+	s.must(err)
+	term, index := lastOf(got)
+	wantTerm, wantIndex := lastOf(want)
+	if term < wantTerm || term == wantTerm && index < wantIndex {
+		s.t.Fatalf("%s forgot entries: the last is %d of term %d, was %d of term %d", nd.id, index, term, wantIndex, wantTerm)
+	}
+	have, had := got.HardState, want.HardState
+	if have.GetTerm() < had.GetTerm() || have.GetTerm() == had.GetTerm() && had.GetVote() != "" && have.GetVote() != had.GetVote() {
+		s.t.Fatalf("%s forgot its vote: term %d, vote %q, was %d, %q", nd.id, have.GetTerm(), have.GetVote(), had.GetTerm(), had.GetVote())
+	}
+}
+
+// lastOf returns the term and the index of the last entry.
+func lastOf(s replica.Stored) (term, index uint64) {
+	if n := len(s.Entries); n > 0 {
+		return s.Entries[n-1].GetTerm(), s.Entries[n-1].GetIndex()
+	}
+	return s.Snapshot.GetTerm(), s.Snapshot.GetIndex()
 }
 
 // kill stops a node's process, by a loss of power or so that its unsynced data can still be
@@ -192,6 +213,11 @@
 		return
 	}
 	nd.held = nil
+	if out.Install != nil || len(out.Save) > 0 {
+		var err error
+		nd.disk.saved, err = replica.Replay(nd.replica.JournalRecords())
+		s.must(err)
+	}
 	s.inFlight = append(s.inFlight, out.Send...)
 	if out.Restore != nil {
 		s.must(nd.registry.Restore(out.Restore))
