--- a/io/control/client.go
+++ b/io/control/client.go
@@ -25,13 +25,15 @@
 
 // Timeouts and delays of the client.
 const (
-	watchSilenceTimeout = 3 * time.Second        // without an update, before the next instance is tried
-	callTimeout         = time.Second            // for one call to one instance
-	silenceTimeout      = 350 * time.Millisecond // of one call, before its connection is replaced; below proposalTimeout, the shortest time that a caller waits
-	readHedgeDelay      = 200 * time.Millisecond // before a read is also sent to the next instance
-	retryDelay          = 50 * time.Millisecond
-	watchRetryDelay     = 200 * time.Millisecond
-	reportDelay         = 20 * time.Millisecond // by which the leader's clock must have passed the settle time
+	watchSilenceTimeout = 3 * time.Second // without an update, before the next instance is tried
+	callTimeout         = time.Second     // for one call to one instance
+	// silenceTimeout is how long a call waits before its connection counts as dead. It is
+	// below proposalTimeout, the shortest time that a caller waits.
+	silenceTimeout  = 350 * time.Millisecond
+	readHedgeDelay  = 200 * time.Millisecond // before a read is also sent to the next instance
+	retryDelay      = 50 * time.Millisecond
+	watchRetryDelay = 200 * time.Millisecond
+	reportDelay     = 20 * time.Millisecond // by which the leader's clock must have passed the settle time
 )
 
 // Client sends commands and reads to the control instance that leads. It finds the
