--- a/io/http1/cuts_test.go
+++ b/io/http1/cuts_test.go
@@ -20,14 +20,14 @@
 	what, answer string
 	from         int
 }{
-	{"length", "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Type: text/event-stream\r\nX-Response-Seal: 3e1b.07.5a2\r\nContent-Length: 34\r\n\r\n" + strings.Repeat("x", 34), 0},
+	{"length", "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Type: text/event-stream\r\nX-Response-Sign: 3e1b.07.5a2\r\nContent-Length: 34\r\n\r\n" + strings.Repeat("x", 34), 0},
 	{"chunks and trailers", "HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\nTrailer: Sum\r\n\r\n" +
 		"1a\r\n" + strings.Repeat("x", 26) + "\r\n10;a=b\r\n" + strings.Repeat("x", 16) + "\r\n0\r\nSum: 1f\r\n\r\n", 0},
 	{"chunks", "HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n10\r\n" + strings.Repeat("x", 16) + "\r\n0\r\n\r\n", 0},
-	{"lines that end with LF", "HTTP/1.1 200 OK\nId: 1\nX-Response-Seal: 3e1b.07\nContent-Length: 34\n\n" + strings.Repeat("x", 34), 0},
-	{"neither length nor chunks", "HTTP/1.1 200 OK\r\nId: 1\r\nX-Response-Seal: 3e1b.07\r\n\r\n" + strings.Repeat("x", 9), 0},
+	{"lines that end with LF", "HTTP/1.1 200 OK\nId: 1\nX-Response-Sign: 3e1b.07\nContent-Length: 34\n\n" + strings.Repeat("x", 34), 0},
+	{"neither length nor chunks", "HTTP/1.1 200 OK\r\nId: 1\r\nX-Response-Sign: 3e1b.07\r\n\r\n" + strings.Repeat("x", 9), 0},
 	{"HTTP/1.0", "HTTP/1.0 200 OK\r\nId: 1\r\nContent-Length: 12\r\n\r\n" + strings.Repeat("x", 12), 0},
-	{"no body", "HTTP/1.1 204 No Content\r\nId: 1\r\nX-Response-Seal: 3e1b.07\r\n\r\n", 0},
+	{"no body", "HTTP/1.1 204 No Content\r\nId: 1\r\nX-Response-Sign: 3e1b.07\r\n\r\n", 0},
 	{"length 0", "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 0\r\nX-Note: a\r\n\r\n", 0},
 	{"a line that goes on in the next one", "HTTP/1.1 200 OK\r\nId: 1\r\nX-Note: a\r\n b\r\nContent-Length: 12\r\n\r\n" + strings.Repeat("x", 12), 0},
 	{"interim answers before", "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\nHTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 3\r\n\r\nxxx", 0},
