--- a/review/standin-2/cases.go
+++ b/review/standin-2/cases.go
@@ -66,7 +66,7 @@
 		}
 	}
 	time.Sleep(inTouch + 500*time.Millisecond) // all machines are in touch from here on
-	traffic := w.startTraffic(ctx, bookings, 50*time.Millisecond, 1, 2, 3)
+	traffic := w.startTraffic(ctx, bookings, 50*time.Millisecond, 1, 2)
 
 	ahead := int64(0)
 	if w.trouble {
@@ -88,6 +88,7 @@
 	}
 	w.say("runner i-1: ready, acknowledged %v", again.beat("ready"))
 	time.Sleep(200 * time.Millisecond)
+	again.leave()
 	for !again.beat("draining") {
 		if ctx.Err() != nil {
 			return exitFailed, nil
@@ -99,15 +100,17 @@
 	w.say("runner i-1: draining, acknowledged")
 	drainCtx, endDrain := context.WithCancel(ctx)
 	go again.announce(drainCtx, func() string { return "draining" })
-	time.Sleep(drainTime + 800*time.Millisecond)
+	time.Sleep(drainTime + 100*time.Millisecond)
+	others := w.startTraffic(ctx, bookings, 50*time.Millisecond, 3) // its clients come only now
+	time.Sleep(700 * time.Millisecond)
 	endDrain()
 	again.crash() // it leaves
 	time.Sleep(2 * time.Second)
 	cancel()
-	statuses := traffic.wait()
+	statuses, rest := traffic.wait(), others.wait()
 	mu.Lock()
 	defer mu.Unlock()
-	w.say("answers by status: %v", statuses)
+	w.say("answers by status: %v, at the gateway that was idle %v", statuses, rest)
 	w.say("requests that reached the leaving runner later than %v after the acknowledgement: %d", drainTime, late)
 	if late > 0 {
 		return exitBroken, nil
--- a/review/standin-2/runner.go
+++ b/review/standin-2/runner.go
@@ -21,9 +21,17 @@
 	work    time.Duration
 	onRun   func(attempt string, at time.Time)
 
-	mu     sync.Mutex
-	seq    int
-	server *http.Server
+	mu      sync.Mutex
+	leaving bool // it says so in its answers
+	seq     int
+	server  *http.Server
+}
+
+// leave makes the runner say in its answers that it leaves.
+func (r *runner) leave() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.leaving = true
 }
 
 // start listens and answers requests.
@@ -43,6 +51,11 @@
 	attempt := q.Header.Get(names["attempt"])
 	w.Header().Set(names["instance"], r.id)
 	w.Header().Set(names["attempt"], attempt)
+	r.mu.Lock()
+	if r.leaving {
+		w.Header().Set(names["leaving"], "1")
+	}
+	r.mu.Unlock()
 	if q.URL.Path == "/healthz" {
 		return
 	}
