--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -1,5 +1,4 @@
 #!/bin/bash
 record="$(cd "$(dirname "$0")" && pwd)/record.txt"
-CASE=start
-LOST=3
+CASE=stray
 . "$(dirname "$0")/../standin-2/case.sh"
--- a/review/standin-2/case.sh
+++ b/review/standin-2/case.sh
@@ -21,7 +21,25 @@
 	if [ "$n" = "$LOST" ] && [ "$TROUBLE" != 0 ]; then kill -9 "${pids[@]: -2}"; fi # it loses power as it starts
 done
 [ -n "$LOGS" ] && mkdir -p "$LOGS"
-timeout 110 target/standin-2 $assets "$dir" $CASE "$record"
+if [ -n "$FAR" ]; then # a fourth machine, without a disk
+	target/tanagerroad gateway "$dir/gateway-4.json" >"$dir/gateway-4.log" 2>&1 &
+	pids+=($!)
+	victims="${pids[0]} ${pids[2]} ${pids[4]} ${pids[6]}"
+fi
+timeout 110 target/standin-2 $assets "$dir" $CASE "$record" $victims &
+player=$!
+while kill -0 $player 2>/dev/null; do
+	if [ -e "$dir/start-core" ]; then
+		rm "$dir/start-core"
+		sed -i 's/"bootstrap":true/"bootstrap":false/' "$dir"/control-*.json # as it stands after the first start
+		for n in 1 2 3; do
+			target/tanagerroad control "$dir/control-$n.json" >>"$dir/control-$n.log" 2>&1 &
+			pids+=($!)
+		done
+	fi
+	sleep 0.02
+done
+wait $player
 code=$?
 [ -n "$LOGS" ] && cp "$dir"/*.log "$LOGS"/
 [ $code -le 1 ] || code=2
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -22,6 +22,7 @@
 	"settings": writeSettings,
 	"born":     runBorn,
 	"start":    runStart,
+	"taken":    runTaken,
 	"stray":    runStray,
 	"zero":     runZero,
 }
--- a/review/standin-2/runner.go
+++ b/review/standin-2/runner.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"net"
@@ -19,6 +20,8 @@
 	service string
 	born    int64 // Unix time of its start in milliseconds, by its own clock
 	work    time.Duration
+	version string // of its software; empty: v1
+	events  int    // of a stream; 0: it answers bookings and lookups
 	onRun   func(attempt string, at time.Time)
 
 	mu      sync.Mutex
@@ -67,11 +70,32 @@
 	if r.onRun != nil {
 		r.onRun(attempt, time.Now())
 	}
-	time.Sleep(r.work)
 	w.Header().Set(names["seal"], "3e1b.07.5a2."+attempt)
+	if r.events > 0 {
+		r.stream(w, q)
+		return
+	}
+	time.Sleep(r.work)
 	_, _ = fmt.Fprintf(w, "done %s", attempt)
 }
 
+// stream sends the events of a stream behind the last one that the caller has.
+func (r *runner) stream(w http.ResponseWriter, q *http.Request) {
+	w.Header().Set("Content-Type", "text/event-stream")
+	last, _ := strconv.Atoi(q.Header.Get(r.w.names["last"])) // 0: the stream begins
+	for id := last + 1; id <= r.events; id++ {
+		if _, err := fmt.Fprintf(w, "id: %d\ndata: %s\n\n", id, cmp.Or(r.version, "v1")); err != nil {
+			return
+		}
+		_ = http.NewResponseController(w).Flush()
+		select {
+		case <-q.Context().Done():
+			return
+		case <-time.After(r.work):
+		}
+	}
+}
+
 // crash ends the runner at once: its connections are reset or closed.
 func (r *runner) crash() {
 	_ = r.server.Close()
@@ -85,7 +109,7 @@
 	r.seq++
 	seq := r.seq
 	r.mu.Unlock()
-	body, err := r.w.fill("beat.txt", "service", r.service, "address", r.address, "zone", r.zone, "state", state,
+	body, err := r.w.fill("beat.txt", "service", r.service, "address", r.address, "zone", r.zone, "state", state, "version", cmp.Or(r.version, "v1"),
 		"seq", strconv.Itoa(seq), "born", strconv.FormatInt(r.born, 10))
 	if err != nil {
 		return false
--- a/review/standin-2/world.go
+++ b/review/standin-2/world.go
@@ -44,7 +44,7 @@
 		listeners = append(listeners, first)
 		port := strconv.Itoa(first.Addr().(*net.TCPAddr).Port)
 		free := true
-		for n := 2; n <= instances; n++ {
+		for n := 2; n <= instances+1; n++ {
 			l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.%d:%s", n, port))
 			if err != nil {
 				free = false
@@ -63,7 +63,7 @@
 		return 0, err
 	}
 	for _, role := range []string{"gateway", "control"} {
-		for n := 1; n <= instances; n++ {
+		for n := 1; n <= instances+1; n++ { // the last one has no disk and runs a gateway only
 			values := []string{"n", strconv.Itoa(n), "dir", w.dir}
 			for i, p := range ports {
 				values = append(values, "p"+strconv.Itoa(i), p)
