--- a/review/standin-2/taken.go
+++ b/review/standin-2/taken.go
@@ -23,6 +23,7 @@
 	maxTakeUps   = 3                       // tries of a client after the first
 	strandCount  = 40                      // streams that begin while the core is down
 	coreDown     = time.Second             // from the kill of the core to its start
+	powerless    = 3400 * time.Millisecond // how long the gateway has no power
 	farGateway   = 4                       // of a machine that does not belong to the core
 )
 
@@ -210,6 +211,14 @@
 		}
 		w.say("the processes of the core start again")
 	}
+	time.Sleep(time.Until(struck.Add(coreDown - 100*time.Millisecond + powerless)))
+	if err := syscall.Kill(far, syscall.SIGKILL); err != nil {
+		return 0, err
+	}
+	if err := os.WriteFile(filepath.Join(w.dir, "start-far"), nil, 0o600); err != nil {
+		return 0, err
+	}
+	w.say("gateway %d has power again", farGateway)
 	time.Sleep(time.Until(struck.Add(coreDown + inTouch + time.Second)))
 	for i := range 20 { // new streams, beside the others
 		group.Go(func() {
