--- a/review/standin-2/case.sh
+++ b/review/standin-2/case.sh
@@ -1,6 +1,6 @@
 # Sourced by the run.sh of a case, with CASE set to its command: starts three machines with the
 # commands of the deploy file, plays the case and ends all processes. The machine that LOST names
-# loses power as it starts.
+# is gone for good as it starts, and an empty one comes a second later at another address.
 cd "$(dirname "${BASH_SOURCE[0]}")/../.." || exit 2
 assets=review/standin-2
 dir=$(mktemp -d) || exit 2
@@ -18,8 +18,16 @@
 	pids+=($!)
 	target/tanagerroad gateway "$dir/gateway-$n.json" >"$dir/gateway-$n.log" 2>&1 &
 	pids+=($!)
-	if [ "$n" = "$LOST" ] && [ "$TROUBLE" != 0 ]; then kill -9 "${pids[@]: -2}"; fi # it loses power as it starts
+	if [ "$n" = "$LOST" ] && [ "$TROUBLE" != 0 ]; then kill -9 "${pids[@]: -2}"; fi
 done
+if [ -n "$LOST" ] && [ "$TROUBLE" != 0 ]; then
+	sleep 1
+	sed -i 's/"bootstrap":true/"bootstrap":false/' "$dir/control-6.json" # the system has started before
+	target/tanagerroad control "$dir/control-6.json" >"$dir/control-6.log" 2>&1 &
+	pids+=($!)
+	target/tanagerroad gateway "$dir/gateway-6.json" >"$dir/gateway-6.log" 2>&1 &
+	pids+=($!)
+fi
 [ -n "$LOGS" ] && mkdir -p "$LOGS"
 if [ -n "$FAR" ]; then # five more machines, without a disk
 	for n in 4 5 6 7 8; do
--- a/review/standin-2/cases.go
+++ b/review/standin-2/cases.go
@@ -47,19 +47,21 @@
 			w.say("late: %s reaches the leaving runner %.3f s after the acknowledgement", attempt, at.Sub(drainedAt).Seconds())
 		}
 	}
-	address, err := freeAddress("127.0.0.1")
+	address, err := freeAddress("127.0.0.3") // in the zone of the gateway that is idle
 	if err != nil {
 		return 0, err
 	}
-	secondAddress, err := freeAddress("127.0.0.2")
-	if err != nil {
-		return 0, err
-	}
-	second := &runner{w: w, id: "i-2", address: secondAddress, zone: "zone-2", service: "booking", born: time.Now().UnixMilli(), work: 30 * time.Millisecond}
-	if err := second.start(); err != nil {
-		return 0, err
+	for _, n := range []int{1, 2, 4} { // so that one that crashes is a quarter of the service
+		otherAddress, err := freeAddress(fmt.Sprintf("127.0.0.%d", n))
+		if err != nil {
+			return 0, err
+		}
+		other := &runner{w: w, id: fmt.Sprintf("i-other-%d", n), address: otherAddress, zone: fmt.Sprintf("zone-%d", (n-1)%instances+1), service: "booking", born: time.Now().UnixMilli(), work: 30 * time.Millisecond}
+		if err := other.start(); err != nil {
+			return 0, err
+		}
+		go other.announce(ctx, serving)
 	}
-	go second.announce(ctx, serving)
 	for n := 1; n <= instances; n++ {
 		if !w.awaitReady(n, 20*time.Second) {
 			return 0, fmt.Errorf("gateway %d is not ready", n)
@@ -72,7 +74,7 @@
 	if w.trouble {
 		ahead = clockStep.Milliseconds()
 	}
-	first := &runner{w: w, id: "i-1", address: address, zone: "zone-1", service: "booking", born: time.Now().UnixMilli() + ahead, work: 30 * time.Millisecond, onRun: onRun}
+	first := &runner{w: w, id: "i-1", address: address, zone: "zone-3", service: "booking", born: time.Now().UnixMilli() + ahead, work: 30 * time.Millisecond, onRun: onRun}
 	if err := first.start(); err != nil {
 		return 0, err
 	}
@@ -82,7 +84,7 @@
 	endFirst()
 	first.crash()
 	time.Sleep(700 * time.Millisecond)
-	again := &runner{w: w, id: "i-1", address: address, zone: "zone-1", service: "booking", born: time.Now().UnixMilli(), work: 30 * time.Millisecond, onRun: onRun}
+	again := &runner{w: w, id: "i-1", address: address, zone: "zone-3", service: "booking", born: time.Now().UnixMilli(), work: 30 * time.Millisecond, onRun: onRun}
 	if err := again.start(); err != nil {
 		return 0, err
 	}
@@ -118,7 +120,7 @@
 	return exitHeld, nil
 }
 
-// clockStep is the largest step of a clock in the site's file.
+// clockStep is below the largest step of a clock in the site's file, 2,800 ms.
 const clockStep = 2400 * time.Millisecond
 
 // runZero plays an operator whose first configuration has the version 0.
@@ -226,12 +228,15 @@
 // times the bound of a stable core, which holds once inTouch has passed.
 const startTime = 40 * time.Second
 
-// runStart plays a system of which one core machine is lost as it starts. The script leaves
-// that machine out.
+// runStart plays a system of which one core machine is gone for good as it starts, and is
+// replaced by an empty one at another address. The script ends and starts their processes.
 func runStart(w *world, args []string) (int, error) {
 	if err := w.openRecord(args[0]); err != nil {
 		return 0, err
 	}
+	if w.trouble {
+		w.core = []int{1, 2, 6}
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	address, err := freeAddress("127.0.0.1")
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -47,7 +47,7 @@
 
 // newWorld reads the names and, unless it is the first command, the ports.
 func newWorld(assets, dir string) (*world, error) {
-	w := &world{assets: assets, dir: dir, names: map[string]string{}, trouble: os.Getenv("TROUBLE") != "0"}
+	w := &world{assets: assets, dir: dir, names: map[string]string{}, trouble: os.Getenv("TROUBLE") != "0", core: []int{1, 2, 3}}
 	text, err := os.ReadFile(filepath.Join(assets, "names.txt"))
 	if err != nil {
 		return nil, err
--- a/review/standin-2/runner.go
+++ b/review/standin-2/runner.go
@@ -114,7 +114,7 @@
 	if err != nil {
 		return false
 	}
-	for n := 1; n <= instances; n++ {
+	for _, n := range r.w.core {
 		if status, _ := r.w.call(http.MethodPost, "http://"+r.w.control(n)+r.w.names["beat"]+r.id, body); status/100 == 2 {
 			return true
 		}
--- a/review/standin-2/taken.go
+++ b/review/standin-2/taken.go
@@ -170,7 +170,9 @@
 	}
 	core, far := pids[:len(pids)-1], pids[len(pids)-1]
 	struck := time.Now()
-	if w.trouble {
+	// With CORE=0 only the loss of the gateway is played.
+	coreKilled := w.trouble && os.Getenv("CORE") != "0"
+	if coreKilled {
 		for _, pid := range core {
 			if err := syscall.Kill(pid, syscall.SIGKILL); err != nil {
 				return 0, err
@@ -179,7 +181,7 @@
 		w.say("the processes of the core are killed")
 	}
 	var mu sync.Mutex
-	takenUp, wentOn, begun, tried, joined := 0, 0, 0, 0, 0
+	takenUp, wentOn, begun, tried, joined, whole := 0, 0, 0, 0, 0, 0
 	for i := range strandCount {
 		group.Go(func() {
 			time.Sleep(50*time.Millisecond + time.Duration(i)*10*time.Millisecond)
@@ -187,6 +189,11 @@
 			status, wait := w.read(farGateway, s, fmt.Sprintf("first-%d", i))
 			w.say("client %d: %d events, status %d", i, s.last, status)
 			if s.attempt == "" || s.done {
+				mu.Lock()
+				defer mu.Unlock()
+				if s.done {
+					whole++
+				}
 				return
 			}
 			before, inTouchYet := s.last, true
@@ -210,12 +217,14 @@
 		})
 	}
 	time.Sleep(time.Until(struck.Add(coreDown - 100*time.Millisecond)))
-	if err := syscall.Kill(far, syscall.SIGSTOP); err != nil { // it falls silent, as without power
-		return 0, err
+	if w.trouble {
+		if err := syscall.Kill(far, syscall.SIGSTOP); err != nil { // it falls silent, as without power
+			return 0, err
+		}
+		w.say("gateway %d loses power", farGateway)
 	}
-	w.say("gateway %d loses power", farGateway)
 	time.Sleep(time.Until(struck.Add(coreDown)))
-	if w.trouble {
+	if coreKilled {
 		if err := os.WriteFile(filepath.Join(w.dir, "start-core"), nil, 0o600); err != nil {
 			return 0, err
 		}
@@ -228,13 +237,15 @@
 		}
 	}
 	time.Sleep(time.Until(struck.Add(coreDown - 100*time.Millisecond + powerless)))
-	if err := syscall.Kill(far, syscall.SIGKILL); err != nil {
-		return 0, err
-	}
-	if err := os.WriteFile(filepath.Join(w.dir, "start-far"), nil, 0o600); err != nil {
-		return 0, err
+	if w.trouble {
+		if err := syscall.Kill(far, syscall.SIGKILL); err != nil {
+			return 0, err
+		}
+		if err := os.WriteFile(filepath.Join(w.dir, "start-far"), nil, 0o600); err != nil {
+			return 0, err
+		}
+		w.say("gateway %d has power again", farGateway)
 	}
-	w.say("gateway %d has power again", farGateway)
 	time.Sleep(time.Until(struck.Add(coreDown + inTouch + time.Second)))
 	for i := range 20 { // new streams, beside the others
 		group.Go(func() {
@@ -256,6 +267,10 @@
 	if joined > 2 { // ORDER
 		return exitBroken, nil
 	}
+	w.say("streams that came whole at the first try: %d", whole)
+	if !w.trouble && whole == strandCount && begun == tried {
+		return exitHeld, nil // nobody had to take one up
+	}
 	if takenUp < 12 || tried < 12 {
 		return exitFailed, nil
 	}
--- a/review/standin-2/world.go
+++ b/review/standin-2/world.go
@@ -22,6 +22,7 @@
 	names       map[string]string
 	ports       []string // front, ready, control, metrics of the gateway, two internal ones, metrics of the control instance
 	trouble     bool
+	core        []int // machines that serve control, from 1
 
 	mu      sync.Mutex
 	record  *os.File
@@ -144,7 +145,7 @@
 func (w *world) order(body []byte, patience time.Duration) error {
 	deadline := time.Now().Add(patience)
 	for n := 0; time.Now().Before(deadline); n++ {
-		address := w.control(n%instances + 1)
+		address := w.control(w.core[n%len(w.core)])
 		status, answer := w.call(http.MethodPost, "http://"+address+w.names["put"], body)
 		if status != 0 {
 			w.say("operator: sent to %s, answered %d %.80s", address, status, answer)
