io/gateway: other gateways hold origins that cannot be recorded

Cause: after a release a gateway knows servers of one version only, and passed the first event on without waiting for the record of its version. Until the base moves on, a minute later, a stream without a record counts as one of the old version. The record waited in the memory of the one gateway that was lost.

Change: a first event waits for its record whether or not other versions serve. While records stall for 0.3 s, up to three other gateways are asked to hold the origins and record them as their own; one that answers is enough while all servers have one version. Waiting for the quorum alone would stop the streams of a pool at each loss of the core after a release.

--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -99,6 +99,7 @@
 	requestTimes   map[string]*quantile.Estimate   // from the end of the stages to the answer, by route
 	sources        map[string]*source              // control instances, by address
 	gateways       []tanagerroad.Gateway           // all gateways, including this one
+	formerGateways []tanagerroad.Gateway           // the latest list that had others; it outlasts the control instances
 	rosterComplete bool                            // a source has sent its complete roster
 	evacuations    evacuations
 
--- a/io/gateway/origins.go
+++ b/io/gateway/origins.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"go.uber.org/zap"
@@ -12,118 +11,17 @@
 	"tanagerroad/core/fleet"
 	"tanagerroad/core/origin"
 	"tanagerroad/core/wire"
-	"tanagerroad/io/signal"
 )
 
-const (
-	// originLookupTimeout bounds how long a stream that is taken up waits for a quorum to
-	// say at which version it began.
-	originLookupTimeout = 1500 * time.Millisecond
-	// originRecordTimeout bounds one call that records origins.
-	originRecordTimeout = time.Second
-	// originStallTime is how long records may wait before streams begin at base versions
-	// where they can, which need none.
-	originStallTime = 300 * time.Millisecond
-	// originRetryDelay is the pause after a call that failed.
-	originRetryDelay = 50 * time.Millisecond
-)
+// originLookupTimeout bounds how long a stream that is taken up waits for a quorum to say at
+// which version it began.
+const originLookupTimeout = 1500 * time.Millisecond
 
 // streamOrigin is what an exchange knows of the origin of the stream that it begins.
 type streamOrigin struct {
-	software string          // version of the latest attempt's backend server
-	recorded string          // version that was last handed to the recorder; empty: none
-	done     <-chan struct{} // closed once that is recorded; nil: it need not be
-}
-
-// originRecorder records the origins of streams at the control instances, in batches: those
-// that begin during one call are in the next.
-type originRecorder struct {
-	added *signal.Signal
-
-	mu          sync.Mutex
-	waiting     []*wire.Origin
-	done        chan struct{} // closed when those that wait are recorded
-	oldestSince time.Duration // when the oldest of those not recorded was added
-	pending     int           // not recorded yet
-}
-
-// newOriginRecorder returns a recorder, and a function that ends it.
-func newOriginRecorder(g *Gateway) (*originRecorder, func()) {
-	r := &originRecorder{added: signal.New(), done: make(chan struct{})}
-	ended := make(chan struct{})
-	go func() {
-		defer close(ended)
-		for g.ctx.Err() == nil {
-			added := r.added.Changed()
-			batch, done := r.take()
-			if len(batch) == 0 {
-				select {
-				case <-g.ctx.Done():
-				case <-added:
-				}
-				continue
-			}
-			for g.ctx.Err() == nil && !g.recordOrigins(batch) {
-				select {
-				case <-g.ctx.Done():
-				case <-time.After(originRetryDelay):
-				}
-			}
-			r.finish(g.now(), len(batch))
-			close(done)
-		}
-	}()
-	return r, func() { <-ended }
-}
-
-// take returns the origins that wait, and the channel to close when they are recorded.
-func (r *originRecorder) take() ([]*wire.Origin, chan struct{}) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	batch, done := r.waiting, r.done
-	if len(batch) > 0 {
-		r.waiting, r.done = nil, make(chan struct{})
-	}
-	return batch, done
-}
-
-// finish records that n origins are recorded.
-func (r *originRecorder) finish(at time.Duration, n int) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.pending -= n
-	r.oldestSince = at
-}
-
-// add adds an origin, and returns a channel that closes once it is recorded.
-func (r *originRecorder) add(at time.Duration, o *wire.Origin) <-chan struct{} {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.pending == 0 {
-		r.oldestSince = at
-	}
-	r.pending++
-	r.waiting = append(r.waiting, o)
-	r.added.Broadcast()
-	return r.done
-}
-
-// isStalled reports whether origins wait for longer than originStallTime.
-func (r *originRecorder) isStalled(at time.Duration) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.pending > 0 && at-r.oldestSince > originStallTime
-}
-
-// recordOrigins makes one call that records origins, and reports whether it succeeded.
-func (g *Gateway) recordOrigins(batch []*wire.Origin) bool {
-	ctx, cancel := context.WithTimeout(g.ctx, originRecordTimeout)
-	defer cancel()
-	err := g.control.RecordOrigins(ctx, batch)
-	if err != nil && g.ctx.Err() == nil {
-		event.OriginsNotRecorded.Log(g.config.Logger, zap.Int("streams", len(batch)), zap.Error(err))
-	}
-	return err == nil
+	software string       // version of the latest attempt's backend server
+	recorded string       // version that was last handed to the recorder; empty: none
+	record   originRecord // of that version
 }
 
 // isResumable reports whether the request's stream may go on at another backend server.
@@ -202,30 +100,37 @@
 	}
 	keep := max(x.headers.Timeout, x.route.Timeout) + origin.Slack
 	x.origin.recorded = software
-	x.origin.done = g.origins.add(g.now(), &wire.Origin{
+	x.origin.record = g.origins.add(g.now(), &wire.Origin{
 		Stream: origin.Stream(x.headers.AttemptID), Pool: x.pool, Software: software, KeepMillis: keep.Milliseconds(),
 	})
 }
 
 // beginStream binds the stream to the software version at which it begins, before its first
-// event is passed on. It returns false if the request ends before that is recorded. Where
-// no backend server of another version is in use nothing waits for the record.
+// event is passed on. It returns false if the request ends before that is certain to be
+// recorded. While a backend server of another version is in use, it has to be recorded: a
+// caller may take the stream up before another gateway that holds the origin has recorded it.
 func (x *exchange) beginStream() bool {
 	if x.committed || x.software != "" {
 		return true
 	}
 	x.software = x.origin.software
-	if x.origin.done == nil {
+	record := x.origin.record
+	if record.recorded == nil {
 		return true
 	}
 	x.g.mu.Lock()
 	_, others := x.g.fleet.HasSoftware(x.pool, x.software)
 	x.g.mu.Unlock()
-	if !others {
+	switch {
+	case others:
+		record.held = nil
+	case len(x.g.otherGateways()) == 0:
 		return true
 	}
 	select {
-	case <-x.origin.done:
+	case <-record.recorded:
+		return true
+	case <-record.held:
 		return true
 	case <-x.ctx.Done():
 		x.reason = "the software version at which the stream begins could not be recorded"
--- a/io/gateway/origins_test.go
+++ b/io/gateway/origins_test.go
@@ -4,10 +4,12 @@
 	"context"
 	"fmt"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"go.uber.org/zap"
 	"google.golang.org/grpc"
 
 	"tanagerroad"
@@ -20,13 +22,23 @@
 type originControl struct {
 	wire.UnimplementedControlServer
 	quorum atomic.Bool
+	mu     sync.Mutex
 	ledger *origin.Ledger
 }
 
+// software returns the version at which the stream of an attempt began.
+func (c *originControl) software(attempt string) string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.ledger.Software("p", origin.Stream(attempt))
+}
+
 func (c *originControl) Propose(_ context.Context, command *wire.Command) (*wire.Outcome, error) {
 	if !c.quorum.Load() {
 		return &wire.Outcome{Kind: registry.NoQuorum}, nil
 	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	if record := command.GetRecordOrigins(); record != nil {
 		c.ledger.Record(0, record.GetOrigins())
 	}
@@ -37,6 +49,8 @@
 	if !c.quorum.Load() {
 		return &wire.ReadReply{Kind: registry.NoQuorum}, nil
 	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	return &wire.ReadReply{Kind: "ok", Software: c.ledger.Software(request.GetPool(), request.GetStream())}, nil
 }
 
@@ -80,7 +94,7 @@
 	if took := time.Since(started); code != http.StatusOK || err != nil || took < 250*time.Millisecond {
 		t.Fatalf("with a quorum from 300 ms on: got %d %q (error %v) after %v, want the stream after that", code, body, err, took)
 	}
-	if got := control.ledger.Software("p", origin.Stream("b")); body != "id: 1\ndata: "+got+"\n\n" {
+	if got := control.software("b"); body != "id: 1\ndata: "+got+"\n\n" {
 		t.Errorf("got %q, recorded is %s", body, got)
 	}
 }
@@ -100,6 +114,46 @@
 	}
 }
 
+// addHolder has a gateway know two others: one that cannot be reached, and one that records
+// origins at the control instance that is returned. stop makes that one silent.
+func addHolder(t *testing.T, g *Gateway) (control *originControl, stop func()) {
+	t.Helper()
+	control = &originControl{ledger: origin.New()}
+	control.ledger.ChangeBase("p", "", "v1")
+	controlAddress, _ := newPeer(t, func(s *grpc.Server) { wire.RegisterControlServer(s, control) })
+	var service lateService
+	address, _ := newPeer(t, func(s *grpc.Server) { wire.RegisterGatewayServer(s, &service) })
+	holder, _ := newGatewayAt(t, address, zap.NewNop())
+	holder.SetControlAddresses([]string{controlAddress})
+	service.gateway.Store(holder)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.gateways = []tanagerroad.Gateway{g.self(), {Address: "127.0.0.1:2", Zone: "z"}, {Address: address, Zone: "other"}}
+	return control, func() { service.gateway.Store(nil) }
+}
+
+// TestOriginIsLostWithItsGateway guards against a stream that begins without a quorum, at a
+// version that is not the base version, and whose version is lost with the gateway.
+func TestOriginIsLostWithItsGateway(t *testing.T) {
+	_, g, address := newVersionedGateway(t, "v2", "v2")
+	control, stop := addHolder(t, g)
+	control.quorum.Store(true)
+	for i := range 8 {
+		id := fmt.Sprint("c", i)
+		code, body, err := call(t, address, "/stream/1", id)
+		if code != http.StatusOK || err != nil || body != "id: 1\ndata: v2\n\n" {
+			t.Errorf("without a quorum: got %d %q (error %v), want a stream of v2", code, body, err)
+		}
+		if !eventually(func() bool { return control.software(id) == "v2" }) {
+			t.Errorf("%s began at %q by what others recorded, want v2", id, control.software(id))
+		}
+	}
+	stop()
+	if code, body, _ := call(t, address, "/stream/1", "d", headerLeft, "900"); code == http.StatusOK {
+		t.Errorf("without a quorum and another gateway: got %d %q, want no event", code, body)
+	}
+}
+
 // TestTakenUpStreamIsOfUnknownVersion guards against a stream that is taken up without its
 // version being known, and against one that is refused although it is.
 func TestTakenUpStreamIsOfUnknownVersion(t *testing.T) {
--- a/io/gateway/owners_test.go
+++ b/io/gateway/owners_test.go
@@ -75,6 +75,15 @@
 	return g.Pieces(stream)
 }
 
+func (l *lateService) HoldOrigins(ctx context.Context, request *wire.RecordOrigins) (*wire.HoldOriginsReply, error) {
+	g := l.gateway.Load()
+	if g == nil {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	return g.HoldOrigins(ctx, request)
+}
+
 func (b *pieceBatcher) jobCount() int {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/io/gateway/watch.go
+++ b/io/gateway/watch.go
@@ -220,6 +220,9 @@
 	all := roster.Peers(now, g.self(), lists)
 	if !slices.Equal(all, g.gateways) {
 		g.gateways = all
+		if len(all) > 1 {
+			g.formerGateways = all
+		}
 		g.fleet.SetGateways(g.self().Address, addresses(all))
 		g.owners.setGateways(now, all)
 		clear(g.retryBudgets) // each gateway's share depends on their number
