core/roster, io/gateway, io/control: announcements of unconfigured pools hide no server

Cause: of two records with one address the roster used the one that started later, of whatever pool. Under the id of a sound server such an announcement with a later start took the place of its record, so that all that the server said was old.

Ruled out: ejection after failures (routed names none of the other writer's); refused announcements (server-announced goes on for the sound servers).

Change: the roster knows the pools of the configuration. A record of another pool is not used, hides none, and gives way under its id. Control instances get the names with the configuration, in the log, and don't decode it.

--- a/core/catalog/catalog.go
+++ b/core/catalog/catalog.go
@@ -144,6 +144,17 @@
 	workspacesByKey map[string]*tanagerroad.CatalogWorkspace // by API key
 }
 
+// PoolNames returns the names of the pools of a configuration, without duplicates, in
+// ascending order.
+func PoolNames(c *tanagerroad.Catalog) []string {
+	var out []string
+	for _, p := range c.Pools {
+		out = append(out, p.Name)
+	}
+	slices.Sort(out)
+	return slices.Compact(out)
+}
+
 // New returns an index of a configuration, which must have passed Check.
 func New(c *tanagerroad.Catalog) *Index {
 	x := &Index{
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -10,6 +10,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -56,6 +57,7 @@
 	config   Config
 	records  map[string]*record
 	departed map[string]Departure // by id; of the start that the record has, or of an earlier one
+	pools    map[string]bool      // in the configuration; nil: not known
 	sequence uint64               // of the latest change
 }
 
@@ -64,9 +66,32 @@
 	return &Roster{config: config, records: map[string]*record{}, departed: map[string]Departure{}}
 }
 
-// supersedes reports whether a is later than b. An announcement without a start is not one of
-// a backend server that has named its start, unless that it is down.
-func supersedes(a, b tanagerroad.Announcement) bool {
+// SetPools sets the names of the pools that the configuration has, or none if they are not
+// known, and reports whether they are others than before. An announcement of another pool may
+// come from another writer: it takes no backend server of a pool in the configuration out of
+// use, neither under its id nor at its address.
+func (r *Roster) SetPools(names []string) bool {
+	before := r.pools
+	r.pools = nil
+	for _, name := range names {
+		if r.pools == nil {
+			r.pools = map[string]bool{}
+		}
+		r.pools[name] = true
+	}
+	return !maps.Equal(before, r.pools)
+}
+
+// isConfigured reports whether the configuration has a pool, or is not known.
+func (r *Roster) isConfigured(pool string) bool { return r.pools == nil || r.pools[pool] }
+
+// supersedes reports whether a takes the place of b: it is later, or it is of a pool that the
+// configuration has and b is not. An announcement without a start is not one of a backend
+// server that has named its start, unless that it is down.
+func (r *Roster) supersedes(a, b tanagerroad.Announcement) bool {
+	if r.isConfigured(a.Pool) != r.isConfigured(b.Pool) && a.State != tanagerroad.Down && b.State != tanagerroad.Down {
+		return r.isConfigured(a.Pool)
+	}
 	if (a.StartMillis == 0) != (b.StartMillis == 0) && a.State != tanagerroad.Down && b.State != tanagerroad.Down {
 		return a.StartMillis != 0
 	}
@@ -91,7 +116,7 @@
 		r.records[a.ID] = rec
 		r.markChanged(rec)
 	}
-	stale := ok && !supersedes(a, rec.announcement) && a != rec.announcement
+	stale := ok && !r.supersedes(a, rec.announcement) && a != rec.announcement
 	if stale && !r.isOutlier(at, rec, a) {
 		return false
 	}
@@ -124,7 +149,7 @@
 // own: that has been silent since, while a is of the same start. A server that leaves, or
 // has left, does not come back.
 func (r *Roster) isOutlier(at time.Duration, rec *record, a tanagerroad.Announcement) bool {
-	return rec.announcement.State == tanagerroad.Serving && rec.announcement.StartMillis == a.StartMillis &&
+	return rec.announcement.State == tanagerroad.Serving && rec.announcement.StartMillis == a.StartMillis && r.isConfigured(a.Pool) &&
 		at-rec.lastReceived > r.config.SilenceTimeout
 }
 
@@ -228,11 +253,11 @@
 	return expired
 }
 
-// HasAddress reports whether a backend server, usable or not, has an address and is in one of
-// the zones that in selects.
+// HasAddress reports whether a backend server of a pool in the configuration, usable or not,
+// has an address and is in one of the zones that in selects.
 func (r *Roster) HasAddress(address string, in func(zone string) bool) bool {
 	for _, rec := range r.records {
-		if rec.announcement.Address == address && in(rec.announcement.Zone) {
+		if rec.announcement.Address == address && r.isConfigured(rec.announcement.Pool) && in(rec.announcement.Zone) {
 			return true
 		}
 	}
@@ -263,17 +288,22 @@
 
 // Usable returns the backend servers that may receive new work, sorted by id: at
 // least one source receives their announcements, they are serving, no answer said
-// that they leave, and no backend server that started later has the same address.
+// that they leave, the configuration has their pool, and no such backend server that
+// started later has the same address.
 func (r *Roster) Usable() []tanagerroad.Announcement {
 	latest := map[string]*record{}
 	for _, rec := range r.records {
+		if !r.isConfigured(rec.announcement.Pool) {
+			continue
+		}
 		if other, ok := latest[rec.announcement.Address]; !ok || rec.announcement.StartMillis > other.announcement.StartMillis {
 			latest[rec.announcement.Address] = rec
 		}
 	}
 	var out []tanagerroad.Announcement
 	for _, rec := range r.records {
-		if rec.announcement.State != tanagerroad.Serving || len(rec.sources) == 0 || r.HasDeparted(rec.announcement.ID, rec.announcement.StartMillis) {
+		if rec.announcement.State != tanagerroad.Serving || len(rec.sources) == 0 || r.HasDeparted(rec.announcement.ID, rec.announcement.StartMillis) ||
+			!r.isConfigured(rec.announcement.Pool) {
 			continue
 		}
 		if other := latest[rec.announcement.Address]; other.announcement.StartMillis > rec.announcement.StartMillis {
--- a/core/roster/roster_test.go
+++ b/core/roster/roster_test.go
@@ -21,6 +21,8 @@
 	Source      string                  `json:"by"`
 	ID          string                  `json:"id"`
 	Address     string                  `json:"address"`
+	Pool        string                  `json:"pool"`
+	Pools       []string                `json:"pools"` // of the configuration
 	StartMillis int64                   `json:"born"`
 	Sequence    uint64                  `json:"seq"`
 	State       tanagerroad.ServerState `json:"state"`
@@ -58,6 +60,8 @@
 				if got := addresses(r); !slices.Equal(got, s.Addresses) {
 					t.Errorf("%s: step %d: usable addresses %v, want %v", script.What, i, got, s.Addresses)
 				}
+			case s.Pools != nil:
+				r.SetPools(s.Pools)
 			case s.Departing != "":
 				r.RecordDeparture(at, s.Departing, s.StartMillis)
 			case s.Lapse != "":
@@ -69,7 +73,7 @@
 				if address == "" {
 					address = s.ID + ":1"
 				}
-				r.Apply(at, s.Source, tanagerroad.Announcement{ID: s.ID, Address: address, StartMillis: s.StartMillis, Sequence: s.Sequence, State: s.State})
+				r.Apply(at, s.Source, tanagerroad.Announcement{ID: s.ID, Pool: s.Pool, Address: address, StartMillis: s.StartMillis, Sequence: s.Sequence, State: s.State})
 			}
 		}
 	}
--- a/io/control/announcements.go
+++ b/io/control/announcements.go
@@ -52,6 +52,18 @@
 	return nil
 }
 
+// applyPools tells the roster which pools the configuration has.
+func (s *Service) applyPools() {
+	c := s.quorum.View().Catalog
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if c.GetVersion() == s.poolsVersion {
+		return
+	}
+	s.poolsVersion = c.GetVersion()
+	s.roster.SetPools(c.GetPools())
+}
+
 // applyDepartures adds the departures in the registry that it has not seen yet to the
 // roster. After a restart these are all that are kept.
 func (s *Service) applyDepartures() {
--- a/io/control/service.go
+++ b/io/control/service.go
@@ -65,6 +65,7 @@
 	processes      map[string]*process
 	limits         fleet.Limits // that gateways reported
 	base           *origin.Base
+	poolsVersion   uint64                         // of the configuration whose pools the roster knows
 	departureCount uint64                         // of the registry's departures that the roster has
 	gateways       map[string]tanagerroad.Gateway // live gateways, by address; nil: not known yet
 	gatewaysAt     time.Duration                  // when gateways was computed
@@ -106,6 +107,7 @@
 			// Get the channel before waking the watches, so that no change
 			// between the two is missed.
 			changed := q.Changed()
+			s.applyPools()
 			s.applyDepartures()
 			s.updated.Broadcast()
 			select {
--- a/io/gateway/watch.go
+++ b/io/gateway/watch.go
@@ -259,7 +259,11 @@
 	maps.DeleteFunc(g.requestTimes, func(route string, _ *quantile.Estimate) bool {
 		return !slices.ContainsFunc(next.Routes, func(r tanagerroad.CatalogRoute) bool { return r.Name == route })
 	})
-	g.divide(g.now())
+	if g.roster.SetPools(catalog.PoolNames(next.Catalog)) {
+		g.applyRoster(g.now())
+	} else {
+		g.divide(g.now())
+	}
 	g.mu.Unlock()
 	event.CatalogInForce.Log(g.config.Logger, zap.Uint64("version", next.Version), zap.String("source", address),
 		zap.Int("routes", len(next.Routes)), zap.Int("pools", len(next.Pools)), zap.Int("workspaces", len(next.Workspaces)))
--- a/io/registrar/registrar.go
+++ b/io/registrar/registrar.go
@@ -148,7 +148,7 @@
 	ctx, cancel := context.WithTimeout(r.Context(), putTimeout)
 	defer cancel()
 	outcome, err := c.Client.Propose(ctx, &wire.Command{Body: &wire.Command_PutCatalog{PutCatalog: &wire.PutCatalog{
-		Catalog: &wire.Catalog{Version: parsed.Version, Content: content, Digest: xxhash.Sum64(document)},
+		Catalog: &wire.Catalog{Version: parsed.Version, Content: content, Digest: xxhash.Sum64(document), Pools: catalog.PoolNames(parsed)},
 	}}})
 	event.CatalogPut.Log(c.Logger, zap.Uint64("version", parsed.Version), zap.String("outcome", outcome.GetKind()),
 		zap.Uint64("in-force", outcome.GetRevision()), zap.Int("bytes", len(content)), zap.String("reason", outcome.GetReason()), zap.Error(err))
