io/http1: an answer whose connection breaks during the upload is incomplete

What callers saw (MIXED, from the users' machines): a long upload was answered at once with a 200 without a length; part of the body came, the connection was reset, and the caller got that part as complete. A stream ended between two events in the same way.

Cause: the system reports the error of a connection once. The goroutine that writes the upload got it and only noted that the connection can't be used again; the reader then read the end of the file, which ends such a body.

Change: at the end of a body without a length whose upload is written in the background, the state of the connection is asked for; on a dead connection the writer's error decides whether the other end had closed it before. Early answers that are whole are delivered as before.

--- a/io/http1/client.go
+++ b/io/http1/client.go
@@ -20,6 +20,8 @@
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // Limits and timeouts of connections.
@@ -40,6 +42,7 @@
 	maxStrayBody        = 256 << 10       // bytes; the body of a response to another request is skipped up to this size
 	endedMemory         = 10 * time.Second
 	optTCPUserTimeout   = 0x12 // TCP_USER_TIMEOUT, which package syscall does not define
+	tcpClose            = 7    // TCP_CLOSE, the state of a connection that was reset or has timed out
 )
 
 // Request is an HTTP request to a backend server.
@@ -164,7 +167,7 @@
 	stop          func() bool // detaches the connection from the context; false: the context has ended already
 	bodyWritten   chan error  // result of writing the body of a long request; nil: written before the response
 	closeOnce     sync.Once
-	bodyComplete  bool // Read has returned io.EOF
+	bodyEnd       error // that Read has returned, io.EOF at the end of a complete body
 }
 
 // Do sends the request and returns when the header of its response has been read. The
@@ -496,14 +499,47 @@
 // that is cut off ends with another error. A body that is FramedByClose also ends with
 // io.EOF if the backend server closes the connection early, unless it resets it.
 func (r *Response) Read(p []byte) (int, error) {
+	if r.bodyEnd != nil {
+		return 0, r.bodyEnd
+	}
 	n, err := r.body.Read(p)
 	r.bytesRead += int64(n)
-	if errors.Is(err, io.EOF) {
-		r.bodyComplete = true
+	if errors.Is(err, io.EOF) && r.Framing == FramedByClose {
+		err = r.checkClose()
 	}
+	r.bodyEnd = err
 	return n, err
 }
 
+// checkClose returns io.EOF if the backend server has closed the connection, and another error
+// if that broke. The system reports the error of a connection only once: if a write of the
+// request's body gets it, reads end as if the connection had been closed.
+func (r *Response) checkClose() error {
+	if r.bodyWritten == nil || !r.conn.isDead() {
+		return io.EOF
+	}
+	// A broken pipe means that the backend server had closed the connection before.
+	if err := <-r.bodyWritten; err != nil && !errors.Is(err, syscall.EPIPE) {
+		return fmt.Errorf("the connection broke before the end of the body: %w", err)
+	}
+	return io.EOF
+}
+
+// isDead reports whether nothing can be sent or received any more, so that a write in progress
+// ends at once. A connection that only the other end has closed is not dead.
+func (conn *connection) isDead() bool {
+	raw, err := conn.Conn.(syscall.Conn).SyscallConn()
+	if err != nil {
+		return true
+	}
+	dead := true
+	_ = raw.Control(func(fd uintptr) { // fails on a closed connection, which is dead
+		info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+		dead = err != nil || info.State == tcpClose
+	})
+	return dead
+}
+
 // BytesRead returns the number of bytes of the body that Read has returned.
 func (r *Response) BytesRead() int64 { return r.bytesRead }
 
@@ -528,7 +564,7 @@
 
 // connReusable reports whether the connection can carry another request.
 func (r *Response) connReusable() bool {
-	if !r.keepAlive || !r.bodyComplete || r.Framing == FramedByClose {
+	if !r.keepAlive || !errors.Is(r.bodyEnd, io.EOF) || r.Framing == FramedByClose {
 		return false
 	}
 	if r.bodyWritten != nil {
