io/http1: a head that HTTP does not allow is no answer

Cause: package http reads such heads (a blank in a name, a field behind a blank, a transfer encoding left out in HTTP/1.0), and a status below 100 was skipped like an interim answer.

Ruled out: that they are refused and the bytes behind them are read; control bytes in names and values are refused by package http.

Change: each head that is read is checked, interim ones too. A head that HTTP does not allow is no answer; the request may have run.

--- a/io/gateway/cuts_test.go
+++ b/io/gateway/cuts_test.go
@@ -269,3 +269,30 @@
 		}
 	}
 }
+
+// TestOddHeadIsPassedOn guards against a head that HTTP does not allow, and that the caller gets
+// as that of an answer or as a promise that the request did not run.
+func TestOddHeadIsPassedOn(t *testing.T) {
+	const signed = "Signed: 3e1b\r\nId: ID\r\n"
+	for what, c := range map[string]struct{ head, path string }{
+		"status 000":                        {"HTTP/1.1 000 None\r\n" + signed + "Content-Length: 0\r\n\r\n", "/book/1"},
+		"status 000, not run":               {"HTTP/1.1 000 None\r\nNot-Run: yes\r\n" + signed + "Content-Length: 0\r\n\r\n", "/book/1"},
+		"status 000 before an answer":       {"HTTP/1.1 000 None\r\n" + signed + "\r\n" + "HTTP/1.1 200 OK\r\n" + signed + "Content-Length: 4\r\n\r\nbody", "/book/1"},
+		"a blank in a name":                 {"HTTP/1.1 200 OK\r\nX Note: a\r\n" + signed + "Content-Length: 4\r\n\r\nbody", "/book/1"},
+		"a blank behind a name of a length": {"HTTP/1.1 200 OK\r\n" + signed + "Content-Length : 3\r\n\r\nbody", "/book/1"},
+		"a blank in a name, not run":        {"HTTP/1.1 503 Full\r\nNot-Run: yes\r\nX Note: a\r\n" + signed + "Content-Length: 0\r\n\r\n", "/book/1"},
+		"a control byte in a name":          {"HTTP/1.1 200 OK\r\nX\x01Note: a\r\n" + signed + "Content-Length: 4\r\n\r\nbody", "/book/1"},
+		"a blank in a name of a stream":     {"HTTP/1.1 200 OK\r\nX Note: a\r\nContent-Type: text/event-stream\r\n" + signed + "\r\nid: 1\ndata: 1\n\n", "/live/1"},
+		"chunks in HTTP/1.0":                {"HTTP/1.0 200 OK\r\n" + signed + "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n", "/book/1"},
+	} {
+		t.Run(what, func(t *testing.T) {
+			t.Parallel()
+			b := newBackend(t, "s1", cutAt(t, c.head, len(strings.ReplaceAll(c.head, "ID", "id")), "close"))
+			_, address := newPatientGateway(t, b)
+			status, body, err := call(t, address, c.path, "id")
+			if status != http.StatusBadGateway || err != nil || b.runs.Load() != 1 {
+				t.Errorf("got %d %q (error %v) after %d runs, want 502 after 1", status, body, err, b.runs.Load())
+			}
+		})
+	}
+}
--- a/io/http1/client.go
+++ b/io/http1/client.go
@@ -351,10 +351,12 @@
 	return n, err
 }
 
-// limitedReader returns an error instead of more than a number of bytes.
+// limitedReader returns an error instead of more than a number of bytes. While it is limited
+// it copies what it reads.
 type limitedReader struct {
 	reader io.Reader
 	left   int // bytes, or unlimited
+	copied []byte
 }
 
 const unlimited = -1
@@ -370,6 +372,7 @@
 	}
 	n, err := l.reader.Read(p[:min(len(p), l.left)])
 	l.left -= n
+	l.copied = append(l.copied, p[:n]...)
 	return n, err
 }
 
@@ -481,10 +484,8 @@
 // receive reads the header of the next response, skipping 1xx responses.
 func (conn *connection) receive(method string) (*http.Response, error) {
 	request := &http.Request{Method: method}
-	defer func() { conn.limited.left = unlimited }()
 	for range maxInterimResponses {
-		conn.limited.left = maxHeaderBytes
-		resp, err := http.ReadResponse(conn.reader, request)
+		resp, err := conn.readHead(request)
 		if err != nil {
 			return nil, err
 		}
--- /dev/null
+++ b/io/http1/head.go
@@ -0,0 +1,64 @@
+package http1
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"net/http"
+	"slices"
+	"strings"
+
+	"golang.org/x/net/http/httpguts"
+)
+
+// maxStatus is the highest status code of HTTP.
+const maxStatus = 599
+
+// readHead reads the head of one response. It returns an error for a head that package http
+// reads and HTTP does not allow.
+func (conn *connection) readHead(request *http.Request) (*http.Response, error) {
+	buffered, err := conn.reader.Peek(conn.reader.Buffered())
+	if err != nil {
+		return nil, err
+	}
+	conn.limited.copied = slices.Clone(buffered)
+	conn.limited.left = maxHeaderBytes
+	defer func() { conn.limited.copied, conn.limited.left = nil, unlimited }()
+	resp, err := http.ReadResponse(conn.reader, request)
+	if err != nil {
+		return nil, err
+	}
+	head := conn.limited.copied[:len(conn.limited.copied)-conn.reader.Buffered()]
+	return resp, checkHead(resp, head)
+}
+
+// checkHead returns an error if HTTP does not allow a head. Others may read it in other ways,
+// so that neither what it says of the body nor that a request did not run can be relied on.
+func checkHead(resp *http.Response, head []byte) error {
+	if resp.ProtoMajor != 1 {
+		return fmt.Errorf("the response has the protocol %.16q", resp.Proto)
+	}
+	if resp.StatusCode < http.StatusContinue || resp.StatusCode > maxStatus {
+		return fmt.Errorf("the response has the status %.16q", resp.Status)
+	}
+	_, fields, _ := bytes.Cut(head, []byte("\n"))
+	for line := range bytes.SplitSeq(fields, []byte("\n")) {
+		if len(bytes.TrimRight(line, "\r")) == 0 {
+			return nil
+		}
+		name, _, isField := strings.Cut(string(line), ":")
+		if goesOn := line[0] == ' ' || line[0] == '\t'; goesOn {
+			if isField && httpguts.ValidHeaderFieldName(strings.TrimSpace(name)) {
+				return fmt.Errorf("the response header has a field %.64q behind a blank", name)
+			}
+			continue
+		}
+		if !httpguts.ValidHeaderFieldName(name) {
+			return fmt.Errorf("the response header has a field with the name %.64q", name)
+		}
+		if !resp.ProtoAtLeast(1, 1) && strings.EqualFold(name, "Transfer-Encoding") {
+			return errors.New("the response has a transfer encoding, which HTTP/1.0 has not")
+		}
+	}
+	return nil
+}
