io/backend: sidecars read answers with io/http1

Change: sidecars send their calls with io/http1, which checks heads, sends no call a second time and delivers early answers. An odd head is lost contact: the call may have run. A call of which nothing was sent has not run. A probe that is answered with an odd head still shows that the server lives.

--- a/io/backend/announce.go
+++ b/io/backend/announce.go
@@ -16,6 +16,7 @@
 	"tanagerroad/core/stage"
 	"tanagerroad/core/table"
 	"tanagerroad/io/bus"
+	"tanagerroad/io/http1"
 )
 
 // Announcement describes a backend server. The server posts it to its sidecar
@@ -121,9 +122,9 @@
 
 // handleAnswer applies what the backend server says about itself in the header of an
 // answer to a call. start is the generation that the call was sent to.
-func (s *Sidecar) handleAnswer(start int, answer *http.Response) {
+func (s *Sidecar) handleAnswer(start int, method string, answer *http1.Response) {
 	s.handleLeaving(start, answer.Header)
-	if answer.Request.Method == http.MethodDelete {
+	if method == http.MethodDelete {
 		return // the answer to a cancellation says nothing about new work
 	}
 	if answer.StatusCode == http.StatusServiceUnavailable {
--- a/io/backend/client.go
+++ b/io/backend/client.go
@@ -10,13 +10,11 @@
 
 import (
 	"bufio"
-	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -98,65 +96,42 @@
 	silenceTimeout time.Duration // time without output after which a connection counts as lost
 	maxBody        int64         // bytes of one result
 	maxResumes     int
-	pooled         *http.Client // reuses connections
-	unpooled       *http.Client // opens a connection for each call
+	http           *http1.Client
+	close          func() // closes the idle connections
 
-	// handleAnswer is called with each answer to a call and the generation of the backend
-	// server that it was sent to; nil: not.
-	handleAnswer func(start int, answer *http.Response)
+	// handleAnswer is called with each answer to a call, the call's method and the generation
+	// of the backend server that it was sent to; nil: not.
+	handleAnswer func(start int, method string, answer *http1.Response)
 }
 
 const dialTimeout = 2 * time.Second
 
 func newClient(address string, silenceTimeout time.Duration, maxBody int64, maxResumes int) *client {
-	transport := func(reuse bool) *http.Client {
-		return &http.Client{Transport: &http.Transport{
-			DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
-			DisableKeepAlives:   !reuse,
-			DisableCompression:  true,
-			MaxIdleConnsPerHost: 64,
-			IdleConnTimeout:     30 * time.Second,
-
-			MaxResponseHeaderBytes: 64 << 10,
-		}}
-	}
-	return &client{
-		address: address, silenceTimeout: silenceTimeout, maxBody: maxBody, maxResumes: maxResumes,
-		pooled: transport(true), unpooled: transport(false),
-	}
+	c := &client{address: address, silenceTimeout: silenceTimeout, maxBody: maxBody, maxResumes: maxResumes}
+	c.http, c.close = http1.New()
+	c.http.SetConnectTimeout(dialTimeout)
+	return c
 }
 
-func (c *client) close() {
-	c.pooled.CloseIdleConnections()
-	c.unpooled.CloseIdleConnections()
-}
-
-// opaqueReader hides the type of a request body. Without it net/http could
-// rewind the body and send a request a second time on its own.
-type opaqueReader struct{ io.Reader }
+// pruneIdle closes connections that have been idle for too long.
+func (c *client) pruneIdle() { c.http.PruneIdle(map[string]bool{c.address: true}) }
 
 // newRequest returns the POST request for an attempt, with the headers that describe
 // it.
-func (c *client) newRequest(ctx context.Context, attempt call, path string) (*http.Request, error) {
-	body := opaqueReader{bytes.NewReader(attempt.input)}
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+c.address+path, body)
-	if err != nil {
-		return nil, err
-	}
-	request.ContentLength = int64(len(attempt.input))
-	if len(attempt.input) == 0 {
-		request.Body = http.NoBody
-	}
-	request.Header.Set(HeaderRequest, attempt.requestID)
-	request.Header.Set(HeaderExecution, attempt.key.Request)
-	request.Header.Set(HeaderStage, strconv.Itoa(attempt.key.Stage))
-	request.Header.Set(HeaderAttempt, strconv.Itoa(attempt.key.Attempt))
-	request.Header.Set(HeaderWorkspace, attempt.workspace)
-	request.Header.Set(HeaderBudget, strconv.FormatInt(attempt.budget.Milliseconds(), 10))
+func (c *client) newRequest(attempt call, path string) http1.Request {
+	header := http.Header{}
+	header.Set(HeaderRequest, attempt.requestID)
+	header.Set(HeaderExecution, attempt.key.Request)
+	header.Set(HeaderStage, strconv.Itoa(attempt.key.Stage))
+	header.Set(HeaderAttempt, strconv.Itoa(attempt.key.Attempt))
+	header.Set(HeaderWorkspace, attempt.workspace)
+	header.Set(HeaderBudget, strconv.FormatInt(attempt.budget.Milliseconds(), 10))
 	if attempt.model != "" {
-		request.Header.Set(HeaderModel, attempt.model)
+		header.Set(HeaderModel, attempt.model)
+	}
+	return http1.Request{
+		Address: c.address, Method: http.MethodPost, Target: path, Host: c.address, Header: header, Body: attempt.input, NewConn: attempt.atMostOnce,
 	}
-	return request, nil
 }
 
 // run calls the backend server for an attempt and passes each chunk of the result
@@ -170,14 +145,6 @@
 	return c.runService(ctx, attempt, deliver)
 }
 
-// httpClient returns the HTTP client to use for the attempt.
-func (c *client) httpClient(attempt call) *http.Client {
-	if attempt.atMostOnce {
-		return c.unpooled
-	}
-	return c.pooled
-}
-
 // runService calls a service, which returns its whole result in one response. It
 // waits for the response until the silence timeout or the call's budget has passed,
 // whichever is longer.
@@ -186,19 +153,16 @@
 	defer cancel()
 	silenceTimer := time.AfterFunc(max(c.silenceTimeout, attempt.budget), cancel)
 	defer silenceTimer.Stop()
-	request, err := c.newRequest(ctx, attempt, PathRun)
-	if err != nil {
-		return outcome{kind: notRun, reason: err.Error()}
-	}
-	response, err := c.httpClient(attempt).Do(request)
+	request := c.newRequest(attempt, PathRun)
+	response, err := c.http.Do(ctx, request)
 	if err != nil {
 		return c.connectionFailure(ctx, err)
 	}
-	defer response.Body.Close()
-	if result, final := c.checkResponse(attempt, response); final {
+	defer response.Close()
+	if result, final := c.checkResponse(attempt, request.Method, response); final {
 		return result
 	}
-	body, err := io.ReadAll(io.LimitReader(response.Body, c.maxBody+1))
+	body, err := io.ReadAll(io.LimitReader(response, c.maxBody+1))
 	if err != nil {
 		return c.connectionFailure(ctx, err)
 	}
@@ -207,7 +171,7 @@
 	}
 	digest := response.Header.Get(HeaderDigest)
 	if digest != hexDigest(xxhash.Sum64(body)) {
-		if http1.FramingOf(response) == http1.FramedByClose {
+		if response.Framing == http1.FramedByClose {
 			return c.connectionFailure(ctx, errCutShort)
 		}
 		if digest != "" {
@@ -227,26 +191,27 @@
 
 // checkResponse returns the outcome of a response whose status is not 200; it returns
 // false if the status is 200.
-func (c *client) checkResponse(attempt call, response *http.Response) (outcome, bool) {
+func (c *client) checkResponse(attempt call, method string, response *http1.Response) (outcome, bool) {
 	if c.handleAnswer != nil {
-		c.handleAnswer(attempt.start, response)
+		c.handleAnswer(attempt.start, method, response)
 	}
+	status := fmt.Sprint(response.StatusCode, " ", http.StatusText(response.StatusCode))
 	switch {
 	case response.StatusCode == http.StatusOK:
 		return outcome{}, false
 	case response.Header.Get(HeaderNotRun) == "true":
-		return outcome{kind: notRun, reason: response.Status}, true
+		return outcome{kind: notRun, reason: status}, true
 	}
-	return outcome{kind: failed, reason: "the backend server answered " + response.Status}, true
+	return outcome{kind: failed, reason: "the backend server answered " + status}, true
 }
 
 // connectionFailure returns the outcome of a call whose connection failed. It
 // probes the backend server on a new connection to find out whether it is down,
-// unless the call was cancelled or timed out. A failed dial means that the call
-// did not run.
+// unless the call was cancelled or timed out. A call of which nothing was sent did not
+// run.
 func (c *client) connectionFailure(ctx context.Context, err error) outcome {
-	var op *net.OpError
-	if errors.As(err, &op) && op.Op == "dial" {
+	var unsent *http1.UnsentError
+	if errors.As(err, &unsent) {
 		return outcome{kind: notRun, reason: err.Error(), serverDown: !c.alive()}
 	}
 	return outcome{kind: indeterminate, reason: err.Error(), serverDown: ctx.Err() == nil && !c.alive()}
@@ -255,19 +220,16 @@
 // probeTimeout bounds a liveness probe and the cancellation of a stream.
 const probeTimeout = 500 * time.Millisecond
 
-// alive reports whether the backend server answers on a new connection.
+// alive reports whether the backend server answers on a new connection, with a sound answer
+// or an odd one.
 func (c *client) alive() bool {
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+c.address+PathLive, nil)
-	if err != nil {
-		return false
-	}
-	response, err := c.unpooled.Do(request)
+	response, err := c.http.Do(ctx, http1.Request{Address: c.address, Method: http.MethodGet, Target: PathLive, Host: c.address, NewConn: true})
 	if err != nil {
-		return false
+		return errors.Is(err, http1.ErrOddHead)
 	}
-	_ = response.Body.Close()
+	response.Discard()
 	return true
 }
 
@@ -275,9 +237,9 @@
 // times if the connection fails.
 func (c *client) runModelEngine(ctx context.Context, attempt call, deliver func([]byte)) outcome {
 	s := &stream{client: c, call: attempt, deliver: deliver, hash: xxhash.New()}
-	result := s.connect(ctx, func(ctx context.Context) (*http.Request, error) { return c.newRequest(ctx, attempt, PathGenerate) })
+	result := s.connect(ctx, c.newRequest(attempt, PathGenerate))
 	for try := 0; result.kind == indeterminate && !result.serverDown && try < c.maxResumes && ctx.Err() == nil; try++ {
-		result = s.connect(ctx, s.newResumeRequest)
+		result = s.connect(ctx, s.newResumeRequest())
 		if result.kind == notRun { // the resumption was not: the call ran before
 			result.kind = indeterminate
 		}
@@ -285,11 +247,11 @@
 	return result
 }
 
-// streamURL returns the URL that resumes an attempt's stream at a byte offset, or
+// streamRequest returns the request that resumes an attempt's stream at a byte offset, or
 // cancels it.
-func (c *client) streamURL(key tanagerroad.AttemptKey, from uint64) string {
+func (c *client) streamRequest(method string, key tanagerroad.AttemptKey, from uint64) http1.Request {
 	query := url.Values{"attempt": {key.String()}, "from": {strconv.FormatUint(from, 10)}}
-	return "http://" + c.address + PathStreams + "?" + query.Encode()
+	return http1.Request{Address: c.address, Method: method, Target: PathStreams + "?" + query.Encode(), Host: c.address}
 }
 
 // cancel asks a model engine to stop generating a stream that nobody reads any
@@ -297,18 +259,15 @@
 func (c *client) cancel(attempt call) {
 	ctx, done := context.WithTimeout(context.Background(), probeTimeout)
 	defer done()
-	request, err := http.NewRequestWithContext(ctx, http.MethodDelete, c.streamURL(attempt.key, 0), nil)
-	if err != nil {
-		return
-	}
-	response, err := c.pooled.Do(request)
+	request := c.streamRequest(http.MethodDelete, attempt.key, 0)
+	response, err := c.http.Do(ctx, request)
 	if err != nil {
 		return
 	}
+	defer response.Close()
 	if c.handleAnswer != nil {
-		c.handleAnswer(attempt.start, response)
+		c.handleAnswer(attempt.start, request.Method, response)
 	}
-	_ = response.Body.Close()
 }
 
 // stream is a model engine's answer to one call, received over one or more
@@ -322,30 +281,28 @@
 }
 
 // newResumeRequest returns the request for the data that is still missing.
-func (s *stream) newResumeRequest(ctx context.Context) (*http.Request, error) {
-	return http.NewRequestWithContext(ctx, http.MethodGet, s.client.streamURL(s.call.key, s.received), nil)
+func (s *stream) newResumeRequest() http1.Request {
+	request := s.client.streamRequest(http.MethodGet, s.call.key, s.received)
+	request.NewConn = s.call.atMostOnce
+	return request
 }
 
 // connect sends one request for the stream and reads events until the stream
 // ends or the connection fails.
-func (s *stream) connect(ctx context.Context, newRequest func(context.Context) (*http.Request, error)) outcome {
+func (s *stream) connect(ctx context.Context, request http1.Request) outcome {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	silenceTimer := time.AfterFunc(s.client.silenceTimeout, cancel)
 	defer silenceTimer.Stop()
-	request, err := newRequest(ctx)
-	if err != nil {
-		return outcome{kind: notRun, reason: err.Error()}
-	}
-	response, err := s.client.httpClient(s.call).Do(request)
+	response, err := s.client.http.Do(ctx, request)
 	if err != nil {
 		return s.client.connectionFailure(ctx, err)
 	}
-	defer response.Body.Close()
-	if result, final := s.client.checkResponse(s.call, response); final {
+	defer response.Close()
+	if result, final := s.client.checkResponse(s.call, request.Method, response); final {
 		return result
 	}
-	return s.readEvents(ctx, response.Body, silenceTimer)
+	return s.readEvents(ctx, response, silenceTimer)
 }
 
 // readBufferBytes is the size of the buffer for reading events; longer lines are
--- a/io/backend/sidecar.go
+++ b/io/backend/sidecar.go
@@ -207,6 +207,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.config.Clock.Now()
+	if s.client != nil {
+		s.client.pruneIdle()
+	}
 	if s.announced.Pool != "" && now-s.announcedAt > s.config.Settings.Backend.AnnouncementTimeout.Std() && s.scheduler.State() != tanagerroad.Down {
 		event.BackendSilent.Log(s.config.Logger, zap.Duration("for", now-s.announcedAt))
 		s.step(stage.Event{Kind: stage.Announce, State: tanagerroad.Down, Start: s.announced.Generation})
--- a/io/http1/client.go
+++ b/io/http1/client.go
@@ -129,6 +129,10 @@
 	}
 }
 
+// SetConnectTimeout sets how long the opening of a connection may take. It must be called
+// before the first request.
+func (c *Client) SetConnectTimeout(d time.Duration) { c.dialer.Timeout = d }
+
 // Framing is how the end of a response body is marked.
 type Framing string
 
--- a/io/http1/head.go
+++ b/io/http1/head.go
@@ -14,8 +14,11 @@
 // maxStatus is the highest status code of HTTP.
 const maxStatus = 599
 
-// readHead reads the head of one response. It returns an error for a head that package http
-// reads and HTTP does not allow.
+// ErrOddHead is the error of a response with a head that HTTP does not allow.
+var ErrOddHead = errors.New("the response has a head that HTTP does not allow")
+
+// readHead reads the head of one response. The error is ErrOddHead for a head that package
+// http reads and HTTP does not allow.
 func (conn *connection) readHead(request *http.Request) (*http.Response, error) {
 	buffered, err := conn.reader.Peek(conn.reader.Buffered())
 	if err != nil {
@@ -32,14 +35,14 @@
 	return resp, checkHead(resp, head)
 }
 
-// checkHead returns an error if HTTP does not allow a head. Others may read it in other ways,
+// checkHead returns ErrOddHead if HTTP does not allow a head. Others may read it in other ways,
 // so that neither what it says of the body nor that a request did not run can be relied on.
 func checkHead(resp *http.Response, head []byte) error {
 	if resp.ProtoMajor != 1 {
-		return fmt.Errorf("the response has the protocol %.16q", resp.Proto)
+		return fmt.Errorf("%w: the protocol %.16q", ErrOddHead, resp.Proto)
 	}
 	if resp.StatusCode < http.StatusContinue || resp.StatusCode > maxStatus {
-		return fmt.Errorf("the response has the status %.16q", resp.Status)
+		return fmt.Errorf("%w: the status %.16q", ErrOddHead, resp.Status)
 	}
 	_, fields, _ := bytes.Cut(head, []byte("\n"))
 	for line := range bytes.SplitSeq(fields, []byte("\n")) {
@@ -49,15 +52,15 @@
 		name, _, isField := strings.Cut(string(line), ":")
 		if goesOn := line[0] == ' ' || line[0] == '\t'; goesOn {
 			if isField && httpguts.ValidHeaderFieldName(strings.TrimSpace(name)) {
-				return fmt.Errorf("the response header has a field %.64q behind a blank", name)
+				return fmt.Errorf("%w: a field %.64q behind a blank", ErrOddHead, name)
 			}
 			continue
 		}
 		if !httpguts.ValidHeaderFieldName(name) {
-			return fmt.Errorf("the response header has a field with the name %.64q", name)
+			return fmt.Errorf("%w: a field with the name %.64q", ErrOddHead, name)
 		}
 		if !resp.ProtoAtLeast(1, 1) && strings.EqualFold(name, "Transfer-Encoding") {
-			return errors.New("the response has a transfer encoding, which HTTP/1.0 has not")
+			return fmt.Errorf("%w: a transfer encoding in HTTP/1.0", ErrOddHead)
 		}
 	}
 	return nil
