core/quarantine: a crash during several trials decides none of them

With two servers left both trials were at the same one: its crash failed both, and the sound request waited 20 s for its next trial.

Ruled out: load (it only moves the two trials together; the crash is reported and applied within 0.1 s); late reports; a proof that is lost.

Change: a crash during the trials of several causes decides none of them. They are tried again at once, one at a time.

core/quarantine TestTrialFailsByAnothersCrash was red before.

--- a/core/quarantine/quarantine_test.go
+++ b/core/quarantine/quarantine_test.go
@@ -204,6 +204,69 @@
 	}
 }
 
+// TestTrialFailsByAnothersCrash guards against a sound request that is refused for long because
+// its trial was under way, or had just ended, at a backend server that the trial of another
+// request crashed.
+func TestTrialFailsByAnothersCrash(t *testing.T) {
+	config := quarantine.DefaultConfig()
+	sound, bad := &wire.Cause{Fingerprint: 1, Label: "sound", Exact: true}, &wire.Cause{Fingerprint: 2, Label: "bad", Exact: true}
+	newLedger := func() (*quarantine.Ledger, func(at int64, causes ...*wire.Cause)) {
+		ledger := quarantine.New(config)
+		crash := func(at int64, causes ...*wire.Cause) {
+			report := &wire.CrashReport{Server: fmt.Sprint("s", at), Start: at}
+			for _, c := range causes {
+				report.Suspects = append(report.Suspects, &wire.CrashSuspect{Causes: []*wire.Cause{c}})
+			}
+			for i := range 8 { // other requests, none twice
+				report.Suspects = append(report.Suspects, suspects([][]string{{fmt.Sprint("other", at, i)}}, false)...)
+			}
+			ledger.Report(at, report)
+			ledger.Report(at+config.SettleTime.Milliseconds(), &wire.CrashReport{Server: report.GetServer(), Start: at})
+		}
+		for at := int64(0); at < 1500; at += 500 {
+			crash(at, sound, bad)
+		}
+		if !ledger.ClaimTrial(2000, 1, 0) || !ledger.ClaimTrial(2100, 2, 0) {
+			t.Fatal("no trial is granted")
+		}
+		crash(2200, sound, bad)
+		return ledger, crash
+	}
+	refusedFor := func(ledger *quarantine.Ledger, fingerprint uint64) int64 {
+		for _, c := range ledger.Entries() {
+			if c.GetFingerprint() == fingerprint && c.GetConvicted() {
+				return c.GetTrialWaitMillis()
+			}
+		}
+		return -1
+	}
+
+	ledger, crash := newLedger()
+	if !ledger.ClaimTrial(2400, 1, 0) {
+		t.Fatal("the sound request is not tried again at once")
+	}
+	if ledger.ClaimTrial(2450, 2, 0) {
+		t.Error("the other one is tried beside it")
+	}
+	ledger.Clear(1) // its server outlived the run
+	if !ledger.ClaimTrial(3500, 2, 0) {
+		t.Error("the other one is not tried after it")
+	}
+	crash(3600, bad)
+	if s, b := refusedFor(ledger, 1), refusedFor(ledger, 2); s >= 0 || b == 0 {
+		t.Errorf("the sound request waits %d ms for a trial, the other one %d, want none, and longer than 0", s, b)
+	}
+
+	ledger, crash = newLedger()
+	if !ledger.ClaimTrial(2400, 2, 0) {
+		t.Fatal("the request that crashes servers is not tried again at once")
+	}
+	crash(2500, sound, bad)
+	if s, b := refusedFor(ledger, 1), refusedFor(ledger, 2); s >= 0 || b == 0 {
+		t.Errorf("the sound request waits %d ms for a trial, the other one %d, want none, and longer than 0", s, b)
+	}
+}
+
 // TestSoundPartExplainsCrashesOfAnother guards against a sound part of prompts, which was in
 // some of the crashes of another one, that is convicted and explains these crashes away.
 func TestSoundPartExplainsCrashesOfAnother(t *testing.T) {
--- a/core/quarantine/trial.go
+++ b/core/quarantine/trial.go
@@ -39,12 +39,22 @@
 
 // isTrialDue reports whether a trial of a convicted cause is due.
 func (l *Ledger) isTrialDue(atMillis int64, c *wire.Conviction) bool {
-	if c.GetTrial() && atMillis < c.GetTrialUntilMillis() {
+	if isTried(atMillis, c) {
 		return false
 	}
+	for _, other := range l.convicted {
+		if c.GetUndecided() && other.GetUndecided() && isTried(atMillis, other) {
+			return false
+		}
+	}
 	return atMillis-c.GetSinceMillis() >= c.GetTrialWaitMillis()
 }
 
+// isTried reports whether the trial of a cause is under way.
+func isTried(atMillis int64, c *wire.Conviction) bool {
+	return c.GetTrial() && atMillis < c.GetTrialUntilMillis()
+}
+
 // EndTrial ends the trial of a cause whose request is not sent again. If it was never sent
 // the next trial is due at once, otherwise when it must be known whether a backend server
 // crashed. It reports whether there was a trial.
@@ -63,20 +73,30 @@
 	return true
 }
 
-// failTrials ends the trials in which backend servers have crashed.
+// failTrials ends the trials in which backend servers have crashed. A crash during several
+// trials, which only one of the causes has brought about, decides none of them.
 func (l *Ledger) failTrials(atMillis int64) {
 	if !slices.ContainsFunc(slices.Collect(maps.Values(l.convicted)), (*wire.Conviction).GetTrial) {
 		return
 	}
 	explained := l.explained()
 	for _, o := range l.outages(atMillis - l.config.SettleTime.Milliseconds()) {
-		failedAt := map[uint64]int64{}
+		failedAt, undecidedAt := map[uint64]int64{}, map[uint64]int64{}
 		coincidence := false
 		for _, c := range o {
 			tried := l.triedIn(c)
 			coincidence = coincidence || len(tried) == 0 && !explained[c.digest]
+			ended := failedAt
+			if len(tried) > 1 {
+				ended = undecidedAt
+			}
 			for _, fingerprint := range tried {
-				failedAt[fingerprint] = c.GetAtMillis()
+				ended[fingerprint] = c.GetAtMillis()
+			}
+		}
+		for fingerprint, at := range undecidedAt {
+			if _, failed := failedAt[fingerprint]; !failed {
+				l.leaveUndecided(at, l.convicted[fingerprint])
 			}
 		}
 		for fingerprint, at := range failedAt {
@@ -96,6 +116,14 @@
 	return out
 }
 
+// leaveUndecided ends a trial, at a Unix time in milliseconds, which is repeated at once.
+func (l *Ledger) leaveUndecided(atMillis int64, c *wire.Conviction) {
+	next := proto.CloneOf(c)
+	next.Trial, next.TrialUntilMillis, next.SinceMillis = false, 0, atMillis-c.GetTrialWaitMillis()
+	next.Undecided = true
+	l.replace(next)
+}
+
 // failTrial ends a trial in which a backend server has crashed, at a Unix time in
 // milliseconds, and prolongs the conviction. The first time does not count if other servers
 // crashed at the same time without such a request. One that is sent again is tried no more
--- a/core/quarantine/view.go
+++ b/core/quarantine/view.go
@@ -163,11 +163,23 @@
 		if e == nil || !e.GetConvicted() || c.Fingerprint == exempt || at-e.since >= v.keep(e) {
 			continue
 		}
-		return Verdict{Convicted: true, Guilty: e.GetTrialWaitMillis() > 0, Cause: c, Left: e.since + trialDelay(e.Conviction) - at}
+		return Verdict{Convicted: true, Guilty: e.GetTrialWaitMillis() > 0, Cause: c, Left: max(e.since+trialDelay(e.Conviction), v.othersTriedUntil(e)) - at}
 	}
 	return Verdict{}
 }
 
+// othersTriedUntil returns when the trials end beside which that of an undecided cause is not
+// granted, or 0.
+func (v *View) othersTriedUntil(e *entry) time.Duration {
+	var until time.Duration
+	for _, other := range v.entries {
+		if e.GetUndecided() && other.GetUndecided() && other.GetTrial() {
+			until = max(until, other.since+trialDelay(other.Conviction))
+		}
+	}
+	return until
+}
+
 // keep returns how long a conviction lasts in the view.
 func (v *View) keep(e *entry) time.Duration {
 	return cmp.Or(time.Duration(e.GetKeepMillis())*time.Millisecond, v.duration)
