core/replica, io/quorum: a majority forms the first cluster after two seconds

Cause: a new cluster formed only when every listed instance had answered.

Ruled out: a successor that costs the quorum, and answers that are refused: no log has cluster-formed.

Change: after 2 s an instance that starts with the whole system (bootstrap, open membership) is content with a majority of the listed ones that say so of themselves. The others are voters with identities that nobody has, so all majorities have an instance in common. Successors join as before.

--- a/core/replica/forming_test.go
+++ b/core/replica/forming_test.go
@@ -19,15 +19,17 @@
 	listed    []string                              // addresses of all nodes
 	anyFormed bool                                  // whether any node has formed the cluster
 	diskLost  bool                                  // whether a node lost its disk before it had formed or joined
+	firstIDs  map[*node]string                      // identities at the start; a node that has lost its disk must not form a cluster
 }
 
 func newFormingSimulation(t *rapid.T, n int) *formingSimulation {
-	f := &formingSimulation{simulation: newSimulation(t, n, 0), answers: map[*node]map[string]*wire.HelloReply{}}
+	f := &formingSimulation{simulation: newSimulation(t, n, 0), answers: map[*node]map[string]*wire.HelloReply{}, firstIDs: map[*node]string{}}
 	f.committedMembers = nil
 	f.onEmptyStart = func(nd *node) { f.answers[nd] = map[string]*wire.HelloReply{} }
 	for _, nd := range f.nodes {
 		f.listed = append(f.listed, nd.address)
 		f.empty(nd)
+		f.firstIDs[nd] = nd.id
 	}
 	return f
 }
@@ -58,7 +60,7 @@
 }
 
 func (f *formingSimulation) helloReply(nd *node) *wire.HelloReply {
-	reply := &wire.HelloReply{Id: nd.id, Address: nd.address, Empty: !nd.up}
+	reply := &wire.HelloReply{Id: nd.id, Address: nd.address, Empty: !nd.up, Bootstrap: !nd.up && nd.id == f.firstIDs[nd]}
 	if nd.up {
 		reply.Members = nd.replica.SnapshotMembers()
 	}
@@ -71,6 +73,10 @@
 	f.answers[nd] = map[string]*wire.HelloReply{}
 	answers[nd.address] = f.helloReply(nd)
 	formation, members := replica.DecideFormation(f.helloReply(nd), f.listed, answers)
+	// One loss at a time: a majority is enough unless a disk was lost before.
+	if formation == replica.Wait && !f.diskLost && nd.id == f.firstIDs[nd] && rapid.Bool().Draw(f.t, "out of patience") {
+		formation, members = replica.DecideFormationByMajority(f.helloReply(nd), f.listed, answers)
+	}
 	switch formation {
 	case replica.Wait:
 		return
--- a/core/replica/guard_test.go
+++ b/core/replica/guard_test.go
@@ -1,6 +1,7 @@
 package replica_test
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -245,6 +246,42 @@
 	}
 }
 
+// TestLossAtFirstStartPreventsFormation guards against a cluster that never forms since one
+// instance is gone at the first start, and against a second one that instances form which have
+// lost their disks.
+func TestLossAtFirstStartPreventsFormation(t *testing.T) {
+	first := func(id string) *wire.HelloReply { return &wire.HelloReply{Id: id, Empty: true, Bootstrap: true} }
+	self, emptied := first("a"), &wire.HelloReply{Id: "b2", Empty: true}
+	for _, c := range []struct {
+		name    string
+		listed  int
+		answers map[string]*wire.HelloReply
+		want    replica.Formation
+		missing int
+	}{
+		{"one of three is gone", 3, map[string]*wire.HelloReply{"a0": self, "b0": first("b")}, replica.StartWithMembers, 1},
+		{"two of three are gone", 3, map[string]*wire.HelloReply{"a0": self}, replica.Wait, 0},
+		{"one of three has lost its disk, one is gone", 3, map[string]*wire.HelloReply{"a0": self, "b0": emptied}, replica.Wait, 0},
+		{"all of three are there, one has lost its disk", 3, map[string]*wire.HelloReply{"a0": self, "b0": emptied, "c0": first("c")}, replica.StartWithMembers, 0},
+		{"two of four are gone", 4, map[string]*wire.HelloReply{"a0": self, "b0": first("b")}, replica.Wait, 0},
+		{"one of four is gone", 4, map[string]*wire.HelloReply{"a0": self, "b0": first("b"), "c0": first("c")}, replica.StartWithMembers, 1},
+		{"two of five are gone", 5, map[string]*wire.HelloReply{"a0": self, "b0": first("b"), "c0": first("c")}, replica.StartWithMembers, 2},
+		{"a cluster exists without this one", 3, map[string]*wire.HelloReply{"a0": self, "b0": {Id: "b", Members: threeVoters[1:]}}, replica.JoinExisting, 0},
+	} {
+		listed := []string{"a0", "b0", "c0", "d0", "e0"}[:c.listed]
+		got, members := replica.DecideFormationByMajority(self, listed, c.answers)
+		missing := 0
+		for _, m := range members {
+			if strings.HasPrefix(m.GetId(), "missing") {
+				missing++
+			}
+		}
+		if got != c.want || missing != c.missing || got == replica.StartWithMembers && len(members) != c.listed {
+			t.Errorf("%s: %v with %v, want %v with %d missing", c.name, got, members, c.want, c.missing)
+		}
+	}
+}
+
 func TestLeavingLeaderTransfersLeadership(t *testing.T) {
 	r := newFollower(threeVoters)
 	at := electLeader(t, r)
--- a/core/replica/member.go
+++ b/core/replica/member.go
@@ -256,3 +256,29 @@
 	slices.SortFunc(members, func(a, b *wire.Member) int { return cmp.Compare(a.GetId(), b.GetId()) })
 	return StartWithMembers, members
 }
+
+// DecideFormationByMajority is DecideFormation for an instance that may form a new cluster and
+// has waited in vain for some of the listed ones. A majority of the listed instances that may
+// form one is enough. The others are voters with identities that nobody has: whatever they have
+// decided, each majority of theirs and each of the members returned have an instance in common.
+// One that comes, or that replaces them, joins like an instance that has lost its disk.
+func DecideFormationByMajority(self *wire.HelloReply, listed []string, answers map[string]*wire.HelloReply) (Formation, []*wire.Member) {
+	formation, members := DecideFormation(self, listed, answers)
+	if formation != Wait {
+		return formation, members
+	}
+	answered := 0
+	for _, address := range listed {
+		id := "missing at " + address
+		if answer := answers[address]; answer.GetBootstrap() {
+			id = answer.GetId()
+			answered++
+		}
+		members = append(members, &wire.Member{Id: id, Address: address, Voter: true})
+	}
+	if 2*answered <= len(listed) {
+		return Wait, nil
+	}
+	slices.SortFunc(members, func(a, b *wire.Member) int { return cmp.Compare(a.GetId(), b.GetId()) })
+	return StartWithMembers, members
+}
--- a/core/replica/replica_test.go
+++ b/core/replica/replica_test.go
@@ -417,7 +417,7 @@
 		return false
 	}
 	for _, m := range s.committedMembers {
-		if holder := s.byID[m.GetId()]; !m.GetVoter() || holder.id != m.GetId() {
+		if holder := s.byID[m.GetId()]; !m.GetVoter() || holder == nil || holder.id != m.GetId() {
 			return false
 		}
 	}
--- a/core/settings/settings.go
+++ b/core/settings/settings.go
@@ -158,7 +158,7 @@
 	GroupCommit       bool                 `json:"group" doc:"write and sync all waiting changes in one batch"`
 	Registrar         HTTPListener         `json:"registrar" doc:"listener on which backend servers announce themselves and operators change the gateways' configuration; no address: no listener"`
 	ControlPort       int                  `json:"control-port" doc:"port of the peer listeners of all control instances, in place of those listed in instances; 0: use the listed ports"`
-	Bootstrap         bool                 `json:"bootstrap" doc:"allow an instance with an empty disk to form a new cluster"`
+	Bootstrap         bool                 `json:"bootstrap" doc:"allow an instance with an empty disk to form a new cluster; with open membership a majority of the listed ones is enough, so that it must be false once a cluster was formed"`
 	Zones             []ZoneRegion         `json:"zones" doc:"availability zones that operators may evacuate, beside those of backend servers and processes that are known"`
 	MemoryLimit       tanagerroad.Size     `json:"memory" doc:"memory limit of the process"`
 	OpenMembership    bool                 `json:"open" doc:"open membership: instances may list only some of the control instances and need not include this one; others are admitted when they ask to join"`
--- a/io/quorum/cluster_test.go
+++ b/io/quorum/cluster_test.go
@@ -22,13 +22,19 @@
 // and returns them with their disks and the leader's index. They stop with the test.
 func startCluster(t *testing.T, n int) ([]*quorum.Quorum, []*failingDisk, int) {
 	t.Helper()
-	addresses, err := demo.FreeAddresses(n)
+	return startPart(t, n, n)
+}
+
+// startPart is startCluster for n instances whose settings list more.
+func startPart(t *testing.T, n, listed int) ([]*quorum.Quorum, []*failingDisk, int) {
+	t.Helper()
+	addresses, err := demo.FreeAddresses(listed)
 	if err != nil {
 		t.Fatal(err)
 	}
 	var all []*quorum.Quorum
 	var disks []*failingDisk
-	for _, address := range addresses {
+	for _, address := range addresses[:n] {
 		s := settings.DefaultControl()
 		s.Common = settings.Common{Process: "control", Zone: "a", Region: "west"}
 		s.Peer.Address, s.Instances, s.OpenMembership, s.Tolerate = address, addresses, true, 1
@@ -69,7 +75,7 @@
 			if v.Role == "leader" {
 				leader = i
 			}
-			if v.Leader != "" && len(v.Members) == n {
+			if v.Leader != "" && len(v.Members) == listed {
 				known++
 			}
 		}
@@ -127,3 +133,13 @@
 	f.refuse(false)
 	awaitLeader(t, q)
 }
+
+// TestLossAtFirstStartCostsTheQuorum guards against control instances that form no cluster since
+// one of them is gone as all start for the first time.
+func TestLossAtFirstStartCostsTheQuorum(t *testing.T) {
+	t.Parallel()
+	all, _, _ := startPart(t, 2, 3)
+	if !proposeToAny(all, "a", 10*time.Second) {
+		t.Error("two of three instances accept no change")
+	}
+}
--- a/io/quorum/quorum.go
+++ b/io/quorum/quorum.go
@@ -225,6 +225,7 @@
 	defer q.mu.Unlock()
 	return &wire.HelloReply{
 		Id: q.id, Address: q.config.Settings.Peer.AdvertisedAddress(), Empty: !q.formed.Load(), Members: q.snapshotMembers,
+		Bootstrap: q.mayFormByMajority() && !q.formed.Load(),
 	}
 }
 
@@ -232,16 +233,25 @@
 // their identity.
 const helloInterval = 250 * time.Millisecond
 
+// formationPatience is how long an instance that starts with all others waits for each of them,
+// before a majority is enough. Instances that get power together start within a second.
+const formationPatience = 2 * time.Second
+
 // formCluster runs on an instance without stored data until it has formed a cluster
 // with the others or can join an existing one. It returns false if ctx ends first.
 func (q *Quorum) formCluster(ctx context.Context) bool {
 	ticker := time.NewTicker(helloInterval)
 	defer ticker.Stop()
+	started := q.config.Clock.Now()
 	for {
 		listed := q.knownAddresses()
 		replies := q.transport.helloAll(ctx, q.Hello(), listed)
 		replies[q.config.Settings.Peer.AdvertisedAddress()] = q.Hello()
-		formation, members := replica.DecideFormation(q.Hello(), listed, replies)
+		decide := replica.DecideFormation
+		if q.mayFormByMajority() && q.config.Clock.Now()-started > formationPatience {
+			decide = replica.DecideFormationByMajority
+		}
+		formation, members := decide(q.Hello(), listed, replies)
 		if formation == replica.StartWithMembers && !q.config.Settings.Bootstrap && !clusterExists(replies) {
 			formation = replica.Wait // an instance that lost its data must not form a second cluster
 		}
@@ -264,6 +274,12 @@
 	}
 }
 
+// mayFormByMajority reports whether the settings say that the whole cluster starts for the first
+// time. With a closed membership bootstrap may stay set, so that it says nothing of the disk.
+func (q *Quorum) mayFormByMajority() bool {
+	return q.config.Settings.Bootstrap && q.config.Settings.OpenMembership
+}
+
 const (
 	// findPeersInterval is how often an instance without a leader asks who is at the
 	// addresses that it knows.
