--- a/core/event/event.go
+++ b/core/event/event.go
@@ -106,7 +106,7 @@
 	DiskRecovered          = define(432, zap.WarnLevel, "disk-recovered", "The journal of a control instance could be written again; failed-for says how long it could not.")
 	LogUnusable            = define(433, zap.ErrorLevel, "log-unusable", "A committed entry or a snapshot could not be decoded or encoded; the instance acknowledges nothing more and has to be replaced.")
 	Convicted              = define(408, zap.WarnLevel, "convicted", "A fingerprint was convicted because its requests crash backend servers; they are refused everywhere for a limited time.")
-	ClusterFormed          = define(409, zap.InfoLevel, "cluster-formed", "The initial membership was formed: all listed instances answered and none had stored data.")
+	ClusterFormed          = define(409, zap.InfoLevel, "cluster-formed", "The initial membership was formed: all listed instances answered, or a majority of them at the first start of the system, and none had stored data.")
 	ServerAnnounced        = define(410, zap.InfoLevel, "server-announced", "This control instance received a new or changed announcement from a backend server.")
 	ServerSilent           = define(411, zap.WarnLevel, "server-silent", "A backend server has not announced itself to this control instance for too long.")
 	AnnouncementUnreadable = define(412, zap.WarnLevel, "announcement-unreadable", "An announcement could not be read; it was ignored.")
