--- a/io/gateway/recorder.go
+++ b/io/gateway/recorder.go
@@ -25,8 +25,9 @@
 	originRetryDelay = 50 * time.Millisecond
 	// originBatchSize bounds the origins in one call.
 	originBatchSize = 2048
-	// originHolders is how many gateways are asked to hold an origin. One that does is enough.
-	originHolders = 3
+	// maxOriginHolders is how many gateways are asked to hold an origin. One that does is
+	// enough.
+	maxOriginHolders = 3
 	// originHoldTimeout bounds a call that asks a gateway to hold origins.
 	originHoldTimeout = 300 * time.Millisecond
 )
@@ -198,6 +199,9 @@
 // asks others.
 func (g *Gateway) holdElsewhere(batch []*wire.Origin, try int) bool {
 	holders := g.originHolders(try)
+	if len(holders) == 0 {
+		return false
+	}
 	results := make(chan error, len(holders))
 	for _, address := range holders {
 		go func() {
@@ -218,7 +222,9 @@
 			return true
 		}
 	}
-	event.OriginsHeld.Log(g.config.Logger, zap.Int("streams", len(batch)), zap.Strings("gateways", holders), zap.Int("try", try), zap.Error(err))
+	if try == 0 {
+		event.OriginsHeld.Log(g.config.Logger, zap.Int("streams", len(batch)), zap.Strings("gateways", holders), zap.Int("try", try), zap.Error(err))
+	}
 	return false
 }
 
@@ -245,10 +251,13 @@
 	near, far = rotate(near), rotate(far)
 	var holders []string
 	for i := range max(len(near), len(far)) {
-		holders = append(holders, near[min(i, len(near)):min(i+1, len(near))]...)
-		holders = append(holders, far[min(i, len(far)):min(i+1, len(far))]...)
+		for _, list := range [][]string{near, far} {
+			if i < len(list) {
+				holders = append(holders, list[i])
+			}
+		}
 	}
-	return holders[:min(originHolders, len(holders))]
+	return holders[:min(maxOriginHolders, len(holders))]
 }
 
 // otherGateways returns the other gateways, as control instances named them last.
