io/gateway, io/control: a take-up logs whether its version is recorded

The reply to a read of an origin says now whether there is a record, and the event has it as recorded. Nothing decides by it.

--- a/core/origin/origin.go
+++ b/core/origin/origin.go
@@ -64,12 +64,18 @@
 // Software returns the version at which a stream of a pool began. Without a record it is
 // the pool's base version, empty if the pool has none.
 func (l *Ledger) Software(pool string, stream uint64) string {
-	if o := l.origins[stream]; o != nil && o.GetPool() == pool {
-		return o.GetSoftware()
+	if l.IsRecorded(pool, stream) {
+		return l.origins[stream].GetSoftware()
 	}
 	return l.bases[pool]
 }
 
+// IsRecorded reports whether a stream of a pool has a record.
+func (l *Ledger) IsRecorded(pool string, stream uint64) bool {
+	o := l.origins[stream]
+	return o != nil && o.GetPool() == pool
+}
+
 // ChangeBase replaces the base version of a pool, unless it is not from any more.
 func (l *Ledger) ChangeBase(pool, from, to string) {
 	if l.bases[pool] == from {
--- a/io/control/client.go
+++ b/io/control/client.go
@@ -209,10 +209,11 @@
 }
 
 // Origin returns the software version at which a stream of a pool began, which is empty if
-// nothing is known of the pool. ok is false if no quorum confirmed it before ctx ended.
-func (c *Client) Origin(ctx context.Context, pool string, stream uint64) (software string, ok bool) {
+// nothing is known of the pool, and whether that is recorded or the pool's base version. ok is
+// false if no quorum confirmed it before ctx ended.
+func (c *Client) Origin(ctx context.Context, pool string, stream uint64) (software string, recorded, ok bool) {
 	reply, err := c.Read(ctx, &wire.ReadRequest{What: readOrigin, Pool: pool, Stream: stream})
-	return reply.GetSoftware(), err == nil && reply.GetKind() == "ok"
+	return reply.GetSoftware(), reply.GetRecorded(), err == nil && reply.GetKind() == "ok"
 }
 
 // commit proposes a command. An outcome other than Accepted is an error.
--- a/io/control/service.go
+++ b/io/control/service.go
@@ -223,6 +223,7 @@
 	if request.GetWhat() == readOrigin {
 		return s.confirmedReply(reply, s.quorum.Read(ctx, func(r *registry.Registry) {
 			reply.Software = r.Origins().Software(request.GetPool(), request.GetStream())
+			reply.Recorded = r.Origins().IsRecorded(request.GetPool(), request.GetStream())
 		})), nil
 	}
 	if request.GetWhat() == readEvacuations {
--- a/io/gateway/origins.go
+++ b/io/gateway/origins.go
@@ -45,11 +45,11 @@
 		return true
 	}
 	g := x.g
-	confirmed := false
+	recorded, confirmed := false, false
 	if x.begunBy() != "" {
 		ctx, cancel := context.WithTimeout(x.ctx, originLookupTimeout)
 		defer cancel()
-		x.software, confirmed = g.control.Origin(ctx, x.pool, origin.Stream(x.begunBy()))
+		x.software, recorded, confirmed = g.control.Origin(ctx, x.pool, origin.Stream(x.begunBy()))
 	}
 	g.mu.Lock()
 	usable, others := g.fleet.HasSoftware(x.pool, x.software)
@@ -65,7 +65,7 @@
 		outcome = "no backend server has the software version at which the stream began"
 	}
 	event.StreamTakenUp.Log(g.config.Logger, zap.String("request", x.headers.AttemptID), zap.String("begun-by", x.headers.BegunBy),
-		zap.String("software", x.software), zap.Int("versions", versions), zap.Duration("left", x.deadline-g.now()), zap.String("outcome", outcome))
+		zap.String("software", x.software), zap.Bool("recorded", recorded), zap.Int("versions", versions), zap.Duration("left", x.deadline-g.now()), zap.String("outcome", outcome))
 	x.reason = outcome
 	return outcome == ""
 }
