--- a/core/quarantine/trial.go
+++ b/core/quarantine/trial.go
@@ -42,9 +42,11 @@
 	if isTried(atMillis, c) {
 		return false
 	}
-	for _, other := range l.convicted {
-		if c.GetUndecided() && other.GetUndecided() && isTried(atMillis, other) {
-			return false
+	if c.GetUndecided() {
+		for _, other := range l.convicted {
+			if other.GetUndecided() && isTried(atMillis, other) {
+				return false
+			}
 		}
 	}
 	return atMillis-c.GetSinceMillis() >= c.GetTrialWaitMillis()
@@ -67,12 +69,17 @@
 	if sent {
 		next.TrialUntilMillis = min(c.GetTrialUntilMillis(), atMillis+verdictTime.Milliseconds())
 	} else {
-		next.Trial, next.TrialUntilMillis, next.SinceMillis = false, 0, atMillis-c.GetTrialWaitMillis()
+		makeTrialDue(next, atMillis)
 	}
 	l.replace(next)
 	return true
 }
 
+// makeTrialDue ends a trial at a Unix time in milliseconds, so that the next one is due at once.
+func makeTrialDue(c *wire.Conviction, atMillis int64) {
+	c.Trial, c.TrialUntilMillis, c.SinceMillis = false, 0, atMillis-c.GetTrialWaitMillis()
+}
+
 // failTrials ends the trials in which backend servers have crashed. A crash during several
 // trials, which only one of the causes has brought about, decides none of them.
 func (l *Ledger) failTrials(atMillis int64) {
@@ -119,7 +126,7 @@
 // leaveUndecided ends a trial, at a Unix time in milliseconds, which is repeated at once.
 func (l *Ledger) leaveUndecided(atMillis int64, c *wire.Conviction) {
 	next := proto.CloneOf(c)
-	next.Trial, next.TrialUntilMillis, next.SinceMillis = false, 0, atMillis-c.GetTrialWaitMillis()
+	makeTrialDue(next, atMillis)
 	next.Undecided = true
 	l.replace(next)
 }
--- a/core/quarantine/view.go
+++ b/core/quarantine/view.go
@@ -172,8 +172,11 @@
 // granted, or 0.
 func (v *View) othersTriedUntil(e *entry) time.Duration {
 	var until time.Duration
+	if !e.GetUndecided() {
+		return until
+	}
 	for _, other := range v.entries {
-		if e.GetUndecided() && other.GetUndecided() && other.GetTrial() {
+		if other.GetUndecided() && other.GetTrial() {
 			until = max(until, other.since+trialDelay(other.Conviction))
 		}
 	}
--- a/core/replica/member.go
+++ b/core/replica/member.go
@@ -86,9 +86,14 @@
 	return true
 }
 
+// sortMembers sorts members by identity.
+func sortMembers(members []*wire.Member) {
+	slices.SortFunc(members, func(a, b *wire.Member) int { return cmp.Compare(a.GetId(), b.GetId()) })
+}
+
 // changeMembers proposes next as the membership. It sorts next by identity.
 func (r *Replica) changeMembers(next []*wire.Member) {
-	slices.SortFunc(next, func(a, b *wire.Member) int { return cmp.Compare(a.GetId(), b.GetId()) })
+	sortMembers(next)
 	r.appendOwn(&wire.Entry{Members: next})
 	r.Flush()
 }
@@ -253,7 +258,7 @@
 		}
 		members = append(members, &wire.Member{Id: answer.GetId(), Address: address, Voter: true})
 	}
-	slices.SortFunc(members, func(a, b *wire.Member) int { return cmp.Compare(a.GetId(), b.GetId()) })
+	sortMembers(members)
 	return StartWithMembers, members
 }
 
@@ -279,6 +284,6 @@
 	if 2*answered <= len(listed) {
 		return Wait, nil
 	}
-	slices.SortFunc(members, func(a, b *wire.Member) int { return cmp.Compare(a.GetId(), b.GetId()) })
+	sortMembers(members)
 	return StartWithMembers, members
 }
--- a/io/backend/service_test.go
+++ b/io/backend/service_test.go
@@ -2,15 +2,11 @@
 
 import (
 	"fmt"
-	"io"
-	"net/http"
-	"net/http/httptest"
+	"net"
 	"testing"
-	"time"
 
 	"github.com/cespare/xxhash/v2"
 
-	"tanagerroad"
 	"tanagerroad/core/table"
 )
 
@@ -32,24 +28,8 @@
 		{"has chunks and is cut", "Transfer-Encoding: chunked\r\n", "3\r\nwho\r\n", indeterminate},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-				if r.URL.Path == PathLive {
-					return
-				}
-				_, _ = io.Copy(io.Discard, r.Body) // unread data would turn the close into a reset
-				conn, _, err := w.(http.Hijacker).Hijack()
-				if err != nil {
-					t.Error(err)
-					return
-				}
-				defer conn.Close()
-				fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s\r\n%s", c.head, c.body)
-			}))
-			defer server.Close()
-			client := newClient(server.Listener.Addr().String(), time.Minute, 1<<10, 0)
-			defer client.close()
-			got := ""
-			result := client.run(t.Context(), call{kind: table.Service, key: tanagerroad.AttemptKey{Request: "r", Attempt: 1}, budget: time.Minute}, func(p []byte) { got += string(p) })
+			answer := fmt.Sprintf("HTTP/1.1 200 OK\r\n%s\r\n%s", c.head, c.body)
+			result, got := runAgainst(t, call{kind: table.Service}, answer, func(*net.TCPConn) {})
 			if result.kind != c.want || result.serverDown || (result.kind == completed) != (got == "whole") {
 				t.Errorf("got outcome %+v and result %q, want kind %d", result, got, c.want)
 			}
--- a/io/gateway/early_test.go
+++ b/io/gateway/early_test.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"testing"
@@ -17,20 +16,7 @@
 	t.Helper()
 	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
 	defer cancel()
-	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+path, bytes.NewReader(make([]byte, 16<<20)))
-	if err != nil {
-		t.Fatal(err)
-	}
-	r.Host = "h"
-	r.Header.Set(headerID, id)
-	r.Header.Set(headerKey, "k")
-	res, err := http.DefaultTransport.RoundTrip(r)
-	if err != nil {
-		return 0, "", err
-	}
-	defer res.Body.Close()
-	body, err := io.ReadAll(res.Body)
-	return res.StatusCode, string(body), err
+	return send(ctx, t, address, path, id, bytes.NewReader(make([]byte, 16<<20)))
 }
 
 // TestResetAnswerIsPassedOn guards against an early answer to a long upload that is reset, and
--- a/io/gateway/gateway_test.go
+++ b/io/gateway/gateway_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -233,14 +234,19 @@
 // and the error of reading it.
 func call(t *testing.T, address, path, id string, headers ...string) (int, string, error) {
 	t.Helper()
-	r, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+address+path, strings.NewReader("body"))
+	return send(t.Context(), t, address, path, id, strings.NewReader("body"), append([]string{headerLeft, "1500"}, headers...)...)
+}
+
+// send is call with a body, and without a deadline unless the headers have one.
+func send(ctx context.Context, t *testing.T, address, path, id string, body io.Reader, headers ...string) (int, string, error) {
+	t.Helper()
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+path, body)
 	if err != nil {
 		t.Fatal(err)
 	}
 	r.Host = "h"
 	r.Header.Set(headerID, id)
 	r.Header.Set(headerKey, "k")
-	r.Header.Set(headerLeft, "1500")
 	for i := 0; i+1 < len(headers); i += 2 {
 		r.Header.Set(headers[i], headers[i+1])
 	}
@@ -249,8 +255,8 @@
 		return 0, "", err
 	}
 	defer res.Body.Close()
-	body, err := io.ReadAll(res.Body)
-	return res.StatusCode, string(body), err
+	answer, err := io.ReadAll(res.Body)
+	return res.StatusCode, string(answer), err
 }
 
 // TestAnswerOfAnotherRequest guards against an answer that a backend server sends for
--- a/io/gateway/origins.go
+++ b/io/gateway/origins.go
@@ -120,11 +120,12 @@
 	}
 	x.g.mu.Lock()
 	_, others := x.g.fleet.HasSoftware(x.pool, x.software)
+	alone := len(x.g.latestGateways()) == 0
 	x.g.mu.Unlock()
 	switch {
 	case others:
 		record.held = nil
-	case len(x.g.otherGateways()) == 0:
+	case alone:
 		return true
 	}
 	select {
--- a/io/gateway/recorder.go
+++ b/io/gateway/recorder.go
@@ -232,11 +232,16 @@
 // the own zone, which is most likely reachable, and one elsewhere, which outlives the zone.
 func (g *Gateway) originHolders(try int) []string {
 	self := g.self()
+	g.mu.Lock()
+	all := g.latestGateways()
+	g.mu.Unlock()
 	var near, far []string
-	for _, other := range g.otherGateways() {
-		if other.Zone == self.Zone {
+	for _, other := range all {
+		switch {
+		case other.Address == self.Address:
+		case other.Zone == self.Zone:
 			near = append(near, other.Address)
-		} else {
+		default:
 			far = append(far, other.Address)
 		}
 	}
@@ -260,15 +265,13 @@
 	return holders[:min(maxOriginHolders, len(holders))]
 }
 
-// otherGateways returns the other gateways, as control instances named them last.
-func (g *Gateway) otherGateways() []tanagerroad.Gateway {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	all := g.gateways
-	if len(all) == 1 {
-		all = g.formerGateways
+// latestGateways returns all gateways, including this one, as control instances named them
+// last; none if they have named no others. g.mu must be held. The list must not be changed.
+func (g *Gateway) latestGateways() []tanagerroad.Gateway {
+	if len(g.gateways) > 1 {
+		return g.gateways
 	}
-	return slices.DeleteFunc(slices.Clone(all), func(other tanagerroad.Gateway) bool { return other.Address == g.self().Address })
+	return g.formerGateways
 }
 
 // recordOrigins makes one call that records origins, and reports whether it succeeded.
--- a/io/http1/client.go
+++ b/io/http1/client.go
@@ -143,8 +143,8 @@
 	FramedByClose  Framing = "until-close" // the body ends when its connection closes
 )
 
-// FramingOf returns the framing of a response body.
-func FramingOf(resp *http.Response) Framing {
+// framingOf returns the framing of a response body.
+func framingOf(resp *http.Response) Framing {
 	switch {
 	case resp.ContentLength >= 0:
 		return FramedByLength
@@ -219,7 +219,7 @@
 	}
 	res := &Response{
 		StatusCode: resp.StatusCode, Header: resp.Header, ContentLength: resp.ContentLength, body: resp.Body,
-		Framing: FramingOf(resp),
+		Framing: framingOf(resp),
 		client:  c, conn: conn, address: r.Address, stop: stop, bodyWritten: written, keepAlive: !resp.Close && strays == 0,
 	}
 	conn.idleTimeout = keepAliveTimeout(resp.Header.Get("Keep-Alive"))
--- a/io/http1/head.go
+++ b/io/http1/head.go
@@ -49,8 +49,9 @@
 		if len(bytes.TrimRight(line, "\r")) == 0 {
 			return nil
 		}
-		name, _, isField := strings.Cut(string(line), ":")
-		if goesOn := line[0] == ' ' || line[0] == '\t'; goesOn {
+		before, _, isField := bytes.Cut(line, []byte(":"))
+		name := string(before)
+		if line[0] == ' ' || line[0] == '\t' { // the value before goes on
 			if isField && httpguts.ValidHeaderFieldName(strings.TrimSpace(name)) {
 				return fmt.Errorf("%w: a field %.64q behind a blank", ErrOddHead, name)
 			}
