--- /dev/null
+++ b/review/standin-3/runner.go
@@ -0,0 +1,179 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+)
+
+// beatInterval is the time between two announcements of a backend server.
+const beatInterval = 1200 * time.Millisecond
+
+// runner is a backend server. It may crash and start again under its id, at its address.
+type runner struct {
+	b              *bench
+	id, pool, zone string
+	address        string
+	slots          int
+	answer         func(r *runner, version string, c net.Conn, req *http.Request) bool // false: the connection ends
+	mu             sync.Mutex
+	version        string
+	born           int64
+	seq            int
+	listener       net.Listener
+	conns          map[net.Conn]bool
+	cutUntil       time.Time // until then no announcement arrives
+	stopped        chan struct{}
+	announced      bool // an announcement of this start has been acknowledged
+	running        int
+}
+
+// cut cuts the server off from the control instances, not from the gateways.
+func (r *runner) cut(d time.Duration) {
+	r.b.note("%s is cut off from the control instances for %v", r.id, d)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.cutUntil = time.Now().Add(d)
+}
+
+// start starts the server with a version of its software, and announces it at once.
+func (r *runner) start(version string) error {
+	address := r.address
+	if address == "" {
+		address = "127.0.0.1:0"
+	}
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return err
+	}
+	r.mu.Lock()
+	r.address, r.listener, r.version, r.born, r.seq = listener.Addr().String(), listener, version, time.Now().UnixMilli(), 0
+	r.announced = false
+	r.conns, r.stopped = map[net.Conn]bool{}, make(chan struct{})
+	stopped := r.stopped
+	r.mu.Unlock()
+	r.b.note("%s starts at %s with version %s", r.id, r.address, version)
+	go r.accept(listener, version)
+	go func() {
+		for {
+			go r.beat()
+			select {
+			case <-stopped:
+				return
+			case <-time.After(beatInterval):
+			}
+		}
+	}()
+	return nil
+}
+
+// beat sends one announcement, which does not arrive while the server is cut off.
+func (r *runner) beat() {
+	r.mu.Lock()
+	r.seq++
+	body := fmt.Sprintf(r.b.names["beat"], r.pool, r.address, r.zone, r.version, r.slots, r.seq, r.born)
+	seq, born, version, isCut, first := r.seq, r.born, r.version, time.Now().Before(r.cutUntil), !r.announced
+	r.mu.Unlock()
+	if isCut || !r.b.post(seq, r.b.names["heartbeat"]+r.id, body) || !first {
+		return
+	}
+	r.mu.Lock()
+	r.announced = true
+	r.mu.Unlock()
+	r.b.note("%s: the start with version %s, born %d, is announced", r.id, version, born)
+}
+
+// crash ends the server: it sends nothing more, and its connections are reset.
+func (r *runner) crash() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.b.note("%s crashes", r.id)
+	close(r.stopped)
+	_ = r.listener.Close()
+	for conn := range r.conns {
+		_ = conn.(*net.TCPConn).SetLinger(0)
+		_ = conn.Close()
+	}
+}
+
+func (r *runner) accept(listener net.Listener, version string) {
+	for {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		r.mu.Lock()
+		if r.listener == listener {
+			r.conns[conn] = true
+		}
+		r.mu.Unlock()
+		go r.serve(conn, version)
+	}
+}
+
+func (r *runner) serve(conn net.Conn, version string) {
+	defer func() {
+		_ = conn.Close()
+		r.mu.Lock()
+		delete(r.conns, conn)
+		r.mu.Unlock()
+	}()
+	reader := bufio.NewReader(conn)
+	for {
+		req, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		if _, err := io.Copy(io.Discard, req.Body); err != nil {
+			return
+		}
+		if expected := req.Header.Get(r.b.names["expected"]); expected != "" && expected != r.id {
+			fmt.Fprintf(conn, "HTTP/1.1 421 Misdirected Request\r\n%s: %s\r\n%s: 1\r\nContent-Length: 0\r\n\r\n", r.b.names["instance"], r.id, r.b.names["notrun"])
+			continue
+		}
+		if !r.answer(r, version, conn, req) {
+			return
+		}
+	}
+}
+
+// head writes the head of an answer.
+func (r *runner) head(conn net.Conn, req *http.Request, status, framing string) {
+	n := r.b.names
+	id := req.Header.Get(n["attempt"])
+	r.mu.Lock()
+	load := fmt.Sprintf("%d,%d,%d", min(r.running, r.slots), max(0, r.running-r.slots), r.slots)
+	r.mu.Unlock()
+	fmt.Fprintf(conn, "HTTP/1.1 %s\r\n%s: %s\r\n%s: %s.%s\r\n%s: %s\r\n%s: %s\r\nKeep-Alive: timeout=10\r\n%s\r\n",
+		status, n["attempt"], id, n["seal"], r.id, id, n["instance"], r.id, n["load"], load, framing)
+}
+
+// stream answers with events, each of which names the server and its version.
+func (r *runner) stream(events int, gap time.Duration) func(*runner, string, net.Conn, *http.Request) bool {
+	return func(r *runner, version string, conn net.Conn, req *http.Request) bool {
+		r.mu.Lock()
+		r.running++
+		r.mu.Unlock()
+		defer func() {
+			r.mu.Lock()
+			r.running--
+			r.mu.Unlock()
+		}()
+		from, _ := strconv.Atoi(req.Header.Get(r.b.names["last"])) // 0: from the beginning
+		r.head(conn, req, "200 OK", "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n")
+		for i := from + 1; i <= events; i++ {
+			time.Sleep(gap)
+			event := fmt.Sprintf("id: %d\ndata: %s %s\n\n", i, version, r.id)
+			if _, err := fmt.Fprintf(conn, "%x\r\n%s\r\n", len(event), event); err != nil {
+				return false
+			}
+		}
+		_, err := io.WriteString(conn, "0\r\n\r\n")
+		return err == nil
+	}
+}
