--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -148,6 +148,8 @@
 		code = b.playVersions()
 	case "recover":
 		code = b.playRecover(*dir)
+	case "later":
+		code = b.playLater(*dir)
 	default:
 		fmt.Fprintln(os.Stderr, "no such scenario")
 	}
--- a/review/standin-3/recover.go
+++ b/review/standin-3/recover.go
@@ -55,12 +55,12 @@
 }
 
 // callLookup sends one request, at most twice, and reports whether it was served.
-func (b *bench) callLookup(n int) (bool, string) {
+func (b *bench) callLookup(route string, n int) (bool, string) {
 	ctx, cancel := context.WithTimeout(context.Background(), lookupTime)
 	defer cancel()
 	last := ""
 	for try := range 2 {
-		req, err := http.NewRequestWithContext(ctx, http.MethodGet, fmt.Sprintf("http://%s/lookup/%d", b.front[(n+try)%len(b.front)], n), nil)
+		req, err := http.NewRequestWithContext(ctx, http.MethodGet, fmt.Sprintf("http://%s/%s/%d", b.front[(n+try)%len(b.front)], route, n), nil)
 		if err != nil {
 			return false, err.Error()
 		}
@@ -87,14 +87,14 @@
 	return false, last
 }
 
-// measure sends requests for a time and returns the share that was served.
-func (b *bench) measure(what string, d time.Duration) float64 {
+// measure sends requests on a route for a time and returns the share that was served.
+func (b *bench) measure(route, what string, d time.Duration) float64 {
 	var group sync.WaitGroup
 	var sent, served atomic.Int64
 	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(time.Second / lookupsPerSec) {
 		n := int(b.counter.Add(1))
 		group.Go(func() {
-			ok, why := b.callLookup(n)
+			ok, why := b.callLookup(route, n)
 			sent.Add(1)
 			if ok {
 				served.Add(1)
@@ -105,11 +105,53 @@
 	}
 	group.Wait()
 	share := float64(served.Load()) / float64(max(1, sent.Load()))
-	b.note("%s: %d of %d requests are served", what, served.Load(), sent.Load())
-	fmt.Printf("%s: %d of %d requests are served\n", what, served.Load(), sent.Load())
+	b.note("%s: %d of %d requests on route %s are served", what, served.Load(), sent.Load(), route)
+	fmt.Printf("%s: %d of %d requests on route %s are served\n", what, served.Load(), sent.Load(), route)
 	return share
 }
 
+// startDesk starts the backend servers of a pool, or returns nil.
+func (b *bench) startDesk(pool string) []*runner {
+	var servers []*runner
+	for i := range deskServers {
+		r := &runner{b: b, id: fmt.Sprintf("i-%s-%d", pool, i+1), pool: pool, zone: b.zones[i%len(b.zones)], slots: 6, answer: lookup}
+		if err := r.start("v1"); err != nil {
+			return nil
+		}
+		servers = append(servers, r)
+	}
+	return servers
+}
+
+// restartInTurn restarts backend servers as planned, one after the other.
+func restartInTurn(servers []*runner) bool {
+	for i, r := range servers {
+		if !r.leave(i) {
+			r.b.note("%s: its departure was not acknowledged", r.id)
+			return false
+		}
+		time.Sleep(startTime)
+		if err := r.start("v1"); err != nil {
+			return false
+		}
+		time.Sleep(restartGap)
+	}
+	return true
+}
+
+// kill has the script kill processes and start them again.
+func (b *bench) kill(dir string) bool {
+	b.note("processes are killed")
+	if err := os.WriteFile(filepath.Join(dir, "kill"), nil, 0o600); err != nil {
+		return false
+	}
+	if !waitFor(10*time.Second, func() bool { _, err := os.Stat(filepath.Join(dir, "back")); return err == nil }) {
+		return false
+	}
+	b.note("they have started again")
+	return true
+}
+
 // playRecover restarts the backend servers of a service one after the other, under their ids. Then all
 // processes of the system are killed and start again, and it is measured what is served afterwards.
 func (b *bench) playRecover(dir string) int {
@@ -117,49 +159,67 @@
 		b.note("the configuration was not accepted")
 		return unable
 	}
-	var servers []*runner
-	for i := range deskServers {
-		r := &runner{b: b, id: fmt.Sprintf("i-desk-%d", i+1), pool: "booking", zone: b.zones[i%len(b.zones)], slots: 6, answer: lookup}
-		if err := r.start("v1"); err != nil {
-			return unable
-		}
-		servers = append(servers, r)
+	servers := b.startDesk("booking")
+	if servers == nil {
+		return unable
 	}
 	if !waitFor(15*time.Second, b.isReady) {
 		b.note("the gateways are not ready")
 		return unable
 	}
 	time.Sleep(2 * time.Second)
-	if b.measure("at first", 2*time.Second) < 0.9 {
+	if b.measure("lookup", "at first", 2*time.Second) < 0.9 {
 		return unable
 	}
-	for i, r := range servers {
-		if !r.leave(i) {
-			b.note("%s: its departure was not acknowledged", r.id)
-			return unable
-		}
-		time.Sleep(startTime)
-		if err := r.start("v1"); err != nil {
-			return unable
-		}
-		time.Sleep(restartGap)
+	if !restartInTurn(servers) {
+		return unable
 	}
 	time.Sleep(2 * time.Second)
-	if b.measure("before the final fault", 3*time.Second) < 0.9 {
+	if b.measure("lookup", "before the final fault", 3*time.Second) < 0.9 {
 		return unable
 	}
-	if b.trouble {
-		b.note("all processes are killed")
-		if err := os.WriteFile(filepath.Join(dir, "kill"), nil, 0o600); err != nil {
-			return unable
-		}
-		if !waitFor(10*time.Second, func() bool { _, err := os.Stat(filepath.Join(dir, "back")); return err == nil }) {
-			return unable
-		}
-		b.note("they have started again")
+	if b.trouble && !b.kill(dir) {
+		return unable
+	}
+	time.Sleep(recoveryTime)
+	if b.measure("lookup", "later than the recovery time", measureTime) < minServed {
+		return broken
+	}
+	return held
+}
+
+// playLater restarts the backend servers of a service, whose route was added by a later configuration,
+// one after the other, under their ids. Then a control instance is killed and starts again, and it is
+// measured how often requests on that route and on the first one are served.
+func (b *bench) playLater(dir string) int {
+	if !waitFor(15*time.Second, func() bool { return b.post(0, b.names["replace"], b.names["lookups"]) }) {
+		return unable
+	}
+	if b.startDesk("booking") == nil || !waitFor(15*time.Second, b.isReady) {
+		return unable
+	}
+	if !b.post(1, b.names["replace"], b.names["later"]) {
+		b.note("the second configuration was not accepted")
+		return unable
+	}
+	servers := b.startDesk("calendar")
+	if servers == nil {
+		return unable
+	}
+	time.Sleep(3 * time.Second)
+	if b.measure("slots", "at first", 2*time.Second) < 0.9 || !restartInTurn(servers) {
+		return unable
+	}
+	time.Sleep(2 * time.Second)
+	if b.measure("slots", "after the restarts", 3*time.Second) < 0.9 {
+		return unable
+	}
+	if b.trouble && !b.kill(dir) {
+		return unable
 	}
 	time.Sleep(recoveryTime)
-	if b.measure("later than the recovery time", measureTime) < minServed {
+	first := b.measure("lookup", "in steady state", measureTime/2)
+	if later := b.measure("slots", "in steady state", measureTime/2); later < first/4 {
 		return broken
 	}
 	return held
