review: a second departure is acknowledged and lost (DRAIN)

A runner that restarts under its id and leaves again within a minute: the second departure names no start, passes for the first, and is acknowledged without the log. The instance that acknowledged it is killed, and the gateways go on using the runner.

--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -120,6 +120,7 @@
 	record := flag.String("record", "record.txt", "file to write to")
 	trouble := flag.Bool("trouble", true, "with the disruption")
 	dir := flag.String("dir", "", "folder for files between the script and the scenario")
+	pid := flag.Int("pid", 0, "process of the second control instance")
 	ports := flag.Int("ports", 0, "print so many free ports")
 	scenario := flag.String("scenario", "", "what to play")
 	flag.Parse()
@@ -144,12 +145,12 @@
 	}
 	code := unable
 	switch *scenario {
-	case "versions":
-		code = b.playVersions()
 	case "recover":
 		code = b.playRecover(*dir)
 	case "later":
 		code = b.playLater(*dir)
+	case "depart":
+		code = b.playDepart(*dir, *pid)
 	default:
 		fmt.Fprintln(os.Stderr, "no such scenario")
 	}
--- a/review/standin-3/recover.go
+++ b/review/standin-3/recover.go
@@ -16,7 +16,7 @@
 
 const (
 	deskServers   = 3
-	lookupsPerSec = 20
+	lookupsPerSec = 40
 	lookupTime    = 1500 * time.Millisecond // that a caller waits, in all its tries
 	drainTime     = 2500 * time.Millisecond // that a server goes on after its departure is acknowledged
 	exitSlack     = 300 * time.Millisecond  // and a little longer
@@ -39,14 +39,20 @@
 // leave ends the server as planned, without having said that it drains: it announces its departure,
 // goes on for a while, and exits. The call has no body, as in the pages' example.
 func (r *runner) leave(first int) bool {
+	return r.leaveAfter(first, drainTime+exitSlack, func() {})
+}
+
+// leaveAfter is leave with the time until the exit, and what happens right after the acknowledgement.
+func (r *runner) leaveAfter(first int, goesOn time.Duration, acknowledged func()) bool {
 	r.mu.Lock()
 	close(r.stopped) // no more announcements
 	r.mu.Unlock()
 	if !waitFor(5*time.Second, func() bool { return r.b.post(first, r.b.names["deregister"]+r.id, "") }) {
 		return false
 	}
+	acknowledged()
 	r.b.note("%s: its departure is acknowledged", r.id)
-	time.Sleep(drainTime + exitSlack)
+	time.Sleep(goesOn)
 	r.mu.Lock()
 	r.stopped = make(chan struct{})
 	r.mu.Unlock()
--- a/review/standin-3/runner.go
+++ b/review/standin-3/runner.go
@@ -6,7 +6,6 @@
 	"io"
 	"net"
 	"net/http"
-	"strconv"
 	"sync"
 	"time"
 )
@@ -27,20 +26,12 @@
 	seq            int
 	listener       net.Listener
 	conns          map[net.Conn]bool
-	cutUntil       time.Time // until then no announcement arrives
+	arrivals       []time.Time // of requests
 	stopped        chan struct{}
 	announced      bool // an announcement of this start has been acknowledged
 	running        int
 }
 
-// cut cuts the server off from the control instances, not from the gateways.
-func (r *runner) cut(d time.Duration) {
-	r.b.note("%s is cut off from the control instances for %v", r.id, d)
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.cutUntil = time.Now().Add(d)
-}
-
 // start starts the server with a version of its software, and announces it at once.
 func (r *runner) start(version string) error {
 	address := r.address
@@ -72,14 +63,14 @@
 	return nil
 }
 
-// beat sends one announcement, which does not arrive while the server is cut off.
+// beat sends one announcement.
 func (r *runner) beat() {
 	r.mu.Lock()
 	r.seq++
 	body := fmt.Sprintf(r.b.names["beat"], r.pool, r.address, r.zone, r.version, r.slots, r.seq, r.born)
-	seq, born, version, isCut, first := r.seq, r.born, r.version, time.Now().Before(r.cutUntil), !r.announced
+	seq, born, version, first := r.seq, r.born, r.version, !r.announced
 	r.mu.Unlock()
-	if isCut || !r.b.post(seq, r.b.names["heartbeat"]+r.id, body) || !first {
+	if !r.b.post(seq, r.b.names["heartbeat"]+r.id, body) || !first {
 		return
 	}
 	r.mu.Lock()
@@ -136,6 +127,9 @@
 			fmt.Fprintf(conn, "HTTP/1.1 421 Misdirected Request\r\n%s: %s\r\n%s: 1\r\nContent-Length: 0\r\n\r\n", r.b.names["instance"], r.id, r.b.names["notrun"])
 			continue
 		}
+		r.mu.Lock()
+		r.arrivals = append(r.arrivals, time.Now())
+		r.mu.Unlock()
 		if !r.answer(r, version, conn, req) {
 			return
 		}
@@ -152,28 +146,3 @@
 	fmt.Fprintf(conn, "HTTP/1.1 %s\r\n%s: %s\r\n%s: %s.%s\r\n%s: %s\r\n%s: %s\r\nKeep-Alive: timeout=10\r\n%s\r\n",
 		status, n["attempt"], id, n["seal"], r.id, id, n["instance"], r.id, n["load"], load, framing)
 }
-
-// stream answers with events, each of which names the server and its version.
-func (r *runner) stream(events int, gap time.Duration) func(*runner, string, net.Conn, *http.Request) bool {
-	return func(r *runner, version string, conn net.Conn, req *http.Request) bool {
-		r.mu.Lock()
-		r.running++
-		r.mu.Unlock()
-		defer func() {
-			r.mu.Lock()
-			r.running--
-			r.mu.Unlock()
-		}()
-		from, _ := strconv.Atoi(req.Header.Get(r.b.names["last"])) // 0: from the beginning
-		r.head(conn, req, "200 OK", "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n")
-		for i := from + 1; i <= events; i++ {
-			time.Sleep(gap)
-			event := fmt.Sprintf("id: %d\ndata: %s %s\n\n", i, version, r.id)
-			if _, err := fmt.Fprintf(conn, "%x\r\n%s\r\n", len(event), event); err != nil {
-				return false
-			}
-		}
-		_, err := io.WriteString(conn, "0\r\n\r\n")
-		return err == nil
-	}
-}
