review: bookings run at another service (ROUTE)

A heartbeat of another writer whose models field is of another type is taken for a runner's, since the adapter does not decode that field.

--- a/review/13/run.sh
+++ b/review/13/run.sh
@@ -6,16 +6,22 @@
 start_all 3
 trouble=true
 [ "${TROUBLE:-1}" = 0 ] && trouble=false
-"$standin" "${where[@]}" -scenario depart -trouble=$trouble -record review/13/record.txt -dir "$work" -pid "${pids[control-2]}" &
+"$standin" "${where[@]}" -scenario later -trouble=$trouble -record review/13/record.txt -dir "$work" &
 player=$!
 while kill -0 $player 2>/dev/null; do
   if [ -e "$work/kill" ]; then
-    # The scenario has killed this control instance; it starts again with its disk.
+    # One control instance is killed, and starts again a second later with its disk.
     rm "$work/kill"
-    sed -i 's/"bootstrap":true/"bootstrap":false/' "$work/control-2.json"
-    start control-2 control
+    names_of_all=(control-2)
+    for name in "${names_of_all[@]}"; do kill -KILL "${pids[$name]}"; done
+    sleep 1
+    for name in "${names_of_all[@]}"; do
+      sed -i 's/"bootstrap":true/"bootstrap":false/' "$work/$name.json"
+      start "$name" "${name%-*}"
+    done
+    touch "$work/back"
   fi
-  sleep 0.05
+  sleep 0.1
 done
 wait $player
 exit $?
--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -149,6 +149,8 @@
 		code = b.playRecover(*dir)
 	case "later":
 		code = b.playLater(*dir)
+	case "foreign":
+		code = b.playForeign()
 	case "depart":
 		code = b.playDepart(*dir, *pid)
 	default:
--- a/review/standin-3/recover.go
+++ b/review/standin-3/recover.go
@@ -64,9 +64,12 @@
 func (b *bench) callLookup(route string, n int) (bool, string) {
 	ctx, cancel := context.WithTimeout(context.Background(), lookupTime)
 	defer cancel()
-	last := ""
-	for try := range 2 {
-		req, err := http.NewRequestWithContext(ctx, http.MethodGet, fmt.Sprintf("http://%s/%s/%d", b.front[(n+try)%len(b.front)], route, n), nil)
+	last, method, tries := "", http.MethodGet, 2
+	if route == "book" { // not to be repeated
+		method, tries = http.MethodPost, 1
+	}
+	for try := range tries {
+		req, err := http.NewRequestWithContext(ctx, method, fmt.Sprintf("http://%s/%s/%d", b.front[(n+try)%len(b.front)], route, n), nil)
 		if err != nil {
 			return false, err.Error()
 		}
--- a/review/standin-3/runner.go
+++ b/review/standin-3/runner.go
@@ -27,6 +27,7 @@
 	listener       net.Listener
 	conns          map[net.Conn]bool
 	arrivals       []time.Time // of requests
+	paths          []string    // of the same
 	stopped        chan struct{}
 	announced      bool // an announcement of this start has been acknowledged
 	running        int
@@ -128,7 +129,7 @@
 			continue
 		}
 		r.mu.Lock()
-		r.arrivals = append(r.arrivals, time.Now())
+		r.arrivals, r.paths = append(r.arrivals, time.Now()), append(r.paths, req.URL.Path)
 		r.mu.Unlock()
 		if !r.answer(r, version, conn, req) {
 			return
