--- a/review/standin-3/recover.go
+++ b/review/standin-3/recover.go
@@ -60,7 +60,7 @@
 	return true
 }
 
-// callLookup sends one request, at most twice, and reports whether it was served.
+// callLookup sends one request, at most twice, and reports whether it was served, and what was answered.
 func (b *bench) callLookup(route string, n int) (bool, string) {
 	ctx, cancel := context.WithTimeout(context.Background(), lookupTime)
 	defer cancel()
@@ -85,7 +85,7 @@
 		body, err := io.ReadAll(res.Body)
 		_ = res.Body.Close()
 		if err == nil && res.StatusCode == http.StatusOK && res.Header.Get(b.names["seal"]) != "" {
-			return true, ""
+			return true, fmt.Sprintf("status 200, in try %d: %s", try+1, body)
 		}
 		last = fmt.Sprintf("status %d: %.120s", res.StatusCode, strings.TrimSpace(string(body)))
 		select {
@@ -107,9 +107,8 @@
 			sent.Add(1)
 			if ok {
 				served.Add(1)
-			} else {
-				b.note("%s: request %d is not served: %s", what, n, why)
 			}
+			b.note("%s: request %d on route %s is answered: %s", what, n, route, why)
 		})
 	}
 	group.Wait()
--- a/review/standin-3/runner.go
+++ b/review/standin-3/runner.go
@@ -131,6 +131,7 @@
 		r.mu.Lock()
 		r.arrivals, r.paths = append(r.arrivals, time.Now()), append(r.paths, req.URL.Path)
 		r.mu.Unlock()
+		r.b.note("%s, of the service %s, runs %s %s", r.id, r.pool, req.Method, req.URL.Path)
 		if !r.answer(r, version, conn, req) {
 			return
 		}
