io/control, core/roster: the log names departures from peers and the registry

An announcement that was dropped left no line, and neither did a departure that an instance learned from another one or from the replicated log.

Both are logged once for each change.

--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -37,6 +37,7 @@
 	sources      map[string]bool // sources that currently receive its announcements
 	lastReceived time.Duration   // time of the latest announcement that was not outdated
 	changedSeq   uint64          // sequence number of the latest change
+	outdatedSeq  uint64          // changedSeq when Outdated last returned true
 	coldUntil    time.Duration   // end of the server's cold time, by its announcement at the latest change
 }
 
@@ -145,6 +146,22 @@
 	return changed
 }
 
+// Outdated reports whether an announcement that Apply has dropped is of another start or
+// state than the one that is known, which it returns: true only once for each change of what
+// is known, so that callers can log it.
+func (r *Roster) Outdated(a tanagerroad.Announcement) (known tanagerroad.Announcement, ok bool) {
+	rec, ok := r.records[a.ID]
+	if !ok || rec.outdatedSeq == rec.changedSeq || r.supersedes(a, rec.announcement) {
+		return tanagerroad.Announcement{}, false
+	}
+	known = rec.announcement
+	if known.StartMillis == a.StartMillis && known.State == a.State {
+		return tanagerroad.Announcement{}, false
+	}
+	rec.outdatedSeq = rec.changedSeq
+	return known, true
+}
+
 // isOutlier reports whether the announcement that a record has was not the backend server's
 // own: that has been silent since, while a is of the same start. A server that leaves, or
 // has left, does not come back.
--- a/io/control/announcements.go
+++ b/io/control/announcements.go
@@ -72,7 +72,7 @@
 	defer s.mu.Unlock()
 	fresh := min(view.DepartureCount-s.departureCount, uint64(len(view.Departures)))
 	for _, d := range view.Departures[uint64(len(view.Departures))-fresh:] {
-		s.roster.Apply(s.clock.Now(), "", peer.AnnouncementFromWire(d.GetAnnouncement()))
+		s.applyAnnouncement("", fromRegistry, peer.AnnouncementFromWire(d.GetAnnouncement()))
 	}
 	s.departureCount = view.DepartureCount
 }
--- a/io/control/service.go
+++ b/io/control/service.go
@@ -178,14 +178,19 @@
 // itself.
 const thisInstance = "here"
 
+// Where an announcement came from, for the log.
+const (
+	fromServer   = "server"
+	fromPeer     = "peer"
+	fromRegistry = "registry"
+)
+
 // recordAnnouncement records an announcement that a backend server sent to this
 // instance.
 func (s *Service) recordAnnouncement(a tanagerroad.Announcement) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.roster.Apply(s.clock.Now(), thisInstance, a) {
-		event.ServerAnnounced.Log(s.logger, zap.String("server", a.ID), zap.String("pool", a.Pool), zap.String("address", a.Address),
-			zap.String("state", string(a.State)), zap.Uint64("sequence", a.Sequence), zap.Int64("born", a.StartMillis))
+	if s.applyAnnouncement(thisInstance, fromServer, a) {
 		s.updated.Broadcast()
 	}
 }
@@ -197,12 +202,30 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, a := range update.GetAnnounced() {
-		if s.roster.Apply(s.clock.Now(), "", peer.AnnouncementFromWire(a)) {
+		if s.applyAnnouncement("", fromPeer, peer.AnnouncementFromWire(a)) {
 			s.updated.Broadcast()
 		}
 	}
 }
 
+// applyAnnouncement applies an announcement to the roster and reports whether anything
+// changed. It logs each change that was received here, or that takes a backend server out of
+// use. The caller holds s.mu.
+func (s *Service) applyAnnouncement(source, from string, a tanagerroad.Announcement) bool {
+	if !s.roster.Apply(s.clock.Now(), source, a) {
+		if known, ok := s.roster.Outdated(a); ok {
+			event.AnnouncementOutdated.Log(s.logger, zap.String("server", a.ID), zap.String("state", string(a.State)), zap.Int64("born", a.StartMillis),
+				zap.String("known-state", string(known.State)), zap.Int64("known-born", known.StartMillis), zap.String("from", from))
+		}
+		return false
+	}
+	if from == fromServer || a.State != tanagerroad.Serving {
+		event.ServerAnnounced.Log(s.logger, zap.String("server", a.ID), zap.String("pool", a.Pool), zap.String("address", a.Address),
+			zap.String("state", string(a.State)), zap.Uint64("sequence", a.Sequence), zap.Int64("born", a.StartMillis), zap.String("from", from))
+	}
+	return true
+}
+
 // Propose appends a command to the replicated log and returns its outcome.
 func (s *Service) Propose(ctx context.Context, command *wire.Command) (*wire.Outcome, error) {
 	return s.quorum.Propose(ctx, command)
