io/control, core/roster: a departure without a start is given one where it arrives

Cause: the departure went into the log, to the other instances and to the gateways with the start 0, and each reader filled in the start that it knew when it read it: none after a restart, and a later start where that was known.

Ruled out: servers that do not announce themselves, and gateways that lag.

Change: Roster.NameStart names the start at the instance that is told, once: the one that it knows to serve or to leave, else the present moment, which stands for every start until then. Departures recorded by an earlier version get the time of their record.

--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -107,6 +107,21 @@
 	return a.Sequence > b.Sequence
 }
 
+// NameStart returns a departure that names no start as one of the start that is known to
+// serve, or to leave. If none is, it ends every start until now (Unix milliseconds), which
+// the moment stands for as the start: a later one is of a server that started since. A
+// departure without a start must not reach other processes, which may know later starts.
+func (r *Roster) NameStart(nowMillis int64, a tanagerroad.Announcement) tanagerroad.Announcement {
+	if a.State != tanagerroad.Down || a.StartMillis != 0 {
+		return a
+	}
+	a.StartMillis = nowMillis
+	if rec, ok := r.records[a.ID]; ok && rec.announcement.State != tanagerroad.Down && rec.announcement.StartMillis != 0 {
+		a.StartMillis = rec.announcement.StartMillis
+	}
+	return a
+}
+
 // Apply applies an announcement. source is the instance that received it from the
 // backend server, or "" when it was only forwarded and is no sign of life. Apply
 // reports whether anything changed that other processes need to know.
@@ -212,10 +227,10 @@
 }
 
 // IsLeaving reports whether this start of a backend server leaves, as an answer stated or
-// its announcements say.
+// its announcements say. A departure may be of every start until a moment (NameStart).
 func (r *Roster) IsLeaving(id string, startMillis int64) bool {
 	rec, ok := r.records[id]
-	return r.HasDeparted(id, startMillis) || ok && rec.announcement.StartMillis == startMillis && rec.announcement.State != tanagerroad.Serving
+	return r.HasDeparted(id, startMillis) || ok && rec.announcement.StartMillis >= startMillis && rec.announcement.State != tanagerroad.Serving
 }
 
 // Departures returns the backend servers of a pool that would be usable if they had not
--- a/core/roster/roster_test.go
+++ b/core/roster/roster_test.go
@@ -165,3 +165,37 @@
 		}
 	}
 }
+
+// TestDepartureIsOfAnotherStart guards against a departure without a start that is taken for
+// one of a start that the backend server did not have, and against the crash of a server that
+// is not known to leave although its departure names none.
+func TestDepartureIsOfAnotherStart(t *testing.T) {
+	const now = 5000
+	for _, s := range []struct {
+		what        string
+		known       tanagerroad.ServerState // at start 10; "": nothing is known
+		state       tanagerroad.ServerState
+		start, want int64
+	}{
+		{"of a server that serves", tanagerroad.Serving, tanagerroad.Down, 0, 10},
+		{"of a server that leaves", tanagerroad.Leaving, tanagerroad.Down, 0, 10},
+		{"of a server that has left before", tanagerroad.Down, tanagerroad.Down, 0, now},
+		{"of an unknown server", "", tanagerroad.Down, 0, now},
+		{"that names its start", tanagerroad.Serving, tanagerroad.Down, 20, 20},
+		{"that another writer announces", tanagerroad.Serving, tanagerroad.Leaving, 0, 0},
+	} {
+		r := roster.New(roster.DefaultConfig())
+		if s.known != "" {
+			r.Apply(0, "c", tanagerroad.Announcement{ID: "a", StartMillis: 10, State: s.known})
+		}
+		if got := r.NameStart(now, tanagerroad.Announcement{ID: "a", StartMillis: s.start, State: s.state}).StartMillis; got != s.want {
+			t.Errorf("a departure %s is of start %d, want %d", s.what, got, s.want)
+		}
+	}
+	r := roster.New(roster.DefaultConfig())
+	r.Apply(0, "c", tanagerroad.Announcement{ID: "a", StartMillis: 10, State: tanagerroad.Serving})
+	r.Apply(0, "", tanagerroad.Announcement{ID: "a", StartMillis: now, State: tanagerroad.Down})
+	if !r.IsLeaving("a", 10) || r.IsLeaving("a", now+1) {
+		t.Errorf("after a departure of every start until %d, start 10 leaves: %t, the next one: %t", now, r.IsLeaving("a", 10), r.IsLeaving("a", now+1))
+	}
+}
--- a/io/control/announcements.go
+++ b/io/control/announcements.go
@@ -34,7 +34,7 @@
 // error if no quorum has settled it.
 func (r Announcements) RecordAnnouncement(ctx context.Context, a tanagerroad.Announcement) error {
 	s := r.Service
-	s.recordAnnouncement(a)
+	a = s.recordAnnouncement(a)
 	if a.State == tanagerroad.Serving || registry.HasDeparture(s.quorum.View().Departures, a.ID, a.StartMillis) {
 		return nil
 	}
@@ -72,7 +72,11 @@
 	defer s.mu.Unlock()
 	fresh := min(view.DepartureCount-s.departureCount, uint64(len(view.Departures)))
 	for _, d := range view.Departures[uint64(len(view.Departures))-fresh:] {
-		s.applyAnnouncement("", fromRegistry, peer.AnnouncementFromWire(d.GetAnnouncement()))
+		a := peer.AnnouncementFromWire(d.GetAnnouncement())
+		if a.State == tanagerroad.Down && a.StartMillis == 0 {
+			a.StartMillis = d.GetAtMillis() // recorded by a version that named no start
+		}
+		s.applyAnnouncement("", fromRegistry, a)
 	}
 	s.departureCount = view.DepartureCount
 }
--- a/io/control/service.go
+++ b/io/control/service.go
@@ -186,13 +186,15 @@
 )
 
 // recordAnnouncement records an announcement that a backend server sent to this
-// instance.
-func (s *Service) recordAnnouncement(a tanagerroad.Announcement) {
+// instance, and returns it with the start that it is of.
+func (s *Service) recordAnnouncement(a tanagerroad.Announcement) tanagerroad.Announcement {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	a = s.roster.NameStart(s.clock.Wall().UnixMilli(), a)
 	if s.applyAnnouncement(thisInstance, fromServer, a) {
 		s.updated.Broadcast()
 	}
+	return a
 }
 
 // ApplyPeerUpdate records the announcements that another control instance has received,
