core/roster: a departure of a start that seems earlier suspends the server

Its clock was ahead by 2.4 s at its first start and right at the second, so the second one seemed earlier.

Cause: starts are ordered by the server's clock alone, so all that the second start said was dropped as late.

Others are told of it as an announcement with the known start and sequence number, where leaving now wins over serving.

--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -21,6 +21,7 @@
 type Config struct {
 	SilenceTimeout time.Duration // a source counts a backend server as lost after this long without an announcement
 	Retention      time.Duration // the record of a server lost at all sources is deleted after this long without an announcement
+	ClockStep      time.Duration // by which a server's clock may be set back between two starts
 }
 
 // DefaultConfig suits announcements that are sent about once a second.
@@ -28,6 +29,7 @@
 	return Config{
 		SilenceTimeout: 5 * time.Second, // tolerates the loss of four announcements in a row
 		Retention:      time.Minute,     // longer than an announcement can be delayed
+		ClockStep:      10 * time.Second,
 	}
 }
 
@@ -104,6 +106,9 @@
 	if (a.State == tanagerroad.Down) != (b.State == tanagerroad.Down) {
 		return a.State == tanagerroad.Down
 	}
+	if a.Sequence == b.Sequence {
+		return a.State == tanagerroad.Leaving && b.State == tanagerroad.Serving // see Suspend
+	}
 	return a.Sequence > b.Sequence
 }
 
@@ -161,6 +166,28 @@
 	return changed
 }
 
+// Suspend takes a backend server out of use until its next announcement, if a departure that
+// source received, and Apply has dropped, is of a start that is earlier by no more than a step
+// of the server's clock. The clock may have been set back before the start that now leaves, or
+// the departure of an earlier start is late; the next announcement tells. Suspend reports
+// whether anything changed.
+func (r *Roster) Suspend(source string, a tanagerroad.Announcement) bool {
+	rec, ok := r.records[a.ID]
+	if !ok || rec.announcement.State != tanagerroad.Serving || a.State == tanagerroad.Serving || a.StartMillis == 0 {
+		return false
+	}
+	if earlier := rec.announcement.StartMillis - a.StartMillis; earlier <= 0 || earlier > r.config.ClockStep.Milliseconds() {
+		return false
+	}
+	if a.State != tanagerroad.Down && !r.isConfigured(a.Pool) {
+		return false
+	}
+	rec.announcement.State = tanagerroad.Leaving
+	delete(rec.sources, source)
+	r.markChanged(rec)
+	return true
+}
+
 // Outdated reports whether an announcement that Apply has dropped is of another start or
 // state than the one that is known, which it returns: true only once for each change of what
 // is known, so that callers can log it.
--- a/core/roster/roster_test.go
+++ b/core/roster/roster_test.go
@@ -199,3 +199,55 @@
 		t.Errorf("after a departure of every start until %d, start 10 leaves: %t, the next one: %t", now, r.IsLeaving("a", 10), r.IsLeaving("a", now+1))
 	}
 }
+
+// TestClockSetBackHidesDeparture guards against a backend server whose clock was set back
+// before it started again, so that the start that leaves looks like an earlier one, and which
+// then gets new work; and against a late departure of an earlier start that takes a server out
+// of use for longer than until its next announcement.
+func TestClockSetBackHidesDeparture(t *testing.T) {
+	const start = 100_000
+	serving := tanagerroad.Announcement{ID: "a", Address: "a:1", StartMillis: start, Sequence: 5, State: tanagerroad.Serving}
+	for _, s := range []struct {
+		what   string
+		state  tanagerroad.ServerState
+		start  int64
+		usable bool // after the announcement of the other start
+	}{
+		{"leaving, a step earlier", tanagerroad.Leaving, start - 2400, false},
+		{"down, a step earlier", tanagerroad.Down, start - 2400, false},
+		{"serving, a step earlier", tanagerroad.Serving, start - 2400, true},
+		{"leaving, much earlier", tanagerroad.Leaving, start - 60_000, true},
+		{"leaving, without a start", tanagerroad.Leaving, 0, true},
+	} {
+		instance, gateway := roster.New(roster.DefaultConfig()), roster.New(roster.DefaultConfig())
+		instance.Apply(0, "c", serving)
+		gateway.Apply(0, "c", serving)
+		tell := func() {
+			entries, _ := instance.Since("c", 0)
+			for _, e := range entries {
+				source := ""
+				if e.Received {
+					source = "c"
+				} else {
+					gateway.Lapse("c", e.ID)
+				}
+				gateway.Apply(0, source, e.Announcement)
+			}
+		}
+		other := tanagerroad.Announcement{ID: "a", Address: "a:1", StartMillis: s.start, Sequence: 1, State: s.state}
+		if !instance.Apply(0, "c", other) {
+			instance.Suspend("c", other)
+		}
+		tell()
+		if got := len(gateway.Usable()) > 0; got != s.usable {
+			t.Errorf("%s: usable %t, want %t", s.what, got, s.usable)
+		}
+		next := serving
+		next.Sequence++
+		instance.Apply(0, "c", next)
+		tell()
+		if len(gateway.Usable()) == 0 {
+			t.Errorf("%s: not usable after the next announcement of the later start", s.what)
+		}
+	}
+}
--- a/io/control/service.go
+++ b/io/control/service.go
@@ -193,6 +193,9 @@
 	a = s.roster.NameStart(s.clock.Wall().UnixMilli(), a)
 	if s.applyAnnouncement(thisInstance, fromServer, a) {
 		s.updated.Broadcast()
+	} else if s.roster.Suspend(thisInstance, a) {
+		event.ServerSuspended.Log(s.logger, zap.String("server", a.ID), zap.String("state", string(a.State)), zap.Int64("born", a.StartMillis))
+		s.updated.Broadcast()
 	}
 	return a
 }
