io/gateway: configurations are decoded one at a time, the newest first

Cause: each watch decoded each version that its control instance sent, up to three copies of one version at once and versions that were overtaken already, before it applied the rest of the update.

Change: watches hand the newest configuration of each control instance to one goroutine.

TestConfigurationsHoldUpUpdates was red before: the departure waited, and 8 configurations were decoded where 2 are enough. Three tests call applyCatalog where they passed a configuration in an update, since that is no longer applied there.

--- a/io/gateway/cold_test.go
+++ b/io/gateway/cold_test.go
@@ -44,7 +44,8 @@
 	announcement.Sequence, announcement.WarmUp = 2, 10*time.Second
 	announced := peer.AnnouncementToWire(announcement)
 	announced.Heard = true
-	g.applyUpdate("127.0.0.1:1", &wire.Update{Catalog: newDocument(t, 2, "2"), Announced: []*wire.Announcement{announced}})
+	g.applyCatalog("127.0.0.1:1", newDocument(t, 2, "2"))
+	g.applyUpdate("127.0.0.1:1", &wire.Update{Announced: []*wire.Announcement{announced}})
 	// A gateway that has just started sends one request in 1.7 s at this rate.
 	for _, c := range []struct {
 		what, path, left string
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -81,6 +81,7 @@
 	inFlight      atomic.Int64
 	regions       map[string]string             // by zone
 	catalog       atomic.Pointer[catalog.Index] // configuration in force; nil before the first
+	catalogs      *catalogQueue                 // newer configurations
 	meters        meters
 
 	batchersMu sync.Mutex               // guards batchers
@@ -122,7 +123,7 @@
 		regions[z.Zone] = z.Region
 	}
 	g := &Gateway{
-		config: config, client: client, ctx: ctx, noticeDue: signal.New(),
+		config: config, client: client, ctx: ctx, noticeDue: signal.New(), catalogs: newCatalogQueue(),
 		control: control.NewClient(config.Conns, config.Settings.Control, config.Logger),
 		roster:  roster.New(roster.DefaultConfig()), fleet: fleet.New(regions),
 		quarantine: quarantine.NewView(quarantine.DefaultConfig().Duration), broken: map[serverStart]*brokenAttempts{}, unconfirmed: map[serverStart]*brokenAttempts{},
@@ -146,6 +147,11 @@
 	g.mu.Lock()
 	g.updateWatches()
 	g.mu.Unlock()
+	catalogsDone := make(chan struct{})
+	go func() {
+		defer close(catalogsDone)
+		g.applyCatalogs()
+	}()
 	housekeepingDone := make(chan struct{})
 	go func() {
 		defer close(housekeepingDone)
@@ -176,6 +182,7 @@
 		closeWatches()
 		closeOrigins()
 		closeCrashReports()
+		<-catalogsDone
 		<-housekeepingDone
 		closeClient()
 	}
--- a/io/gateway/regions_test.go
+++ b/io/gateway/regions_test.go
@@ -255,11 +255,11 @@
 func TestUnknownRegionsAreLogged(t *testing.T) {
 	core, logs := observer.New(zap.InfoLevel)
 	g, _ := newLoggedGateway(t, zap.New(core))
-	g.applyUpdate("127.0.0.1:1", &wire.Update{Catalog: newDocument(t, 2, "2 r")})
+	g.applyCatalog("127.0.0.1:1", newDocument(t, 2, "2 r"))
 	if n := logs.FilterMessage("regions-unknown").Len(); n > 0 {
 		t.Errorf("%d events without an unknown region", n)
 	}
-	g.applyUpdate("127.0.0.1:1", &wire.Update{Catalog: newDocument(t, 3, "3 r s")})
+	g.applyCatalog("127.0.0.1:1", newDocument(t, 3, "3 r s"))
 	entries := logs.FilterMessage("regions-unknown").All()
 	if len(entries) != 1 || fmt.Sprint(entries[0].ContextMap()["regions"]) != "[s]" || g.CatalogVersion() != 3 {
 		t.Errorf("version %d, events %v, want one that names s", g.CatalogVersion(), entries)
--- a/io/gateway/updates_test.go
+++ b/io/gateway/updates_test.go
@@ -6,7 +6,9 @@
 	"slices"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -60,12 +62,62 @@
 		{newDocument(t, 5, "5"), 5},
 		{newDocument(t, 5, "6"), 5},
 	} {
-		if g.applyUpdate("127.0.0.1:1", &wire.Update{Catalog: c.document}); g.CatalogVersion() != c.want {
+		if g.applyCatalog("127.0.0.1:1", c.document); g.CatalogVersion() != c.want {
 			t.Errorf("after %v: version %d is in force, want %d", c.document, g.CatalogVersion(), c.want)
 		}
 	}
 }
 
+// slow is a dialect whose configurations are decoded one for each value of permits.
+type slow struct {
+	plain
+	permits chan struct{}
+	decoded atomic.Int64
+}
+
+func (s *slow) DecodeCatalog(data []byte) (*tanagerroad.Catalog, error) {
+	s.decoded.Add(1)
+	<-s.permits
+	return s.plain.DecodeCatalog(data)
+}
+
+// TestConfigurationsHoldUpUpdates guards against configurations that follow each other faster
+// than they are decoded, where each is decoded for each control instance, so that the gateway
+// falls ever further behind, and against departures of backend servers that wait meanwhile.
+func TestConfigurationsHoldUpUpdates(t *testing.T) {
+	g, _ := newTestGateway(t)
+	sources := []string{"127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3"}
+	g.SetControlAddresses(sources)
+	dialect := &slow{permits: make(chan struct{})}
+	g.config.Dialect = dialect
+	const last = 9
+	applied := make(chan struct{})
+	go func() {
+		defer close(applied)
+		for version := uint64(2); version <= last; version++ {
+			for _, source := range sources {
+				a := &wire.Announcement{Id: "a", Pool: "p", Address: "a:1", Zone: "z", State: string(tanagerroad.Leaving), Sequence: version, BornMillis: 1000}
+				g.applyUpdate(source, &wire.Update{Catalog: newDocument(t, version, strconv.FormatUint(version, 10)), Announced: []*wire.Announcement{a}, EvacuationChanges: 1})
+			}
+		}
+	}()
+	select {
+	case <-applied:
+	case <-time.After(5 * time.Second):
+		t.Error("a departure waits until a configuration is decoded")
+	}
+	close(dialect.permits)
+	<-applied
+	for end := time.Now().Add(5 * time.Second); g.CatalogVersion() != last; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("version %d is in force, want %d", g.CatalogVersion(), last)
+		}
+	}
+	if n := dialect.decoded.Load(); n > 2 {
+		t.Errorf("%d configurations were decoded, want the first and the last", n)
+	}
+}
+
 // TestServersOfUpdates guards against backend servers that are lost, or kept, with a control
 // instance that still names them, or no longer does.
 func TestServersOfUpdates(t *testing.T) {
--- a/io/gateway/watch.go
+++ b/io/gateway/watch.go
@@ -8,16 +8,13 @@
 	"go.uber.org/zap"
 
 	"tanagerroad"
-	"tanagerroad/core/catalog"
 	"tanagerroad/core/event"
 	"tanagerroad/core/fleet"
-	"tanagerroad/core/quantile"
 	"tanagerroad/core/roster"
 	"tanagerroad/core/shard"
 	"tanagerroad/core/wire"
 	"tanagerroad/io/control"
 	"tanagerroad/io/peer"
-	"tanagerroad/io/registrar"
 )
 
 // noticeInterval is the interval of the notices to each control instance, which
@@ -88,7 +85,7 @@
 // applyUpdate applies an update from a control instance.
 func (g *Gateway) applyUpdate(address string, update *wire.Update) {
 	if c := update.GetCatalog(); c != nil {
-		g.applyCatalog(address, c)
+		g.catalogs.offer(address, c)
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -228,45 +225,3 @@
 		clear(g.retryBudgets) // each gateway's share depends on their number
 	}
 }
-
-// applyCatalog applies a configuration if it is newer than the one in force.
-func (g *Gateway) applyCatalog(address string, c *wire.Catalog) {
-	if c.GetVersion() <= g.CatalogVersion() {
-		return
-	}
-	document, err := registrar.CatalogDocument(c)
-	if err != nil {
-		event.CatalogUnreadable.Log(g.config.Logger, zap.Uint64("version", c.GetVersion()), zap.Error(err))
-		return
-	}
-	parsed, err := g.config.Dialect.DecodeCatalog(document)
-	if err != nil {
-		event.CatalogUnreadable.Log(g.config.Logger, zap.Uint64("version", c.GetVersion()), zap.Error(err))
-		return
-	}
-	next := catalog.New(parsed)
-	for {
-		current := g.catalog.Load()
-		if current != nil && current.Version >= next.Version {
-			return
-		}
-		if g.catalog.CompareAndSwap(current, next) {
-			break
-		}
-	}
-	g.mu.Lock()
-	g.fleet.SetPools(next.Pools)
-	maps.DeleteFunc(g.requestTimes, func(route string, _ *quantile.Estimate) bool {
-		return !slices.ContainsFunc(next.Routes, func(r tanagerroad.CatalogRoute) bool { return r.Name == route })
-	})
-	if g.roster.SetPools(catalog.PoolNames(next.Catalog)) {
-		g.applyRoster(g.now())
-	} else {
-		g.divide(g.now())
-	}
-	g.mu.Unlock()
-	event.CatalogInForce.Log(g.config.Logger, zap.Uint64("version", next.Version), zap.String("source", address),
-		zap.Int("routes", len(next.Routes)), zap.Int("pools", len(next.Pools)), zap.Int("workspaces", len(next.Workspaces)))
-	g.logUnknownRegions(next.Version, catalog.UnknownRegions(parsed, g.regions))
-	g.noticeDue.Broadcast()
-}
