io/gateway: taken-up streams avoid servers that may have started again

Change: a stream that is bound to a version leaves out servers that may have ended since their start was announced, by the gateway's own connections (http1 MayHaveEnded), for 6 s. Where most of a pool looks so, nothing is left out, since then the gateway's own connections were cut.

Ruled out: to wait for the next heartbeat before each such stream (docs/incidents/version-after-restart.md).

--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -38,6 +38,7 @@
 	announcement tanagerroad.Announcement
 	sources      map[string]bool // sources that currently receive its announcements
 	lastReceived time.Duration   // time of the latest announcement that was not outdated
+	startLearned time.Duration   // time of the first announcement of its start
 	changedSeq   uint64          // sequence number of the latest change
 	outdatedSeq  uint64          // changedSeq when Outdated last returned true
 	coldUntil    time.Duration   // end of the server's cold time, by its announcement at the latest change
@@ -133,7 +134,7 @@
 func (r *Roster) Apply(at time.Duration, source string, a tanagerroad.Announcement) bool {
 	rec, ok := r.records[a.ID]
 	if !ok {
-		rec = &record{announcement: a, sources: map[string]bool{}}
+		rec = &record{announcement: a, sources: map[string]bool{}, startLearned: at}
 		r.records[a.ID] = rec
 		r.markChanged(rec)
 	}
@@ -149,6 +150,9 @@
 	}
 	before := rec.announcement
 	rec.announcement = mergeDown(before, a)
+	if before.StartMillis != rec.announcement.StartMillis {
+		rec.startLearned = at
+	}
 	if before.State != rec.announcement.State || before.StartMillis != rec.announcement.StartMillis || before.Address != rec.announcement.Address ||
 		before.Pool != rec.announcement.Pool || before.Software != rec.announcement.Software {
 		changed = true
@@ -246,6 +250,15 @@
 	return true
 }
 
+// StartLearned returns the time of the first announcement of a backend server's start, or 0 if
+// the server is not known.
+func (r *Roster) StartLearned(id string) time.Duration {
+	if rec, ok := r.records[id]; ok {
+		return rec.startLearned
+	}
+	return 0
+}
+
 // HasDeparted reports whether this start of a backend server stated in an answer that it
 // leaves.
 func (r *Roster) HasDeparted(id string, startMillis int64) bool {
--- a/io/gateway/origins.go
+++ b/io/gateway/origins.go
@@ -70,6 +70,34 @@
 	return outcome == ""
 }
 
+// restartTime is how long a backend server that has started again may be taken for the start
+// before: until then the new one has announced itself, or the old one has been silent for so long
+// that it is no longer used (roster.Config.SilenceTimeout).
+const restartTime = 6 * time.Second
+
+// maybeRestarted returns the backend servers of a pool and software version whose connections
+// have ended since their start was announced. They may have started again, with another
+// version that is not announced yet. If that is so for most of the pool, it is this gateway
+// whose connections were cut, and there are none. g.mu must be held.
+func (g *Gateway) maybeRestarted(now time.Duration, pool, software string) []string {
+	servers := g.fleet.Pool(pool)
+	wall, count := time.Now(), 0
+	var out []string
+	for _, s := range servers {
+		learned := g.roster.StartLearned(s.ID)
+		if !g.client.MayHaveEnded(s.Address, wall.Add(learned-now), wall.Add(-restartTime)) {
+			continue
+		}
+		if count++; s.Software == software {
+			out = append(out, s.ID)
+		}
+	}
+	if 2*count > len(servers) {
+		return nil
+	}
+	return out
+}
+
 // pick chooses a backend server. While origins cannot be recorded, a stream begins at the
 // base version if it can. g.mu must be held.
 func (x *exchange) pick(now time.Duration, request fleet.Request) (fleet.Choice, bool) {
--- a/io/gateway/origins_test.go
+++ b/io/gateway/origins_test.go
@@ -63,8 +63,16 @@
 	controlAddress, _ := newPeer(t, func(s *grpc.Server) { wire.RegisterControlServer(s, control) })
 	var servers []*backend
 	for i, version := range versions {
-		servers = append(servers, newBackend(t, fmt.Sprint("s", i), func(w http.ResponseWriter, _ *http.Request) {
+		servers = append(servers, newBackend(t, fmt.Sprint("s", i), func(w http.ResponseWriter, r *http.Request) {
 			_, _ = fmt.Fprintf(w, "id: 1\ndata: %s\n\n", version)
+			switch r.URL.Path {
+			case "/stream/broken":
+				_ = http.NewResponseController(w).Flush()
+				lost(w, r)
+			case "/stream/long":
+				_ = http.NewResponseController(w).Flush()
+				<-r.Context().Done()
+			}
 		}))
 	}
 	g, address := newTestGateway(t, servers...)
@@ -185,6 +193,52 @@
 	}
 }
 
+// TestTakenUpStreamGoesOnAtRestartedServer guards against a stream that is taken up at a
+// backend server whose connections have ended, so that it may have started again with another
+// software version, before that start is announced; and against streams that are refused
+// although the server has not ended, or has announced itself again.
+func TestTakenUpStreamGoesOnAtRestartedServer(t *testing.T) {
+	for _, c := range []struct {
+		what             string
+		broken           int  // streams of the server that end with their connections
+		other, announced bool // another stream of it goes on; it announces a new start
+		want             string
+	}{
+		{"nothing has ended", 0, false, false, "v1"},
+		{"a connection has ended", 1, false, false, ""},
+		{"one of two connections has ended", 1, true, false, "v1"},
+		{"it has announced itself again", 1, false, true, "v1"},
+	} {
+		control, g, address := newVersionedGateway(t, "v1", "v2", "v2")
+		control.quorum.Store(true)
+		takeUp := func(path, attempt string) (int, string, error) {
+			return call(t, address, path, attempt, headerLast, "0", headerBegunBy, "unknown", headerLeft, "3000")
+		}
+		if c.other {
+			go func() { _, _, _ = takeUp("/stream/long", "long") }()
+			if !eventually(func() bool { return g.InFlight() == 1 }) {
+				t.Fatal("the long stream does not begin")
+			}
+			time.Sleep(50 * time.Millisecond) // until its connection is open
+		}
+		for range c.broken {
+			_, _, _ = takeUp("/stream/broken", "broken")
+		}
+		if c.announced {
+			next := firstServer(g, "p")
+			next.StartMillis = 2000
+			g.mu.Lock()
+			g.roster.Apply(g.now(), "c", next)
+			g.applyRoster(g.now())
+			g.mu.Unlock()
+		}
+		code, body, err := takeUp("/stream/1", "again")
+		if ok := code == http.StatusOK && body == "id: 1\ndata: "+c.want+"\n\n"; ok != (c.want != "") || !ok && code != http.StatusServiceUnavailable {
+			t.Errorf("%s: got %d %q (error %v), want events of %q, or 503 if that is empty", c.what, code, body, err, c.want)
+		}
+	}
+}
+
 // TestTakenUpStreamChangesItsPool guards against a stream of a route over two pools that its
 // caller takes up with a new attempt id, and that then goes on in the other pool.
 func TestTakenUpStreamChangesItsPool(t *testing.T) {
--- a/io/gateway/try.go
+++ b/io/gateway/try.go
@@ -42,6 +42,11 @@
 	g.mu.Lock()
 	now := g.now()
 	avoided := avoidedField(now, g.roster.Departures(x.pool), g.fleet.Pauses(now, x.pool), g.fleet.AtLimit(now, x.pool))
+	var restarted []string
+	if x.software != "" {
+		restarted = g.maybeRestarted(now, x.pool, x.software)
+		request.Exclude = slices.Concat(x.exclude, restarted)
+	}
 	choice, ok := x.pick(now, request)
 	version := g.fleet.Version()
 	var pausedUntil time.Duration
@@ -62,7 +67,7 @@
 			x.reason = reasonNotAllowed
 		}
 		event.NotRouted.Log(g.config.Logger, zap.String("request", x.headers.AttemptID), zap.String("pool", x.pool),
-			zap.Strings("excluded", x.exclude), zap.Uint64("roster", version), x.regionsField(), avoided)
+			zap.Strings("excluded", x.exclude), zap.Strings("may-have-restarted", restarted), zap.Uint64("roster", version), x.regionsField(), avoided)
 		return attempt.Unsent, 0
 	}
 	x.exclude, x.server = append(x.exclude, choice.ID), choice.ID
@@ -77,6 +82,7 @@
 	end, status, outcome := x.send(choice)
 	switch {
 	case x.brokenOff:
+		g.client.RecordBroken(choice.Address)
 		g.recordBrokenAttempt(choice.Announcement, x.causes, x.progress)
 	case end.MayHaveRun():
 		g.recordEnd(choice.Announcement, x.causes, begins && x.whole)
--- a/io/http1/client.go
+++ b/io/http1/client.go
@@ -83,6 +83,7 @@
 	openMu sync.Mutex
 	open   map[string]map[*connection]bool // idle or in use, by address
 	ended  map[string]time.Time            // when a connection was last found closed by the other end, or refused, by address
+	broken map[string]breakage             // the latest sign that the process at an address may have ended
 
 	// Opened counts new connections, Reused counts requests sent on idle ones, and
 	// StrayResponses counts unsolicited responses and responses to other requests.
@@ -104,7 +105,7 @@
 
 // New returns a client and the function that closes its idle connections.
 func New() (*Client, func()) {
-	c := &Client{idle: map[string][]*connection{}, open: map[string]map[*connection]bool{}, ended: map[string]time.Time{}, clock: time.Now}
+	c := &Client{idle: map[string][]*connection{}, open: map[string]map[*connection]bool{}, ended: map[string]time.Time{}, broken: map[string]breakage{}, clock: time.Now}
 	c.dialer = net.Dialer{
 		Timeout:         connectTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveProbes},
@@ -254,7 +255,7 @@
 			return conn, nil
 		}
 		if conn.isClosed() {
-			c.recordEnded(r.Address)
+			c.recordEnded(r.Address, conn.opened)
 		}
 		_ = conn.Close() // idle for too long, closed by the server, or unsolicited data
 	}
@@ -262,7 +263,7 @@
 	raw, err := c.dialer.DialContext(ctx, "tcp", r.Address)
 	if err != nil {
 		if errors.Is(err, syscall.ECONNREFUSED) {
-			c.recordEnded(r.Address)
+			c.recordEnded(r.Address, c.clock())
 		}
 		return nil, err
 	}
@@ -294,11 +295,13 @@
 	return conn.Conn.Close()
 }
 
-// recordEnded records that the process at an address has ended, as its connections show.
-func (c *Client) recordEnded(address string) {
+// recordEnded records that the process at an address has ended, as its connections show, at
+// some time after the given one.
+func (c *Client) recordEnded(address string, after time.Time) {
 	c.openMu.Lock()
 	defer c.openMu.Unlock()
-	c.ended[address] = c.clock()
+	now := c.clock()
+	c.ended[address], c.broken[address] = now, breakage{noticed: now, before: after}
 }
 
 // Liveness is what connections tell of the process at an address.
@@ -332,6 +335,40 @@
 	return out
 }
 
+// breakage is a sign that the process at an address may have ended. If it has, no connection
+// that was opened earlier than before is left.
+type breakage struct{ noticed, before time.Time }
+
+// RecordBroken records that a request's connection to address ended before its answer did.
+func (c *Client) RecordBroken(address string) {
+	c.openMu.Lock()
+	defer c.openMu.Unlock()
+	now := c.clock()
+	c.broken[address] = breakage{now, now}
+}
+
+// MayHaveEnded reports whether the process that listened on address from start on may have
+// ended, by what was noticed after since, at most endedMemory ago: connections ended, or were
+// refused, and none from before is left. Nothing is sent.
+func (c *Client) MayHaveEnded(address string, start, since time.Time) bool {
+	c.openMu.Lock()
+	defer c.openMu.Unlock()
+	sign, ok := c.broken[address]
+	ok = ok && sign.noticed.After(since) && sign.noticed.After(start)
+	var oldest time.Time // of the connections that are left
+	for conn := range c.open[address] {
+		switch {
+		case conn.inUse.Load() || !conn.isClosed():
+			if oldest.IsZero() || conn.opened.Before(oldest) {
+				oldest = conn.opened
+			}
+		case conn.opened.After(start) && (!ok || conn.opened.Before(sign.before)):
+			sign.before, ok = conn.opened, true
+		}
+	}
+	return ok && (oldest.IsZero() || !oldest.Before(sign.before))
+}
+
 // isClosed reports whether the other end has closed an idle connection.
 func (conn *connection) isClosed() bool {
 	n, err := conn.peek()
@@ -422,6 +459,7 @@
 	now := c.clock()
 	c.openMu.Lock()
 	maps.DeleteFunc(c.ended, func(_ string, at time.Time) bool { return now.Sub(at) > endedMemory })
+	maps.DeleteFunc(c.broken, func(_ string, b breakage) bool { return now.Sub(b.noticed) > endedMemory })
 	c.openMu.Unlock()
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/io/http1/conn_test.go
+++ b/io/http1/conn_test.go
@@ -364,3 +364,59 @@
 		closeClient()
 	}
 }
+
+// TestEndedProcessLooksAlive guards against a process that has ended, and is taken for the one
+// that listened there before, and against one that is taken for ended although a connection from
+// before is open.
+func TestEndedProcessLooksAlive(t *testing.T) {
+	for _, c := range []struct {
+		what       string
+		idle       int  // connections to it
+		closed     int  // of these, the newest first
+		broken     bool // another one ended before its answer
+		restarted  bool // its next start is known
+		mayHaveEnd bool
+	}{
+		{"no connection", 0, 0, false, false, false},
+		{"an open one", 1, 0, false, false, false},
+		{"a closed one", 1, 1, false, false, true},
+		{"a closed one of the start before", 1, 1, false, true, false},
+		{"an open one from before the closed one", 2, 1, false, false, false},
+		{"two closed ones", 2, 2, false, false, true},
+		{"a broken one", 0, 0, true, false, true},
+		{"an open one from before the broken one", 1, 0, true, false, false},
+		{"a broken one of the start before", 0, 0, true, true, false},
+	} {
+		served := make(chan net.Conn, 4)
+		address := startBackend(t, func(conn net.Conn, reader *bufio.Reader) {
+			served <- conn
+			echo(conn, reader)
+		})
+		client, closeClient := New()
+		start := time.Now()
+		var all []net.Conn
+		for range c.idle {
+			res, err := client.Do(t.Context(), Request{Address: address, Method: http.MethodGet, Target: "/x", Host: "h", NewConn: true})
+			if err != nil {
+				t.Fatal(err)
+			}
+			all = append(all, <-served)
+			_, _ = io.ReadAll(res)
+			res.Close()
+		}
+		for i := range c.closed {
+			_ = all[len(all)-1-i].Close()
+		}
+		if c.broken {
+			client.RecordBroken(address)
+		}
+		time.Sleep(20 * time.Millisecond) // until the ends have arrived
+		if c.restarted {
+			start = time.Now()
+		}
+		if got := client.MayHaveEnded(address, start, start.Add(-time.Second)); got != c.mayHaveEnd {
+			t.Errorf("%s: may have ended: %t, want %t", c.what, got, c.mayHaveEnd)
+		}
+		closeClient()
+	}
+}
