--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -48,13 +48,6 @@
 // told, before that is a change. Announcements take so long in different ways.
 const coldTolerance = 100 * time.Millisecond
 
-// Departure says that a backend server stated in an answer that it leaves.
-type Departure struct {
-	ID, Pool    string
-	StartMillis int64         // the start that leaves
-	At          time.Duration // time of the first such answer
-}
-
 // Roster holds the latest announcement of each backend server. Create one with
 // New.
 type Roster struct {
@@ -113,21 +106,6 @@
 	return a.Sequence > b.Sequence
 }
 
-// NameStart returns a departure that names no start as one of the start that is known to
-// serve, or to leave. If none is, it ends every start until now (Unix milliseconds), which
-// the moment stands for as the start: a later one is of a server that started since. A
-// departure without a start must not reach other processes, which may know later starts.
-func (r *Roster) NameStart(nowMillis int64, a tanagerroad.Announcement) tanagerroad.Announcement {
-	if a.State != tanagerroad.Down || a.StartMillis != 0 {
-		return a
-	}
-	a.StartMillis = nowMillis
-	if rec, ok := r.records[a.ID]; ok && rec.announcement.State != tanagerroad.Down && rec.announcement.StartMillis != 0 {
-		a.StartMillis = rec.announcement.StartMillis
-	}
-	return a
-}
-
 // Apply applies an announcement. source is the instance that received it from the
 // backend server, or "" when it was only forwarded and is no sign of life. Apply
 // reports whether anything changed that other processes need to know.
@@ -170,28 +148,6 @@
 	return changed
 }
 
-// Suspend takes a backend server out of use until its next announcement, if a departure that
-// source received, and Apply has dropped, is of a start that is earlier by no more than a step
-// of the server's clock. The clock may have been set back before the start that now leaves, or
-// the departure of an earlier start is late; the next announcement tells. Suspend reports
-// whether anything changed.
-func (r *Roster) Suspend(source string, a tanagerroad.Announcement) bool {
-	rec, ok := r.records[a.ID]
-	if !ok || rec.announcement.State != tanagerroad.Serving || a.State == tanagerroad.Serving || a.StartMillis == 0 {
-		return false
-	}
-	if earlier := rec.announcement.StartMillis - a.StartMillis; earlier <= 0 || earlier > r.config.ClockStep.Milliseconds() {
-		return false
-	}
-	if a.State != tanagerroad.Down && !r.isConfigured(a.Pool) {
-		return false
-	}
-	rec.announcement.State = tanagerroad.Leaving
-	delete(rec.sources, source)
-	r.markChanged(rec)
-	return true
-}
-
 // Outdated reports whether an announcement that Apply has dropped is of another start or
 // state than the one that is known, which it returns: true only once for each change of what
 // is known, so that callers can log it.
@@ -238,18 +194,6 @@
 	rec.coldUntil = rec.lastReceived + rec.announcement.WarmUp
 }
 
-// RecordDeparture records that a backend server stated in an answer that it leaves. That
-// holds for its start, whatever it announces later. RecordDeparture reports whether it is
-// new; an answer of another start than the current one changes nothing.
-func (r *Roster) RecordDeparture(at time.Duration, id string, startMillis int64) bool {
-	rec, ok := r.records[id]
-	if !ok || rec.announcement.StartMillis != startMillis || r.HasDeparted(id, startMillis) {
-		return false
-	}
-	r.departed[id] = Departure{ID: id, Pool: rec.announcement.Pool, StartMillis: startMillis, At: at}
-	return true
-}
-
 // StartLearned returns the time of the first announcement of a backend server's start, or 0 if
 // the server is not known.
 func (r *Roster) StartLearned(id string) time.Duration {
@@ -259,34 +203,6 @@
 	return 0
 }
 
-// HasDeparted reports whether this start of a backend server stated in an answer that it
-// leaves.
-func (r *Roster) HasDeparted(id string, startMillis int64) bool {
-	d, ok := r.departed[id]
-	return ok && d.StartMillis == startMillis
-}
-
-// IsLeaving reports whether this start of a backend server leaves, as an answer stated or
-// its announcements say. A departure may be of every start until a moment (NameStart).
-func (r *Roster) IsLeaving(id string, startMillis int64) bool {
-	rec, ok := r.records[id]
-	return r.HasDeparted(id, startMillis) || ok && rec.announcement.StartMillis >= startMillis && rec.announcement.State != tanagerroad.Serving
-}
-
-// Departures returns the backend servers of a pool that would be usable if they had not
-// stated in an answer that they leave, sorted by id.
-func (r *Roster) Departures(pool string) []Departure {
-	var out []Departure
-	for id, d := range r.departed {
-		rec := r.records[id]
-		if d.Pool == pool && d.StartMillis == rec.announcement.StartMillis && rec.announcement.State == tanagerroad.Serving && len(rec.sources) > 0 {
-			out = append(out, d)
-		}
-	}
-	slices.SortFunc(out, func(a, b Departure) int { return cmp.Compare(a.ID, b.ID) })
-	return out
-}
-
 // Lapse records that a source no longer receives announcements of a backend
 // server.
 func (r *Roster) Lapse(source, id string) {
