io/gateway: streams that go on within a request may use servers that broke off

Cause: leaves out servers whose connections have ended also where a stream goes on within one request. Servers that break off answers and live are left out for 6 s then.

Change: they are left out only where a caller takes a stream up. Within a request the server that broke it off is left out, as before.

--- a/io/gateway/try.go
+++ b/io/gateway/try.go
@@ -43,7 +43,7 @@
 	now := g.now()
 	avoided := avoidedField(now, g.roster.Departures(x.pool), g.fleet.Pauses(now, x.pool), g.fleet.AtLimit(now, x.pool))
 	var restarted []string
-	if x.software != "" {
+	if x.software != "" && !x.committed {
 		restarted = g.maybeRestarted(now, x.pool, x.software)
 		request.Exclude = slices.Concat(x.exclude, restarted)
 	}
