core/roster: a forwarded departure that names no start ends none

What callers would see: while control instances are upgraded one by one, one of the version before that has restarted tells others the departures of its log with the start 0.

Found in reading the change again; no run of two versions was made.

Change: Roster.Apply ignores a departure that was forwarded without a start. Those that know the start have the departure from the log too, with its time.

--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -108,8 +108,12 @@
 
 // Apply applies an announcement. source is the instance that received it from the
 // backend server, or "" when it was only forwarded and is no sign of life. Apply
-// reports whether anything changed that other processes need to know.
+// reports whether anything changed that other processes need to know. A forwarded departure
+// that names no start, as an earlier version sends them, ends none (see NameStart).
 func (r *Roster) Apply(at time.Duration, source string, a tanagerroad.Announcement) bool {
+	if source == "" && a.State == tanagerroad.Down && a.StartMillis == 0 {
+		return false
+	}
 	rec, ok := r.records[a.ID]
 	if !ok {
 		rec = &record{announcement: a, sources: map[string]bool{}, startLearned: at}
--- a/io/control/announcements_test.go
+++ b/io/control/announcements_test.go
@@ -200,7 +200,15 @@
 		r.leave("a", tanagerroad.Down, 0)
 		r.wantState(1, "a", tanagerroad.Down, "a departure that another instance acknowledged")
 	}
+	// The instance that is told has not heard of the second start.
+	r.serve(0, "b", 1, 1000)
+	r.leave("b", tanagerroad.Down, 0)
+	r.serve(1, "b", 1, 2000)
+	r.leave("b", tanagerroad.Down, 0)
+	r.wantState(1, "b", tanagerroad.Down, "a departure of a start that the asked instance does not know")
 	r.stop(0)
-	r.serve(1, "a", 2, 2000)
-	r.wantState(1, "a", tanagerroad.Down, "a late announcement of the second start")
+	for _, id := range []string{"a", "b"} {
+		r.serve(1, id, 2, 2000)
+		r.wantState(1, id, tanagerroad.Down, "a late announcement of the second start")
+	}
 }
