io/http1: an old connection's end does not make the next start doubtful

What callers would see: for 6 s after a planned restart of a backend server, streams that are taken up avoid it at gateways that had idle connections to the start before, though the next start has announced itself. Where it is the only one of its version they are refused.

Cause: when a request finds such a connection closed, that is noticed after the next start was learned, and MayHaveEnded went by the time of noticing. What it proves is older: the process that ended is that of the time at which the connection was opened.

Change: only connections that were opened after the start was learned count against it, as for closed ones that no request has found yet.

TestEndedProcessLooksAlive: the case "a closed one of the start before, found by a request" was red before; the one for the same start holds that it still counts.

--- a/io/http1/client.go
+++ b/io/http1/client.go
@@ -354,7 +354,7 @@
 	c.openMu.Lock()
 	defer c.openMu.Unlock()
 	sign, ok := c.broken[address]
-	ok = ok && sign.noticed.After(since) && sign.noticed.After(start)
+	ok = ok && sign.noticed.After(since) && sign.before.After(start)
 	var oldest time.Time // of the connections that are left
 	for conn := range c.open[address] {
 		switch {
--- a/io/http1/conn_test.go
+++ b/io/http1/conn_test.go
@@ -375,17 +375,20 @@
 		closed     int  // of these, the newest first
 		broken     bool // another one ended before its answer
 		restarted  bool // its next start is known
+		request    bool // another request is sent then
 		mayHaveEnd bool
 	}{
-		{"no connection", 0, 0, false, false, false},
-		{"an open one", 1, 0, false, false, false},
-		{"a closed one", 1, 1, false, false, true},
-		{"a closed one of the start before", 1, 1, false, true, false},
-		{"an open one from before the closed one", 2, 1, false, false, false},
-		{"two closed ones", 2, 2, false, false, true},
-		{"a broken one", 0, 0, true, false, true},
-		{"an open one from before the broken one", 1, 0, true, false, false},
-		{"a broken one of the start before", 0, 0, true, true, false},
+		{"no connection", 0, 0, false, false, false, false},
+		{"an open one", 1, 0, false, false, false, false},
+		{"a closed one", 1, 1, false, false, false, true},
+		{"a closed one, found by a request", 1, 1, false, false, true, true},
+		{"a closed one of the start before", 1, 1, false, true, false, false},
+		{"a closed one of the start before, found by a request", 1, 1, false, true, true, false},
+		{"an open one from before the closed one", 2, 1, false, false, false, false},
+		{"two closed ones", 2, 2, false, false, false, true},
+		{"a broken one", 0, 0, true, false, false, true},
+		{"an open one from before the broken one", 1, 0, true, false, false, false},
+		{"a broken one of the start before", 0, 0, true, true, false, false},
 	} {
 		served := make(chan net.Conn, 4)
 		address := startBackend(t, func(conn net.Conn, reader *bufio.Reader) {
@@ -395,15 +398,18 @@
 		client, closeClient := New()
 		start := time.Now()
 		var all []net.Conn
-		for range c.idle {
-			res, err := client.Do(t.Context(), Request{Address: address, Method: http.MethodGet, Target: "/x", Host: "h", NewConn: true})
+		call := func(newConn bool) {
+			res, err := client.Do(t.Context(), Request{Address: address, Method: http.MethodGet, Target: "/x", Host: "h", NewConn: newConn})
 			if err != nil {
 				t.Fatal(err)
 			}
-			all = append(all, <-served)
 			_, _ = io.ReadAll(res)
 			res.Close()
 		}
+		for range c.idle {
+			call(true)
+			all = append(all, <-served)
+		}
 		for i := range c.closed {
 			_ = all[len(all)-1-i].Close()
 		}
@@ -414,6 +420,9 @@
 		if c.restarted {
 			start = time.Now()
 		}
+		if c.request {
+			call(false)
+		}
 		if got := client.MayHaveEnded(address, start, start.Add(-time.Second)); got != c.mayHaveEnd {
 			t.Errorf("%s: may have ended: %t, want %t", c.what, got, c.mayHaveEnd)
 		}
