io/gateway: the queue of configurations follows the project's pattern

Found in reading again; behaviour is as it was. The goroutine is a closure in the queue's constructor, which returns the function that waits for it, and waits with io/signal, as the recorder of origins does; a channel with one place did that anew. One goroutine is the only writer of the configuration in force, so the loop with CompareAndSwap that many watches needed is a load and a store, and an index is no longer built for a configuration that is not applied.

io/gateway TestConfigurationsHoldUpUpdates, TestConfigurationReverts and those of updates, regions and cold servers are green with the race detector.

--- a/io/gateway/catalogs.go
+++ b/io/gateway/catalogs.go
@@ -11,30 +11,47 @@
 	"tanagerroad/core/quantile"
 	"tanagerroad/core/wire"
 	"tanagerroad/io/registrar"
+	"tanagerroad/io/signal"
 )
 
 // catalogQueue holds the configurations that are still to be applied: the newest of each
 // control instance. To decode one takes long on a small machine, and every control instance
-// sends each version.
+// sends each version, so they are applied one at a time.
 type catalogQueue struct {
-	mu      sync.Mutex
-	newest  map[string]*wire.Catalog // by address of the control instance
-	offered chan struct{}            // holds one value after an offer
+	offered *signal.Signal
+
+	mu     sync.Mutex
+	newest map[string]*wire.Catalog // by address of the control instance
 }
 
-func newCatalogQueue() *catalogQueue {
-	return &catalogQueue{newest: map[string]*wire.Catalog{}, offered: make(chan struct{}, 1)}
+// newCatalogQueue returns a queue whose configurations are applied to the gateway, and a
+// function that waits until that ends with the gateway.
+func newCatalogQueue(g *Gateway) (*catalogQueue, func()) {
+	q := &catalogQueue{offered: signal.New(), newest: map[string]*wire.Catalog{}}
+	var group sync.WaitGroup
+	group.Go(func() {
+		for g.ctx.Err() == nil {
+			offered := q.offered.Changed()
+			address, c := q.take()
+			if c == nil {
+				select {
+				case <-g.ctx.Done():
+				case <-offered:
+				}
+				continue
+			}
+			g.applyCatalog(address, c)
+		}
+	})
+	return q, group.Wait
 }
 
 // offer adds the newest configuration of a control instance. It does not block.
 func (q *catalogQueue) offer(address string, c *wire.Catalog) {
 	q.mu.Lock()
-	defer q.mu.Unlock()
 	q.newest[address] = c
-	select {
-	case q.offered <- struct{}{}:
-	default:
-	}
+	q.mu.Unlock()
+	q.offered.Broadcast()
 }
 
 // take removes and returns the newest configuration, and the address of its control instance,
@@ -51,22 +68,8 @@
 	return address, c
 }
 
-// applyCatalogs applies the configurations that are offered, one at a time, until the gateway
-// stops.
-func (g *Gateway) applyCatalogs() {
-	for {
-		select {
-		case <-g.ctx.Done():
-			return
-		case <-g.catalogs.offered:
-		}
-		for address, c := g.catalogs.take(); c != nil; address, c = g.catalogs.take() {
-			g.applyCatalog(address, c)
-		}
-	}
-}
-
-// applyCatalog applies a configuration if it is newer than the one in force.
+// applyCatalog applies a configuration if it is newer than the one in force. Only the
+// goroutine of the queue calls it.
 func (g *Gateway) applyCatalog(address string, c *wire.Catalog) {
 	if c.GetVersion() <= g.CatalogVersion() {
 		return
@@ -81,16 +84,11 @@
 		event.CatalogUnreadable.Log(g.config.Logger, zap.Uint64("version", c.GetVersion()), zap.Error(err))
 		return
 	}
-	next := catalog.New(parsed)
-	for {
-		current := g.catalog.Load()
-		if current != nil && current.Version >= next.Version {
-			return
-		}
-		if g.catalog.CompareAndSwap(current, next) {
-			break
-		}
+	if current := g.catalog.Load(); current != nil && current.Version >= parsed.Version {
+		return
 	}
+	next := catalog.New(parsed)
+	g.catalog.Store(next)
 	routeNames := make(map[string]bool, len(next.Routes))
 	for i := range next.Routes {
 		routeNames[next.Routes[i].Name] = true
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -123,7 +123,7 @@
 		regions[z.Zone] = z.Region
 	}
 	g := &Gateway{
-		config: config, client: client, ctx: ctx, noticeDue: signal.New(), catalogs: newCatalogQueue(),
+		config: config, client: client, ctx: ctx, noticeDue: signal.New(),
 		control: control.NewClient(config.Conns, config.Settings.Control, config.Logger),
 		roster:  roster.New(roster.DefaultConfig()), fleet: fleet.New(regions),
 		quarantine: quarantine.NewView(quarantine.DefaultConfig().Duration), broken: map[serverStart]*brokenAttempts{}, unconfirmed: map[serverStart]*brokenAttempts{},
@@ -142,16 +142,13 @@
 	g.origins = origins
 	crashReports, closeCrashReports := newCrashReporter(g)
 	g.crashReports = crashReports
+	catalogs, awaitCatalogs := newCatalogQueue(g)
+	g.catalogs = catalogs
 	watches, closeWatches := control.NewWatchSet(g.watcher)
 	g.watches = watches
 	g.mu.Lock()
 	g.updateWatches()
 	g.mu.Unlock()
-	catalogsDone := make(chan struct{})
-	go func() {
-		defer close(catalogsDone)
-		g.applyCatalogs()
-	}()
 	housekeepingDone := make(chan struct{})
 	go func() {
 		defer close(housekeepingDone)
@@ -182,7 +179,7 @@
 		closeWatches()
 		closeOrigins()
 		closeCrashReports()
-		<-catalogsDone
+		awaitCatalogs()
 		<-housekeepingDone
 		closeClient()
 	}
