io/http1: one record of the signs that a process has ended

Found in reading again; answers are as they were. The client kept two maps by address that were written, read and pruned side by side. One struct holds the times of both, and says which is for what. The tests of io/http1 and those of crashes, survival and take-ups in io/gateway are green.

--- a/io/http1/client.go
+++ b/io/http1/client.go
@@ -82,14 +82,20 @@
 
 	openMu sync.Mutex
 	open   map[string]map[*connection]bool // idle or in use, by address
-	ended  map[string]time.Time            // when a connection was last found closed by the other end, or refused, by address
-	broken map[string]breakage             // the latest sign that the process at an address may have ended
+	signs  map[string]sign                 // of ended processes, by address
 
 	// Opened counts new connections, Reused counts requests sent on idle ones, and
 	// StrayResponses counts unsolicited responses and responses to other requests.
 	Opened, Reused, StrayResponses atomic.Int64
 }
 
+// sign is the latest sign that the process at an address may have ended.
+type sign struct {
+	closed  time.Time // when a connection was last found closed by the other end, or refused
+	noticed time.Time // closed, or when a request's connection ended before its answer did, if that is later
+	before  time.Time // if the process has ended, no connection that was opened earlier is left
+}
+
 type connection struct {
 	net.Conn
 	client      *Client
@@ -105,7 +111,7 @@
 
 // New returns a client and the function that closes its idle connections.
 func New() (*Client, func()) {
-	c := &Client{idle: map[string][]*connection{}, open: map[string]map[*connection]bool{}, ended: map[string]time.Time{}, broken: map[string]breakage{}, clock: time.Now}
+	c := &Client{idle: map[string][]*connection{}, open: map[string]map[*connection]bool{}, signs: map[string]sign{}, clock: time.Now}
 	c.dialer = net.Dialer{
 		Timeout:         connectTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveProbes},
@@ -301,7 +307,7 @@
 	c.openMu.Lock()
 	defer c.openMu.Unlock()
 	now := c.clock()
-	c.ended[address], c.broken[address] = now, breakage{noticed: now, before: after}
+	c.signs[address] = sign{closed: now, noticed: now, before: after}
 }
 
 // Liveness is what connections tell of the process at an address.
@@ -320,7 +326,7 @@
 	c.openMu.Lock()
 	defer c.openMu.Unlock()
 	out := Unknown
-	if c.ended[address].After(since) {
+	if c.signs[address].closed.After(since) {
 		out = Ended
 	}
 	for conn := range c.open[address] {
@@ -335,16 +341,12 @@
 	return out
 }
 
-// breakage is a sign that the process at an address may have ended. If it has, no connection
-// that was opened earlier than before is left.
-type breakage struct{ noticed, before time.Time }
-
 // RecordBroken records that a request's connection to address ended before its answer did.
 func (c *Client) RecordBroken(address string) {
 	c.openMu.Lock()
 	defer c.openMu.Unlock()
 	now := c.clock()
-	c.broken[address] = breakage{now, now}
+	c.signs[address] = sign{closed: c.signs[address].closed, noticed: now, before: now}
 }
 
 // MayHaveEnded reports whether the process that listened on address from start on may have
@@ -353,7 +355,7 @@
 func (c *Client) MayHaveEnded(address string, start, since time.Time) bool {
 	c.openMu.Lock()
 	defer c.openMu.Unlock()
-	sign, ok := c.broken[address]
+	sign, ok := c.signs[address]
 	ok = ok && sign.noticed.After(since) && sign.before.After(start)
 	var oldest time.Time // of the connections that are left
 	for conn := range c.open[address] {
@@ -458,8 +460,7 @@
 func (c *Client) PruneIdle(addresses map[string]bool) {
 	now := c.clock()
 	c.openMu.Lock()
-	maps.DeleteFunc(c.ended, func(_ string, at time.Time) bool { return now.Sub(at) > endedMemory })
-	maps.DeleteFunc(c.broken, func(_ string, b breakage) bool { return now.Sub(b.noticed) > endedMemory })
+	maps.DeleteFunc(c.signs, func(_ string, s sign) bool { return now.Sub(s.noticed) > endedMemory })
 	c.openMu.Unlock()
 	c.mu.Lock()
 	defer c.mu.Unlock()
