io/control, core/roster: an announcement's source follows from where it came

Found in reading again; behaviour is as it was. applyAnnouncement took the roster's source and the origin for the log, of which one tells the other. Outdated, which each ordinary heartbeat passes through, compares start and state before it orders the two announcements. The tests of both packages are green.

--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -157,11 +157,12 @@
 // is known, so that callers can log it.
 func (r *Roster) Outdated(a tanagerroad.Announcement) (known tanagerroad.Announcement, ok bool) {
 	rec, ok := r.records[a.ID]
-	if !ok || rec.outdatedSeq == rec.changedSeq || r.supersedes(a, rec.announcement) {
+	if !ok {
 		return tanagerroad.Announcement{}, false
 	}
 	known = rec.announcement
-	if known.StartMillis == a.StartMillis && known.State == a.State {
+	same := known.StartMillis == a.StartMillis && known.State == a.State
+	if same || rec.outdatedSeq == rec.changedSeq || r.supersedes(a, known) {
 		return tanagerroad.Announcement{}, false
 	}
 	rec.outdatedSeq = rec.changedSeq
--- a/io/control/announcements.go
+++ b/io/control/announcements.go
@@ -76,7 +76,7 @@
 		if a.State == tanagerroad.Down && a.StartMillis == 0 {
 			a.StartMillis = d.GetAtMillis() // recorded by a version that named no start
 		}
-		s.applyAnnouncement("", fromRegistry, a)
+		s.applyAnnouncement(fromRegistry, a)
 	}
 	s.departureCount = view.DepartureCount
 }
--- a/io/control/service.go
+++ b/io/control/service.go
@@ -191,7 +191,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	a = s.roster.NameStart(s.clock.Wall().UnixMilli(), a)
-	if s.applyAnnouncement(thisInstance, fromServer, a) {
+	if s.applyAnnouncement(fromServer, a) {
 		s.updated.Broadcast()
 	} else if s.roster.Suspend(thisInstance, a) {
 		event.ServerSuspended.Log(s.logger, zap.String("server", a.ID), zap.String("state", string(a.State)), zap.Int64("born", a.StartMillis))
@@ -207,7 +207,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, a := range update.GetAnnounced() {
-		if s.applyAnnouncement("", fromPeer, peer.AnnouncementFromWire(a)) {
+		if s.applyAnnouncement(fromPeer, peer.AnnouncementFromWire(a)) {
 			s.updated.Broadcast()
 		}
 	}
@@ -216,7 +216,11 @@
 // applyAnnouncement applies an announcement to the roster and reports whether anything
 // changed. It logs each change that was received here, or that takes a backend server out of
 // use. The caller holds s.mu.
-func (s *Service) applyAnnouncement(source, from string, a tanagerroad.Announcement) bool {
+func (s *Service) applyAnnouncement(from string, a tanagerroad.Announcement) bool {
+	source := ""
+	if from == fromServer {
+		source = thisInstance
+	}
 	if !s.roster.Apply(s.clock.Now(), source, a) {
 		if known, ok := s.roster.Outdated(a); ok {
 			event.AnnouncementOutdated.Log(s.logger, zap.String("server", a.ID), zap.String("state", string(a.State)), zap.Int64("born", a.StartMillis),
