io/gateway: only the chosen server's connections are looked at for a restart

Found in reading again. That work grew with the deployment.

Change: the server is chosen first, and only if it may have started again the choice is given back, the pool is looked at and another one is chosen. The choice stands in pick, beside the other rule for versions, and not in the middle of attempt.

Tests of io/gateway for take-ups, origins and streams are green, TestTakenUpStreamGoesOnAtRestartedServer among them.

--- a/io/gateway/origins.go
+++ b/io/gateway/origins.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -75,41 +76,56 @@
 // that it is no longer used (roster.Config.SilenceTimeout).
 const restartTime = 6 * time.Second
 
-// maybeRestarted returns the backend servers of a pool and software version whose connections
-// have ended since their start was announced. They may have started again, with another
-// version that is not announced yet. If that is so for most of the pool, it is this gateway
-// whose connections were cut, and there are none. g.mu must be held.
-func (g *Gateway) maybeRestarted(now time.Duration, pool, software string) []string {
+// mayHaveRestarted reports whether the connections to a backend server have ended since its start
+// was announced. It may have started again, with another version that is not announced yet.
+// g.mu must be held.
+func (g *Gateway) mayHaveRestarted(now time.Duration, server tanagerroad.Announcement) bool {
+	wall := time.Now()
+	learned := g.roster.StartLearned(server.ID)
+	return g.client.MayHaveEnded(server.Address, wall.Add(learned-now), wall.Add(-restartTime))
+}
+
+// restartedServers returns the backend servers of a pool that may have started again. If most
+// of the pool may have, it is this gateway whose connections were cut, and there are none.
+// g.mu must be held.
+func (g *Gateway) restartedServers(now time.Duration, pool string) []string {
 	servers := g.fleet.Pool(pool)
-	wall, count := time.Now(), 0
 	var out []string
 	for _, s := range servers {
-		learned := g.roster.StartLearned(s.ID)
-		if !g.client.MayHaveEnded(s.Address, wall.Add(learned-now), wall.Add(-restartTime)) {
-			continue
-		}
-		if count++; s.Software == software {
+		if g.mayHaveRestarted(now, s) {
 			out = append(out, s.ID)
 		}
 	}
-	if 2*count > len(servers) {
+	if 2*len(out) > len(servers) {
 		return nil
 	}
 	return out
 }
 
 // pick chooses a backend server. While origins cannot be recorded, a stream begins at the
-// base version if it can. g.mu must be held.
-func (x *exchange) pick(now time.Duration, request fleet.Request) (fleet.Choice, bool) {
+// base version if it can. A stream that is taken up goes on at no server that may have
+// started again; those are returned too, if there was one to avoid. g.mu must be held.
+func (x *exchange) pick(now time.Duration, request fleet.Request) (choice fleet.Choice, restarted []string, ok bool) {
 	g := x.g
 	if request.Software == "" && x.isResumable() && g.origins.isStalled(now) {
 		request.Software = g.bases[x.pool]
 		if choice, ok := g.fleet.Pick(now, request); ok {
-			return choice, true
+			return choice, nil, true
 		}
 		request.Software = ""
 	}
-	return g.fleet.Pick(now, request)
+	choice, ok = g.fleet.Pick(now, request)
+	if !ok || x.software == "" || x.committed || !g.mayHaveRestarted(now, choice.Announcement) {
+		return choice, nil, ok
+	}
+	restarted = g.restartedServers(now, x.pool)
+	if len(restarted) == 0 {
+		return choice, nil, true
+	}
+	g.fleet.RecordEnd(now, choice.ID, fleet.Outcome{Unknown: true}) // nothing is sent to it
+	request.Exclude = slices.Concat(request.Exclude, restarted)
+	choice, ok = g.fleet.Pick(now, request)
+	return choice, restarted, ok
 }
 
 // recordOrigin has it recorded at which software version the stream begins, unless it is
--- a/io/gateway/try.go
+++ b/io/gateway/try.go
@@ -42,12 +42,7 @@
 	g.mu.Lock()
 	now := g.now()
 	avoided := avoidedField(now, g.roster.Departures(x.pool), g.fleet.Pauses(now, x.pool), g.fleet.AtLimit(now, x.pool))
-	var restarted []string
-	if x.software != "" && !x.committed {
-		restarted = g.maybeRestarted(now, x.pool, x.software)
-		request.Exclude = slices.Concat(x.exclude, restarted)
-	}
-	choice, ok := x.pick(now, request)
+	choice, restarted, ok := x.pick(now, request)
 	version := g.fleet.Version()
 	var pausedUntil time.Duration
 	if !ok {
